First version: the counted limit decides, a line with places gives the work

The design's count on the counter service decides every invocation; a line with places per host, health by silence and a limit on counter calls out stand beside it.

Cause of the first losses: work was given up so late that the client's next try came late too, and a counter over its capacity was asked ever more. A try that cannot be answered is ended on arrival, which covers any client that comes with little time.

--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,865 @@
+// Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
+//
+// How to call it. New makes an instance. Notices (Hosts, Counted, Told, Gone, Tick) tell it what was
+// seen. Take brings an invocation in. Then three calls decide: while Turn names an invocation, Where says
+// where to send it (or not yet, or never); After says what to do once a delivery has ended; Wait says how
+// long to wait before the next Tick. Counter calls, cancels, messages and log lines leave through Out.
+//
+// The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
+// throttled if the total passes the limit (the estimate taken off again), and the true cost is settled.
+// Beside it stand six mechanisms:
+//  1. ledger: what this instance owes the counter; a silent or forgetful counter is bridged by its share
+//  2. open cap: deliveries out at once ride in the same count as the units
+//  3. line and places: work waits here, a host gets the next piece when one of its places is free
+//  4. health by silence: a host is set aside for unusual silence; back by peers' word, else a sparing trial
+//  5. cold budget: this instance's part of what a host that has just started may be sent
+//  6. further deliveries: by effect, time left and spare places
+package choice
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Delivery is one try at sending an invocation on.
+type Delivery struct {
+	Inv    *Invocation
+	Host   *Host
+	Number int
+	sent   float64
+	ended  bool
+}
+
+// stage is how far an invocation has come.
+type stage int
+
+const (
+	fresh    stage = iota // to be counted
+	asking                // its counter call is out
+	refused               // over the quota
+	waiting               // in line
+	sent                  // a delivery is out
+	finished              // it has its final answer
+)
+
+// Invocation is what a client sent, from Take to its final answer and the end of its deliveries.
+type Invocation struct {
+	Ref                  string
+	Deliveries           []*Delivery
+	op                   *operation
+	cust                 *customer
+	size, units          float64 // as it says, and as the quota on the rate counts it
+	born, wanted, giveUp float64 // it came, its latency objective ends, its client gives up
+	stage                stage
+	repeat, charged      bool // it is a client's repeat; it holds units and an open place
+	out                  int  // deliveries out
+	comeBack             float64
+	mayRun               *Delivery // the first delivery not proved not run
+	toHost               *Host     // chosen by Turn
+}
+
+// Finished says that the invocation is answered and nothing of it is out.
+func (inv *Invocation) Finished() bool { return inv.stage == finished && inv.out == 0 }
+
+// Host is one server of the back end.
+type Host struct {
+	Addr, zone        string
+	cell              int
+	since             float64 // its last start
+	listed            bool    // active in the list
+	aside, asked      bool    // set aside here; set aside by a peer that asks for word of it
+	out               []*Delivery
+	places            float64 // how many deliveries this instance may have out there
+	slow              float64 // time of its answers over their operation's base
+	pace              float64 // mean gap between good answers times deliveries out
+	sign              float64 // last good answer, or when it was given work after none
+	odd               float64 // how unusual its present silence is
+	fails             int     // bad endings since the last good one
+	trialAt, trialGap float64 // set aside: next trial, and how far apart
+	restAt            float64 // nothing new before: it was full, or is cold and paced
+}
+
+type operation struct {
+	Operation
+	mean, base, seen float64 // time of good answers: of late, unpressed, how many
+	window           float64 // longest time that a client has given it
+}
+
+// customer is what this instance knows of one customer's counts.
+type customer struct {
+	key               string
+	plan              *Plan
+	width             float64
+	window            int64
+	name              uint64
+	seen, open, sawAt float64 // units and open places in the last total, and when that was
+	room, at          float64 // units that may still be let in, as of at
+	asking            float64 // of what room lacks: estimates whose calls are out
+	owed, told        float64 // units to add with the next call, and when the last was
+	doubt, doubtLet   float64 // units of calls that ended without an answer, and what of them should stand
+	out, standing     int     // open places held here, and of them on the counter
+	mine, all         float64 // units let in of late: here, everywhere
+	lent, lentAt      float64 // what may be let in without the counter, as of then (0: it answers)
+	askAt, pause      float64 // no call before, and how far that grows
+	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
+}
+
+// call is one counter call that has not been answered.
+type call struct {
+	cust   *customer
+	window int64
+	units  float64
+	open   int
+	inv    *Invocation
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	at          Standing
+	counter     Counter
+	cold        Cold
+	allow       Allowed
+	out         Out
+	ops         map[string]*operation
+	plans       map[string]*Plan
+	hosts       []*Host // in the order of their addresses
+	byAddr      map[string]*Host
+	customers   map[string]*customer
+	inOrder     []*customer
+	names       map[uint64][]*call
+	calls       int     // counter calls out
+	callsMost   float64 // and how many may be
+	ready, line []*Invocation
+}
+
+// New makes an instance that knows nothing but its start.
+func New(at Standing, ops []Operation, plans []Plan, counter Counter, cold Cold, allow Allowed, out Out) *Gateway {
+	g := &Gateway{at: at, counter: counter, cold: cold, allow: allow, out: out,
+		ops: map[string]*operation{}, plans: map[string]*Plan{}, byAddr: map[string]*Host{},
+		customers: map[string]*customer{}, names: map[uint64][]*call{}, callsMost: 32}
+	for _, o := range ops {
+		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
+	}
+	for _, p := range plans {
+		g.plans[p.Name] = &p
+	}
+	return g
+}
+
+// ---- The door.
+
+// Take brings an invocation in; Turn will name it.
+func (g *Gateway) Take(now float64, a Asked) *Invocation {
+	op, given := g.ops[a.Operation], a.GiveUp-now
+	if op == nil { // an operation that the start did not name: the strictest kind, wanted by half of its time
+		op = &operation{Operation: Operation{Name: a.Operation, Objective: given / 2, Timeout: given, Value: 1,
+			Effect: NonIdempotent}, mean: given / 10, base: given / 16}
+		g.ops[a.Operation] = op
+	}
+	inv := &Invocation{Ref: a.Ref, op: op, cust: g.customer(now, a), size: a.Units, born: now,
+		wanted: now + op.Objective, giveUp: a.GiveUp, repeat: a.Repeat}
+	if inv.cust.plan.Rate > 0 {
+		inv.units = a.Units
+	}
+	// A try with less time than others get is cut short by its client's integration timeout, which runs from the
+	// first try: so does its latency objective.
+	if op.window = max(op.window, given); given < 0.98*op.window {
+		inv.wanted = min(inv.wanted, a.GiveUp-op.Timeout+op.Objective)
+		inv.repeat = true
+	}
+	g.ready = append(g.ready, inv)
+	return inv
+}
+
+func (g *Gateway) customer(now float64, a Asked) *customer {
+	id := a.Plan + " " + a.Customer
+	c := g.customers[id]
+	if c == nil {
+		plan := g.plans[a.Plan]
+		if plan == nil { // a plan that the start did not name promises nothing and limits nothing
+			plan = &Plan{Name: a.Plan}
+			g.plans[a.Plan] = plan
+			g.out.Log(fmt.Sprintf("plan %q is unknown: no quota", a.Plan))
+		}
+		c = &customer{key: id, plan: plan, window: math.MinInt64, at: now, hardAt: now}
+		g.customers[id] = c
+		g.inOrder = append(g.inOrder, c)
+	}
+	c.width = max(1, float64(a.Width))
+	return c
+}
+
+// Turn names the next invocation to ask Where about, nil when there is none for now.
+func (g *Gateway) Turn(now float64) *Invocation {
+	if len(g.ready) > 0 {
+		inv := g.ready[0]
+		g.ready = g.ready[1:]
+		return inv
+	}
+	return g.fromLine(now)
+}
+
+// Where decides where to send an invocation, or not yet, or never.
+func (g *Gateway) Where(now float64, inv *Invocation) Answer {
+	switch {
+	case inv.stage == fresh:
+		return g.admit(now, inv)
+	case inv.stage == waiting && inv.toHost != nil:
+		return g.send(now, inv, inv.toHost)
+	case inv.stage == refused, inv.stage == waiting && now >= g.lapse(inv):
+		return g.end(now, inv)
+	}
+	return Answer{}
+}
+
+// Wait says how long until the next Tick is due.
+func (g *Gateway) Wait(now float64) float64 {
+	next := math.Inf(1)
+	for _, inv := range g.line {
+		next = min(next, g.lapse(inv)-now)
+	}
+	for _, h := range g.hosts {
+		if len(h.out) > 0 || h.restAt > now && len(g.line) > 0 {
+			next = min(next, 0.05)
+		}
+	}
+	if slices.ContainsFunc(g.inOrder, (*customer).mustTell) {
+		next = min(next, 0.25)
+	}
+	return max(next, 0.001)
+}
+
+// Tick looks after what only time changes.
+func (g *Gateway) Tick(now float64) {
+	g.watch(now)
+	for _, c := range g.inOrder {
+		if c.mustTell() && now-c.told > 0.25 && g.mayCall(now, c) {
+			g.roll(now, c)
+			g.tell(now, c, nil)
+		}
+	}
+}
+
+// Gone says that the client has left: nothing is sent for the invocation any more.
+func (g *Gateway) Gone(now float64, inv *Invocation) {
+	if inv.stage != finished {
+		g.finish(now, inv)
+	}
+}
+
+// end gives the final answer. A throttling says that trying again is harmless, so it needs the proof that
+// nothing ran or an operation that may run again.
+func (g *Gateway) end(now float64, inv *Invocation) Answer {
+	harmless := inv.repeatable(now) && (inv.mayRun == nil || inv.op.Effect == Idempotent || inv.op.Group == "all")
+	g.finish(now, inv)
+	if !harmless {
+		return Answer{Do: GiveUp}
+	}
+	if inv.comeBack <= 0 {
+		inv.comeBack = inv.op.mean
+	}
+	return Answer{Do: Throttle, RetryAfter: inv.comeBack}
+}
+
+func (g *Gateway) finish(now float64, inv *Invocation) {
+	if inv.stage == waiting {
+		g.leaveLine(inv)
+	}
+	inv.stage = finished
+	if inv.out == 0 {
+		g.release(now, inv)
+	}
+}
+
+// ---- The design: count, refuse, settle.
+
+// windowLength is open in the design. Long windows make edges rare; a plan that caps what is out gets shorter ones,
+// since a place stranded by a dead api gateway lapses with its window.
+func (p *Plan) windowLength() float64 {
+	if p.Rate <= 0 {
+		return 2
+	} else if p.MaxOut > 0 {
+		return min(25, max(10, p.Burst/p.Rate))
+	}
+	return min(25, max(20, p.Burst/p.Rate))
+}
+
+// pack is what one open place adds to a count that also keeps units; totals have seven digits.
+func (p *Plan) pack() float64 {
+	if p.MaxOut <= 0 || p.Rate <= 0 {
+		return 1
+	}
+	return math.Pow(10, math.Ceil(math.Log10(max(1000, 4*(p.Burst+p.Rate*p.windowLength())))))
+}
+
+func (p *Plan) limited() bool { return p.Rate > 0 || p.MaxOut > 0 }
+
+// roll brings a customer's room up to now and, at a window's edge, to the new name. The room is what the window's
+// allowance leaves above the last total. Inside a window it grows at the plan's rate; what would pass one burst is
+// lost, as in the store it stands for; at the edge at most one burst is carried over.
+func (g *Gateway) roll(now float64, c *customer) {
+	p := c.plan
+	c.room = min(p.Burst, c.room+p.Rate*(now-c.at))
+	if w := int64(math.Floor(now / p.windowLength())); w != c.window {
+		if c.window == math.MinInt64 { // no total seen: the whole burst counts as unused
+			c.room = p.Burst
+		}
+		c.window, c.seen, c.open, c.standing, c.doubt, c.doubtLet = w, 0, 0, 0, 0, 0
+		f := fnv.New64a()
+		fmt.Fprintf(f, "%s %d", c.key, w)
+		c.name = f.Sum64() >> 1
+	}
+	fade := math.Exp(-(now - c.at) / 8)
+	c.mine, c.all, c.at = c.mine*fade, c.all*fade, now
+}
+
+// admit begins the ordinary path: the estimate goes to the counter.
+func (g *Gateway) admit(now float64, inv *Invocation) Answer {
+	c := inv.cust
+	if now >= inv.giveUp-0.7*inv.op.mean { // too late for any answer
+		return g.end(now, inv)
+	}
+	if !g.underCeiling(now, c, inv.size) {
+		inv.comeBack = inv.size * c.width / c.plan.CeilingRate
+		return g.end(now, inv)
+	}
+	if !c.plan.limited() {
+		g.join(inv)
+		return Answer{}
+	}
+	g.roll(now, c)
+	if short := inv.units - c.room; short > 0 && now-c.sawAt < 0.07 {
+		// A total just seen leaves no room: asking again would only load the counter.
+		inv.comeBack = short / c.plan.Rate
+		return g.end(now, inv)
+	}
+	inv.charged = true
+	c.out++
+	c.room -= inv.units
+	if !g.mayCall(now, c) || inv.giveUp-now < g.counter.Limit+0.01 {
+		g.bridge(now, inv)
+		return Answer{}
+	}
+	inv.stage = asking
+	g.tell(now, c, inv)
+	return Answer{}
+}
+
+func (g *Gateway) mayCall(now float64, c *customer) bool {
+	return g.counter.Present && now >= c.askAt && float64(g.calls) < g.callsMost
+}
+
+// mustTell: enough is owed that others should hear of it before the next add.
+func (c *customer) mustTell() bool {
+	return c.plan.limited() && (math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out)
+}
+
+// tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
+func (g *Gateway) tell(now float64, c *customer, inv *Invocation) {
+	k := &call{cust: c, window: c.window, inv: inv, units: c.owed}
+	if inv != nil {
+		k.units += inv.units
+		c.asking += inv.units
+	}
+	amount := k.units
+	if c.plan.MaxOut > 0 {
+		k.open = c.out - c.standing
+		amount += float64(k.open) * c.plan.pack()
+	}
+	c.owed, c.told, c.standing = 0, now, c.standing+k.open
+	g.calls++
+	g.names[c.name] = append(g.names[c.name], k)
+	g.out.Count(c.name, amount, min(60, 2.2*c.plan.windowLength()))
+}
+
+// Counted brings the answer to one counter call.
+func (g *Gateway) Counted(now float64, name uint64, how Outcome, sum, took float64) {
+	q := g.names[name]
+	if len(q) == 0 {
+		return
+	}
+	k := q[0]
+	if g.names[name] = q[1:]; len(q) == 1 {
+		delete(g.names, name)
+	}
+	g.calls--
+	c, inv := k.cust, k.inv
+	g.roll(now, c)
+	g.crowd(how, took)
+	if inv != nil {
+		c.asking -= inv.units
+	}
+	if how != Succeeded {
+		g.missed(now, k, how)
+		return
+	}
+	c.askAt, c.pause, c.lentAt = 0, 0, 0
+	if k.window == c.window {
+		g.read(now, k, sum)
+	}
+	switch {
+	case inv == nil || inv.stage != asking:
+	case inv.comeBack == 0:
+		g.join(inv)
+	default: // over: the estimate is taken off again, at once
+		g.refuse(now, inv)
+	}
+}
+
+// refuse ends an invocation that found no room; what it held is given back.
+func (g *Gateway) refuse(now float64, inv *Invocation) {
+	g.release(now, inv)
+	inv.stage = refused
+	g.ready = append(g.ready, inv)
+}
+
+// crowd guards against a counter that is slow, silent or refusing, whatever its cause: fewer calls are out while
+// answers fail or are late, down to one, which is the trial that ends it.
+func (g *Gateway) crowd(how Outcome, took float64) {
+	was := g.callsMost
+	if how == Succeeded && took < 0.4*g.counter.Limit {
+		g.callsMost = min(64, was+max(0.1, 1/was))
+	} else {
+		g.callsMost = max(1, was*0.8)
+	}
+	if was > 4 != (g.callsMost > 4) {
+		g.out.Log(fmt.Sprintf("counter: last %c in %.3f s, at most %.0f calls out", how, took, g.callsMost))
+	}
+}
+
+// read takes a total in and marks the call's invocation if it is over a limit.
+func (g *Gateway) read(now float64, k *call, sum float64) {
+	c, p, units := k.cust, k.cust.plan, sum
+	if p.MaxOut > 0 {
+		c.open = math.Round(sum / p.pack())
+		units = sum - c.open*p.pack()
+	}
+	others := units - k.units - c.seen
+	if c.doubt > 0 { // calls that ended without an answer: the total tells whether they were added
+		added := min(max(others, 0), c.doubt)
+		others -= added
+		c.owed += c.doubtLet - added
+		c.doubt, c.doubtLet = 0, 0
+	}
+	if others < -(4*g.counter.Most + p.Burst/4) {
+		// Guards against a count that was forgotten: no take-offs of others explain so low a total. The room
+		// stays as it is, so what was used stays used and later settlements open none.
+		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
+		others = max(0, units-k.units)
+	}
+	c.room = min(p.Burst-c.asking, c.room-others)
+	c.all += max(0, others)
+	c.seen, c.sawAt = units, now
+	if k.inv == nil {
+		return
+	}
+	if short := -(c.room + c.asking); p.Rate > 0 && short > 0 {
+		k.inv.comeBack = short / p.Rate
+	} else if p.MaxOut > 0 && c.open > float64(p.MaxOut) {
+		k.inv.comeBack = k.inv.op.mean
+	}
+}
+
+// missed handles a call that brought no total: the ledger is put right and the invocation is bridged.
+func (g *Gateway) missed(now float64, k *call, how Outcome) {
+	c, let := k.cust, k.units
+	if k.inv != nil {
+		let -= k.inv.units
+	}
+	if k.window != c.window || how != TimedOut {
+		c.owed += let
+	} else {
+		c.doubt, c.doubtLet = c.doubt+k.units, c.doubtLet+let
+	}
+	if k.window == c.window {
+		c.standing -= k.open
+	}
+	c.pause = min(1, max(0.1, 2*c.pause))
+	c.askAt = now + c.pause
+	if k.inv != nil && k.inv.stage == asking {
+		g.bridge(now, k.inv)
+	}
+}
+
+// bridge decides without the counter, by this instance's share of the quota; the counter is told later. The share
+// is its part of what all have added of late. Right after a total the whole room is known, so the share sets in as
+// that knowledge ages.
+func (g *Gateway) bridge(now float64, inv *Invocation) {
+	c, p := inv.cust, inv.cust.plan
+	prior := max(1, p.Burst/2)
+	share := max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
+	if c.lentAt == 0 {
+		known := math.Exp(-(now - c.sawAt) / 0.3)
+		c.lent, c.lentAt = (share+(1-share)*known)*max(0, c.room+inv.units), now
+	}
+	c.lent = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units))
+	c.lentAt = now
+	if inv.units > c.lent {
+		inv.comeBack = (inv.units - c.lent) / (share * p.Rate)
+	} else if p.MaxOut > 0 && float64(c.out) > max(1, math.Round(share*float64(p.MaxOut))) {
+		inv.comeBack = inv.op.mean
+	}
+	c.owed += inv.units
+	if inv.comeBack > 0 {
+		g.refuse(now, inv)
+		return
+	}
+	c.lent -= inv.units
+	g.join(inv)
+}
+
+// release gives back what an invocation holds: its open place, and its units if nothing of it ran.
+func (g *Gateway) release(now float64, inv *Invocation) {
+	if !inv.charged {
+		return
+	}
+	inv.charged = false
+	c, p := inv.cust, inv.cust.plan
+	c.out--
+	g.roll(now, c)
+	if inv.mayRun == nil {
+		c.owed -= inv.units
+		c.room += inv.units
+	}
+	if (c.owed < -0.5 || c.standing > c.out && 2*c.open > float64(p.MaxOut)) && g.mayCall(now, c) {
+		g.tell(now, c, nil)
+	}
+}
+
+// settle puts the true units in the place of the estimate; the difference rides with the next call.
+func (g *Gateway) settle(inv *Invocation, units float64) {
+	if g.counter.Settles && inv.charged && inv.units > 0 {
+		inv.cust.owed += units - inv.units
+		inv.cust.room -= units - inv.units
+	}
+}
+
+// underCeiling holds a hard ceiling by this instance's part of it alone. It starts empty, so that restarts grant
+// nothing twice, and needs no counter: safe if all the others do the same.
+func (g *Gateway) underCeiling(now float64, c *customer, units float64) bool {
+	p := c.plan
+	c.hard = min(c.hard+p.CeilingRate/c.width*(now-c.hardAt), p.CeilingBurst/c.width)
+	c.hardAt = now
+	if p.CeilingRate > 0 && units > c.hard {
+		return false
+	}
+	c.hard -= units
+	return true
+}
+
+// ---- The line and the places.
+
+func (g *Gateway) join(inv *Invocation) {
+	if inv.stage < waiting {
+		inv.cust.mine += inv.units
+		inv.cust.all += inv.units
+	}
+	inv.stage, inv.toHost = waiting, nil
+	g.line = append(g.line, inv)
+}
+
+func (g *Gateway) leaveLine(inv *Invocation) {
+	g.line = slices.DeleteFunc(g.line, func(x *Invocation) bool { return x == inv })
+}
+
+// lapse is when an invocation in line is given up: by then an answer in time has become unlikely. What is given up
+// is given up early, so that its client's next try may still be in time.
+func (g *Gateway) lapse(inv *Invocation) float64 {
+	return min(inv.giveUp-0.7*inv.op.mean,
+		max(inv.born, min(inv.wanted-1.3*inv.op.mean, inv.born+0.5*inv.op.Objective)))
+}
+
+// fromLine gives the invocation that the next free place should take, or one that has waited too long. The line goes
+// by billed value for the time it takes; a client's repeat, which often comes too late, counts less. While the line
+// is long the newest goes first among equals: the oldest would be late anyway.
+func (g *Gateway) fromLine(now float64) *Invocation {
+	var free []*Host
+	for _, h := range g.hosts {
+		if g.free(now, h) {
+			free = append(free, h)
+		}
+	}
+	var best *Invocation
+	var most float64
+	for _, inv := range g.line {
+		worth := inv.op.Value / inv.op.mean
+		if inv.repeat {
+			worth /= 4
+		}
+		pressed := now-inv.born > 0.2*inv.op.Objective
+		if best == nil || worth > most*1.2 || pressed && worth > most*0.8 {
+			if h := g.bestHost(now, inv, free); h != nil {
+				best, most, inv.toHost = inv, worth, h
+				continue
+			}
+		}
+		if now >= g.lapse(inv) {
+			inv.toHost = nil
+			return inv
+		}
+	}
+	return best
+}
+
+// free says whether this instance may give a host one more delivery.
+func (g *Gateway) free(now float64, h *Host) bool {
+	places := h.places
+	if w := g.warmth(now, h); w < 1 {
+		places = min(places, 1+3*w)
+	}
+	if h.aside {
+		places = 1
+	}
+	return h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt) && float64(len(h.out))+1 <= places
+}
+
+// warmth is how warm a host is, from 0 (just started) to 1.
+func (g *Gateway) warmth(now float64, h *Host) float64 {
+	if h.since <= 0 {
+		return 1
+	}
+	return min(1, max(0, (now-h.since)/max(g.cold.Warm, 0.001)))
+}
+
+func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
+	var best *Host
+	var least float64
+	for _, h := range free {
+		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
+			continue
+		}
+		cost := h.slow * (1 + 0.5*float64(len(h.out)))
+		if h.zone != g.at.Zone {
+			cost += 0.05
+		}
+		if slices.ContainsFunc(inv.Deliveries, func(d *Delivery) bool { return d.Host == h }) {
+			cost += 10
+		} else if h.aside {
+			cost = 0 // the sparing trial of a host set aside
+		}
+		if best == nil || cost < least {
+			best, least = h, cost
+		}
+	}
+	return best
+}
+
+// repeatable holds the second rule: nothing may have run, or running again does no harm.
+func (inv *Invocation) repeatable(now float64) bool {
+	return inv.mayRun == nil || inv.op.Effect == Idempotent ||
+		inv.op.Effect == Tokened && now < inv.mayRun.sent+inv.op.TokenTime
+}
+
+// mayGo holds it for one host: a tokened invocation that may have run stays within its group.
+func (g *Gateway) mayGo(now float64, inv *Invocation, h *Host) bool {
+	d, group := inv.mayRun, inv.op.Group
+	return inv.out == 0 && inv.repeatable(now) && (d == nil || inv.op.Effect == Idempotent || group == "all" ||
+		group == "zone" && h.zone == d.Host.zone || group == "cell" && h.cell == d.Host.cell)
+}
+
+func (g *Gateway) send(now float64, inv *Invocation, h *Host) Answer {
+	g.leaveLine(inv)
+	inv.toHost, inv.stage = nil, sent
+	d := &Delivery{Inv: inv, Host: h, Number: len(inv.Deliveries), sent: now}
+	inv.Deliveries = append(inv.Deliveries, d)
+	inv.out++
+	if inv.mayRun == nil {
+		inv.mayRun = d
+	}
+	if len(h.out) == 0 { // its silence begins now
+		h.sign = now
+	}
+	h.out = append(h.out, d)
+	if w := g.warmth(now, h); w < 1 {
+		// The cold budget: this instance's part of start share x factor, for one core's worth of this operation.
+		share := g.cold.Share + (1-g.cold.Share)*w
+		h.restAt = now + inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*share)
+	}
+	limit := 0.0
+	if inv.op.Effect != NonIdempotent && len(inv.Deliveries) < g.allow.Deliveries && len(g.line) == 0 {
+		left := inv.wanted - now
+		if l := max(left/2, 4*inv.op.mean); l < left-inv.op.mean {
+			limit = l
+		}
+	}
+	if h.aside {
+		h.trialAt = now + h.trialGap
+	}
+	return Answer{Do: Send, Host: h, Limit: limit}
+}
+
+// another says whether a further delivery is left and its answer can still be in time.
+func (g *Gateway) another(now float64, inv *Invocation) bool {
+	return len(inv.Deliveries) < g.allow.Deliveries && now < min(inv.wanted, inv.giveUp)-inv.op.mean
+}
+
+// After decides what to do once a delivery has ended.
+func (g *Gateway) After(now float64, d *Delivery, e Ended) Answer {
+	if d.ended {
+		return Answer{}
+	}
+	d.ended = true
+	inv := d.Inv
+	inv.out--
+	d.Host.out = slices.DeleteFunc(d.Host.out, func(x *Delivery) bool { return x == d })
+	if strings.ContainsRune("FCN", rune(e.How)) && inv.mayRun == d { // proved not run
+		inv.mayRun = nil
+	}
+	g.learn(now, d, e)
+	if e.How == Succeeded && e.Units > 0 {
+		g.settle(inv, e.Units)
+	}
+	if inv.stage == finished || e.Over {
+		g.finish(now, inv)
+		return Answer{}
+	}
+	if g.another(now, inv) && inv.repeatable(now) {
+		g.join(inv)
+		return Answer{}
+	}
+	return g.end(now, inv)
+}
+
+// ---- Hosts.
+
+// Hosts brings the list of hosts, whole or as changes.
+func (g *Gateway) Hosts(now float64, list []Listed, whole bool) {
+	if whole {
+		for _, h := range g.hosts {
+			h.listed = false
+		}
+	}
+	for _, l := range list {
+		h := g.byAddr[l.Addr]
+		if h == nil {
+			h = &Host{Addr: l.Addr}
+			g.byAddr[l.Addr] = h
+			g.hosts = append(g.hosts, h)
+			h.reset()
+		} else if l.Since != h.since {
+			h.reset()
+			h.restAt = 0
+		}
+		h.zone, h.cell, h.since, h.listed = l.Zone, l.Cell, l.Since, l.State == "active"
+	}
+	slices.SortFunc(g.hosts, func(a, b *Host) int { return strings.Compare(a.Addr, b.Addr) })
+}
+
+// reset forgets what was learned of a host's earlier life.
+func (h *Host) reset() {
+	h.places, h.slow, h.pace, h.fails, h.aside, h.trialGap = 4, 1, 0, 0, false, 0
+}
+
+// learn takes in how a delivery ended at its host.
+func (g *Gateway) learn(now float64, d *Delivery, e Ended) {
+	h, op := d.Host, d.Inv.op
+	switch e.How {
+	case Succeeded:
+		op.seen++
+		op.mean += max(0.03, 1/(op.seen+3)) * (e.Took - op.mean)
+		op.base = min(op.mean, op.base*1.0005)
+		h.slow += 0.12 * (e.Took/op.base - h.slow)
+		if gap := (now - h.sign) * float64(len(h.out)+1); h.pace == 0 {
+			h.pace = max(gap, op.mean)
+		} else {
+			h.pace += 0.1 * (gap - h.pace)
+		}
+		h.sign, h.fails = now, 0
+		if h.slow > 2.2 { // its queue has grown: work waits better here
+			h.places = max(1, h.places-0.1)
+		} else if h.slow < 1.7 && float64(len(h.out))+2 > h.places {
+			h.places = min(32, h.places+0.1)
+		}
+		if h.aside || h.asked {
+			g.tellPeers("+" + h.Addr)
+		}
+		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
+		h.asked = false
+	case TurnedAway:
+		h.places = max(1, h.places*0.7)
+		h.restAt = max(h.restAt, now+0.05)
+	case TimedOut:
+		h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
+		h.places = max(1, h.places*0.8)
+	case Failed, NoConnection, Reset:
+		// Guards against a host that answers fast with errors and so draws all work: it is judged by good answers.
+		if h.fails++; h.fails >= 3 {
+			g.setAside(now, h, fmt.Sprintf("%d bad endings in a row", h.fails))
+		}
+	}
+}
+
+// watch judges each host by how unusual its present silence is, given its gaps so far and its fellows' silence:
+// that all are slow at once is no reason to set any aside.
+func (g *Gateway) watch(now float64) {
+	var odd []float64
+	for _, h := range g.hosts {
+		if h.odd = 0; h.listed && !h.aside && len(h.out) > 0 && h.pace > 0 {
+			h.odd = (now - h.sign) / h.pace * math.Sqrt(float64(len(h.out)))
+			odd = append(odd, h.odd)
+		}
+	}
+	slices.Sort(odd)
+	for _, h := range g.hosts {
+		if h.odd > 8 && h.odd > 4*odd[len(odd)/2] {
+			g.setAside(now, h, fmt.Sprintf("silent %.2f s, %.0f times its gaps, fellows %.1f", now-h.sign, h.odd,
+				odd[len(odd)/2]))
+		}
+	}
+}
+
+// setAside gives a host no more work, unless too few would be left.
+func (g *Gateway) setAside(now float64, h *Host, why string) {
+	out := 1 // how many would not be used
+	for _, x := range g.hosts {
+		if x.aside || !x.listed {
+			out++
+		}
+	}
+	h.trialGap = min(8, max(1, 2*h.trialGap))
+	if h.aside {
+		h.trialAt = now + h.trialGap
+		return
+	}
+	if 2*out > len(g.hosts) {
+		return
+	}
+	h.aside, h.trialAt = true, now+h.trialGap
+	g.out.Log("host " + h.Addr + " set aside: " + why)
+	g.tellPeers("-" + h.Addr)
+	for _, d := range h.out {
+		if inv := d.Inv; g.allow.Cancel && inv.stage == sent && g.another(now, inv) &&
+			inv.op.Effect != NonIdempotent {
+			g.out.Cancel(d)
+		}
+	}
+}
+
+func (g *Gateway) comeBack(h *Host, why string) {
+	if h.aside {
+		h.aside, h.fails, h.places, h.pace, h.trialGap = false, 0, 1, 0, 0
+		g.out.Log("host " + h.Addr + " back: " + why)
+	}
+}
+
+func (g *Gateway) tellPeers(text string) {
+	if g.allow.Peers {
+		g.out.Tell(text)
+	}
+}
+
+// Told brings a peer's message: "-host" asks for word of a host set aside, "+host" reports a good answer. Anything
+// else is dropped.
+func (g *Gateway) Told(now float64, text string) {
+	if len(text) < 2 {
+		return
+	}
+	if h := g.byAddr[text[1:]]; h != nil && text[0] == '-' {
+		h.asked = true
+	} else if h != nil && text[0] == '+' && h.listed {
+		g.comeBack(h, "a peer reports good answers")
+	}
+}
