No time-out by age: a delivery is moved only for unusual silence

The silence judgement also asks for 12 instead of 8 times the usual gap. It may harm where one host alone turns slow without falling silent; its places shrink then, but what is out there waits.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -678,17 +678,10 @@
 		share := g.cold.Share + (1-g.cold.Share)*w
 		h.restAt = now + inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*share)
 	}
-	limit := 0.0
-	if inv.op.Effect != NonIdempotent && len(inv.Deliveries) < g.allow.Deliveries && len(g.line) == 0 {
-		left := inv.wanted - now
-		if l := max(left/2, 4*inv.op.mean); l < left-inv.op.mean {
-			limit = l
-		}
-	}
 	if h.aside {
 		h.trialAt = now + h.trialGap
 	}
-	return Answer{Do: Send, Host: h, Limit: limit}
+	return Answer{Do: Send, Host: h}
 }
 
 // another says whether a further delivery is left and its answer can still be in time.
@@ -804,7 +797,7 @@
 	}
 	slices.Sort(odd)
 	for _, h := range g.hosts {
-		if h.odd > 8 && h.odd > 4*odd[len(odd)/2] {
+		if h.odd > 12 && h.odd > 4*odd[len(odd)/2] {
 			g.setAside(now, h, fmt.Sprintf("silent %.2f s, %.0f times its gaps, fellows %.1f", now-h.sign, h.odd,
 				odd[len(odd)/2]))
 		}
