--- a/choice/choice.go
+++ b/choice/choice.go
@@ -100,7 +100,6 @@
 	asking            float64 // of what room lacks: estimates whose calls are out
 	owed, told        float64 // units to add with the next call, and when the last was
 	doubt, doubtLet   float64 // units of calls that ended without an answer, and what of them should stand
-	freed             float64 // when the last place came free here
 	out, standing     int     // open places held here, and of them on the counter
 	mine, all         float64 // units let in of late: here, everywhere
 	lent, lentAt      float64 // what may be let in without the counter, as of then (0: it answers)
@@ -227,8 +226,8 @@
 			next = min(next, 0.05)
 		}
 	}
-	for _, c := range g.inOrder {
-		next = min(next, c.tellAt()-now)
+	if slices.ContainsFunc(g.inOrder, (*customer).mustTell) {
+		next = min(next, 0.25)
 	}
 	return max(next, 0.001)
 }
@@ -237,7 +236,7 @@
 func (g *Gateway) Tick(now float64) {
 	g.watch(now)
 	for _, c := range g.inOrder {
-		if now >= c.tellAt() && g.mayCall(now, c) {
+		if c.mustTell() && now-c.told > 0.25 && g.mayCall(now, c) {
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
@@ -340,10 +339,6 @@
 	inv.charged = true
 	c.out++
 	c.room -= inv.units
-	if c.plan.Rate <= 0 && c.out <= c.standing { // a place that came free here passes on
-		g.join(inv)
-		return Answer{}
-	}
 	if !g.mayCall(now, c) || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 		return Answer{}
@@ -357,15 +352,9 @@
 	return g.counter.Present && now >= c.askAt && float64(g.calls) < g.callsMost
 }
 
-// tellAt is when what is owed should be told although no add is due: a place that others may lack soon, else later.
-func (c *customer) tellAt() float64 {
-	switch {
-	case c.standing > c.out && 2*c.open > float64(c.plan.MaxOut):
-		return max(c.freed+0.01, c.askAt)
-	case c.standing > c.out, c.plan.Rate > 0 && math.Abs(c.owed) > c.plan.Burst/4:
-		return max(c.told+0.25, c.askAt)
-	}
-	return math.Inf(1)
+// mustTell: enough is owed that others should hear of it before the next add.
+func (c *customer) mustTell() bool {
+	return c.plan.limited() && (math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out)
 }
 
 // tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
@@ -422,10 +411,7 @@
 
 // refuse ends an invocation that found no room; what it held is given back.
 func (g *Gateway) refuse(now float64, inv *Invocation) {
-	c := inv.cust
-	if g.release(now, inv); c.standing > c.out && g.mayCall(now, c) { // a place never granted may not pass on
-		g.tell(now, c, nil)
-	}
+	g.release(now, inv)
 	inv.stage = refused
 	g.ready = append(g.ready, inv)
 }
@@ -531,14 +517,14 @@
 		return
 	}
 	inv.charged = false
-	c := inv.cust
+	c, p := inv.cust, inv.cust.plan
 	c.out--
 	g.roll(now, c)
 	if inv.mayRun == nil {
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if c.freed = now; c.owed < -0.5 && g.mayCall(now, c) {
+	if (c.owed < -0.5 || c.standing > c.out && 2*c.open > float64(p.MaxOut)) && g.mayCall(now, c) {
 		g.tell(now, c, nil)
 	}
 }
