Room follows the store: capped by the others' usual use, no debt below nothing, places told at once

(1) Room was capped at one burst before the others' use since the last total was taken off, so calm stretches cost room; it may now pass the burst by what the others usually use. (2) What others add beyond the room takes nothing from the store they are measured by, yet stood as debt; it is now remembered only until it is taken off again. Where units are settled debt stays, as in the store. May harm where customers' use is so spiky that the usual use misleads: over-quota cost.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,6 +97,7 @@
 	name              uint64
 	seen, open, sawAt float64 // units and open places in the last total, and when that was
 	room, at          float64 // units that may still be let in, as of at
+	excess            float64 // others' units in the total beyond the room there was
 	asking            float64 // of what room lacks: estimates whose calls are out
 	owed, told        float64 // units to add with the next call, and when the last was
 	doubt, doubtLet   float64 // units of calls that ended without an answer, and what of them should stand
@@ -298,16 +299,16 @@
 func (p *Plan) limited() bool { return p.Rate > 0 || p.MaxOut > 0 }
 
 // roll brings a customer's room up to now and, at a window's edge, to the new name. The room is what the window's
-// allowance leaves above the last total. Inside a window it grows at the plan's rate; what would pass one burst is
-// lost, as in the store it stands for; at the edge at most one burst is carried over.
+// allowance leaves above the last total. Inside a window it grows at the plan's rate; when a total tells what the
+// others used meanwhile, what passes one burst is lost, so at an edge at most one burst is carried over.
 func (g *Gateway) roll(now float64, c *customer) {
 	p := c.plan
-	c.room = min(p.Burst, c.room+p.Rate*(now-c.at))
+	c.room += p.Rate * (now - c.at)
 	if w := int64(math.Floor(now / p.windowLength())); w != c.window {
 		if c.window == math.MinInt64 { // no total seen: the whole burst counts as unused
 			c.room = p.Burst
 		}
-		c.window, c.seen, c.open, c.standing, c.doubt, c.doubtLet = w, 0, 0, 0, 0, 0
+		c.window, c.seen, c.open, c.standing, c.doubt, c.doubtLet, c.excess = w, 0, 0, 0, 0, 0, 0
 		f := fnv.New64a()
 		fmt.Fprintf(f, "%s %d", c.key, w)
 		c.name = f.Sum64() >> 1
@@ -450,7 +451,19 @@
 		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
 		others = max(0, units-k.units)
 	}
-	c.room = min(p.Burst-c.asking, c.room-others)
+	usual := (c.all - c.mine) / 8 * (now - c.sawAt) // what the others would have used since the last total
+	held := c.asking
+	if k.inv != nil && k.inv.stage == asking {
+		held += k.inv.units
+	}
+	back := min(c.excess, max(0, -others))
+	c.room = min(p.Burst-held, min(c.room, p.Burst-held+usual)-others-back)
+	// Below nothing the store takes nothing: what others added beyond it is no debt, nor room when it is taken off.
+	over := max(0, -c.room-held)
+	if g.counter.Settles { // there settlements may take it below
+		over = 0
+	}
+	c.room, c.excess = c.room+over, c.excess-back+over
 	c.all += max(0, others)
 	c.seen, c.sawAt = units, now
 	if k.inv == nil {
@@ -493,7 +506,7 @@
 	share := max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
 	if c.lentAt == 0 {
 		known := math.Exp(-(now - c.sawAt) / 0.3)
-		c.lent, c.lentAt = (share+(1-share)*known)*max(0, c.room+inv.units), now
+		c.lent, c.lentAt = (share+(1-share)*known)*max(0, min(p.Burst, c.room+inv.units)), now
 	}
 	c.lent = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units))
 	c.lentAt = now
@@ -517,14 +530,14 @@
 		return
 	}
 	inv.charged = false
-	c, p := inv.cust, inv.cust.plan
+	c := inv.cust
 	c.out--
 	g.roll(now, c)
 	if inv.mayRun == nil {
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if (c.owed < -0.5 || c.standing > c.out && 2*c.open > float64(p.MaxOut)) && g.mayCall(now, c) {
+	if (c.owed < -0.5 || c.standing > c.out) && g.mayCall(now, c) {
 		g.tell(now, c, nil)
 	}
 }
