Places per host fall fast and go by the host's own best time

Cause: when everything behind the hosts slows, deliveries queued at the hosts (median 0.6 s against 0.1 s) while the line here stood empty, so nothing could be chosen by value and much came late. Places fell by 0.1 an answer and a slow kind of host looked pressed at rest. Now they fall by a fraction, judged against the host's own best time, which is forgotten slowly; the line goes by value for unpressed time. Should also catch one host turning slow, and hosts crowded by api gateways elsewhere. May harm if a host stays slow for minutes: the best time is then relearned.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,6 +74,7 @@
 	out               []*Delivery
 	places            float64 // how many deliveries this instance may have out there
 	slow              float64 // time of its answers over their operation's base
+	best              float64 // the least of it, forgotten slowly
 	pace              float64 // mean gap between good answers times deliveries out
 	sign              float64 // last good answer, or when it was given work after none
 	odd               float64 // how unusual its present silence is
@@ -598,7 +599,7 @@
 	var best *Invocation
 	var most float64
 	for _, inv := range g.line {
-		worth := inv.op.Value / inv.op.mean
+		worth := inv.op.Value / inv.op.base
 		if inv.repeat {
 			worth /= 4
 		}
@@ -756,7 +757,7 @@
 
 // reset forgets what was learned of a host's earlier life.
 func (h *Host) reset() {
-	h.places, h.slow, h.pace, h.fails, h.aside, h.trialGap = 4, 1, 0, 0, false, 0
+	h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap = 4, 1, 1, 0, 0, false, 0
 }
 
 // learn takes in how a delivery ended at its host.
@@ -767,16 +768,16 @@
 		op.seen++
 		op.mean += max(0.03, 1/(op.seen+3)) * (e.Took - op.mean)
 		op.base = min(op.mean, op.base*1.0005)
-		h.slow += 0.12 * (e.Took/op.base - h.slow)
+		h.slow += 0.2 * (e.Took/op.base - h.slow)
 		if gap := (now - h.sign) * float64(len(h.out)+1); h.pace == 0 {
 			h.pace = max(gap, op.mean)
 		} else {
 			h.pace += 0.1 * (gap - h.pace)
 		}
 		h.sign, h.fails = now, 0
-		if h.slow > 2.2 { // its queue has grown: work waits better here
-			h.places = max(1, h.places-0.1)
-		} else if h.slow < 1.7 && float64(len(h.out))+2 > h.places {
+		if h.best = min(h.slow, h.best*1.003); h.slow > 2*h.best { // its queue has grown: work waits better here
+			h.places = max(1, h.places*0.93)
+		} else if h.slow < 1.5*h.best && float64(len(h.out))+2 > h.places {
 			h.places = min(32, h.places+0.1)
 		}
 		if h.aside || h.asked {
