--- a/choice/choice.go
+++ b/choice/choice.go
@@ -775,9 +775,9 @@
 			h.pace += 0.1 * (gap - h.pace)
 		}
 		h.sign, h.fails = now, 0
-		if h.best = min(h.slow, h.best*1.003); h.slow > 2*h.best { // its queue has grown: work waits better here
+		if h.best = min(h.slow, h.best*1.003); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(1, h.places*0.93)
-		} else if h.slow < 1.5*h.best && float64(len(h.out))+2 > h.places {
+		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
 			h.places = min(32, h.places+0.1)
 		}
 		if h.aside || h.asked {
