Places below one where there are many api gateways

A crowded host now rests between deliveries, down to about three out from all api gateways together.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -627,9 +627,12 @@
 	if h.aside {
 		places = 1
 	}
-	return h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt) && float64(len(h.out))+1 <= places
+	return h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt) && float64(len(h.out))+1 <= max(1, places)
 }
 
+// fewest is the least share of a place kept at any host: all api gateways together keep about three there.
+func (g *Gateway) fewest() float64 { return min(1, 3/max(1, float64(g.at.Gateways))) }
+
 // warmth is how warm a host is, from 0 (just started) to 1.
 func (g *Gateway) warmth(now float64, h *Host) float64 {
 	if h.since <= 0 {
@@ -776,9 +779,12 @@
 		}
 		h.sign, h.fails = now, 0
 		if h.best = min(h.slow, h.best*1.003); h.slow > 1.7*h.best { // its queue has grown: work waits better here
-			h.places = max(1, h.places*0.93)
+			h.places = max(g.fewest(), h.places*0.93)
 		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
-			h.places = min(32, h.places+0.1)
+			h.places = min(32, h.places+0.1*min(1, h.places))
+		}
+		if h.places < 1 { // guards against many api gateways crowding a host with one delivery each: it rests
+			h.restAt = max(h.restAt, now+e.Took*(1/h.places-1))
 		}
 		if h.aside || h.asked {
 			g.tellPeers("+" + h.Addr)
@@ -786,11 +792,11 @@
 		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
 		h.asked = false
 	case TurnedAway:
-		h.places = max(1, h.places*0.7)
+		h.places = max(g.fewest(), h.places*0.7)
 		h.restAt = max(h.restAt, now+0.05)
 	case TimedOut:
 		h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
-		h.places = max(1, h.places*0.8)
+		h.places = max(g.fewest(), h.places*0.8)
 	case Failed, NoConnection, Reset:
 		// Guards against a host that answers fast with errors and so draws all work: it is judged by good answers.
 		if h.fails++; h.fails >= 3 {
