Cold hosts count as slow as they may be; non-idempotent work avoids them

Cause: a host that came back cold looked as fast as any until answers told otherwise, and non-idempotent invocations sent there could only wait out their time. Covers any host known to be too slow.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -641,6 +641,11 @@
 	return min(1, max(0, (now-h.since)/max(g.cold.Warm, 0.001)))
 }
 
+// power is the share of its capacity that a host has at least.
+func (g *Gateway) power(now float64, h *Host) float64 {
+	return max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h))
+}
+
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
 	var best *Host
 	var least float64
@@ -648,7 +653,11 @@
 		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
 			continue
 		}
-		cost := h.slow * (1 + 0.5*float64(len(h.out)))
+		slow := max(h.slow, 1/g.power(now, h))
+		if inv.op.Effect == NonIdempotent && now+inv.op.base*slow > inv.wanted {
+			continue // once sent it could only wait there
+		}
+		cost := slow * (1 + 0.5*float64(len(h.out)))
 		if h.zone != g.at.Zone {
 			cost += 0.05
 		}
@@ -692,8 +701,7 @@
 	h.out = append(h.out, d)
 	if w := g.warmth(now, h); w < 1 {
 		// The cold budget: this instance's part of start share x factor, for one core's worth of this operation.
-		share := g.cold.Share + (1-g.cold.Share)*w
-		h.restAt = now + inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*share)
+		h.restAt = now + inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*g.power(now, h))
 	}
 	if h.aside {
 		h.trialAt = now + h.trialGap
