A crowded counter is not asked where a total of the last second leaves no room

One log line a change of mode, with hysteresis. Harm: room given back by others is seen up to a second late.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -134,6 +134,7 @@
 	names       map[uint64][]*call
 	calls       int     // counter calls out
 	callsMost   float64 // and how many may be
+	crowded     bool    // few of late
 	ready, line []*Invocation
 }
 
@@ -333,8 +334,12 @@
 		return Answer{}
 	}
 	g.roll(now, c)
-	if short := inv.units - c.room; short > 0 && now-c.sawAt < 0.07 {
-		// A total just seen leaves no room: asking again would only load the counter.
+	seen := 0.07
+	if g.crowded {
+		seen = 1
+	}
+	if short := inv.units - c.room; short > 0 && now-c.sawAt < seen {
+		// A total just seen leaves no room: asking again would only load the counter, all the more a crowded one.
 		inv.comeBack = short / c.plan.Rate
 		return g.end(now, inv)
 	}
@@ -427,7 +432,8 @@
 	} else {
 		g.callsMost = max(1, was*0.8)
 	}
-	if was > 4 != (g.callsMost > 4) {
+	if crowded := g.callsMost < 4 || g.crowded && g.callsMost < 16; crowded != g.crowded {
+		g.crowded = crowded
 		g.out.Log(fmt.Sprintf("counter: last %c in %.3f s, at most %.0f calls out", how, took, g.callsMost))
 	}
 }
