--- a/choice/choice.go
+++ b/choice/choice.go
@@ -104,6 +104,7 @@
 	doubt, doubtLet   float64 // units of calls that ended without an answer, and what of them should stand
 	out, standing     int     // open places held here, and of them on the counter
 	mine, all         float64 // units let in of late: here, everywhere
+	share             float64 // its part of the quota without the counter
 	lent, lentAt      float64 // what may be let in without the counter, as of then (0: it answers)
 	askAt, pause      float64 // no call before, and how far that grows
 	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
@@ -509,12 +510,13 @@
 // that knowledge ages.
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
-	prior := max(1, p.Burst/2)
-	share := max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
 	if c.lentAt == 0 {
+		prior := max(1, p.Burst/2)
+		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
 		known := math.Exp(-(now - c.sawAt) / 0.3)
-		c.lent, c.lentAt = (share+(1-share)*known)*max(0, min(p.Burst, c.room+inv.units)), now
+		c.lent, c.lentAt = (c.share+(1-c.share)*known)*max(0, min(p.Burst, c.room+inv.units)), now
 	}
+	share := c.share
 	c.lent = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units))
 	c.lentAt = now
 	if inv.units > c.lent {
