--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,9 @@
 // Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
 //
-// How to call it. New makes an instance. Notices (Hosts, Counted, Told, Gone, Tick) tell it what was
-// seen. Take brings an invocation in. Then three calls decide: while Turn names an invocation, Where says
-// where to send it (or not yet, or never); After says what to do once a delivery has ended; Wait says how
-// long to wait before the next Tick. Counter calls, cancels, messages and log lines leave through Out.
+// How to call it. New makes an instance; the notices Hosts, Counted, Told, Gone and Tick tell it what was
+// seen; Take brings an invocation in. Three calls decide: while Turn names an invocation, Where says where to
+// send it (or not yet, or never); After says what to do once a delivery has ended; Wait says how long until
+// the next Tick. Counter calls, cancels, messages and log lines leave through Out.
 //
 // The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
 // throttled if the total passes the limit (the estimate taken off again), and the true cost is settled.
@@ -30,7 +30,6 @@
 	Host   *Host
 	Number int
 	sent   float64
-	ended  bool
 }
 
 // stage is how far an invocation has come.
@@ -54,7 +53,7 @@
 	size, units          float64 // as it says, and as the quota on the rate counts it
 	born, wanted, giveUp float64 // it came, its latency objective ends, its client gives up
 	stage                stage
-	repeat, charged      bool // it is a client's repeat; it holds units and an open place
+	repeat, charged      bool // it is marked as a client's repeat; it holds units and an open place
 	out                  int  // deliveries out
 	comeBack             float64
 	mayRun               *Delivery // the first delivery not proved not run
@@ -85,8 +84,7 @@
 
 type operation struct {
 	Operation
-	mean, base, seen float64 // time of good answers: of late, unpressed, how many
-	window           float64 // longest time that a client has given it
+	mean, base float64 // time of good answers: of late, unpressed
 }
 
 // customer is what this instance knows of one customer's counts.
@@ -106,17 +104,16 @@
 	mine, all         float64 // units let in of late: here, everywhere
 	share             float64 // its part of the quota without the counter
 	lent, lentAt      float64 // what may be let in without the counter, as of then (0: it answers)
-	askAt, pause      float64 // no call before, and how far that grows
 	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
 }
 
 // call is one counter call that has not been answered.
 type call struct {
 	cust   *customer
+	inv    *Invocation
 	window int64
 	units  float64
 	open   int
-	inv    *Invocation
 }
 
 // Gateway is one instance.
@@ -140,14 +137,14 @@
 }
 
 // New makes an instance that knows nothing but its start.
-func New(at Standing, ops []Operation, plans []Plan, counter Counter, cold Cold, allow Allowed, out Out) *Gateway {
-	g := &Gateway{at: at, counter: counter, cold: cold, allow: allow, out: out,
+func New(at Standing, ops []Operation, ps []Plan, ctr Counter, cold Cold, allow Allowed, out Out) *Gateway {
+	g := &Gateway{at: at, counter: ctr, cold: cold, allow: allow, out: out,
 		ops: map[string]*operation{}, plans: map[string]*Plan{}, byAddr: map[string]*Host{},
 		customers: map[string]*customer{}, names: map[uint64][]*call{}, callsMost: 32}
 	for _, o := range ops {
 		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
 	}
-	for _, p := range plans {
+	for _, p := range ps {
 		g.plans[p.Name] = &p
 	}
 	return g
@@ -159,7 +156,7 @@
 func (g *Gateway) Take(now float64, a Asked) *Invocation {
 	op, given := g.ops[a.Operation], a.GiveUp-now
 	if op == nil { // an operation that the start did not name: the strictest kind, wanted by half of its time
-		op = &operation{Operation: Operation{Name: a.Operation, Objective: given / 2, Timeout: given, Value: 1,
+		op = &operation{Operation: Operation{Name: a.Operation, Objective: given / 2, Value: 1,
 			Effect: NonIdempotent}, mean: given / 10, base: given / 16}
 		g.ops[a.Operation] = op
 	}
@@ -168,12 +165,6 @@
 	if inv.cust.plan.Rate > 0 {
 		inv.units = a.Units
 	}
-	// A try with less time than others get is cut short by its client's integration timeout, which runs from the
-	// first try: so does its latency objective.
-	if op.window = max(op.window, given); given < 0.98*op.window {
-		inv.wanted = min(inv.wanted, a.GiveUp-op.Timeout+op.Objective)
-		inv.repeat = true
-	}
 	g.ready = append(g.ready, inv)
 	return inv
 }
@@ -186,7 +177,7 @@
 		if plan == nil { // a plan that the start did not name promises nothing and limits nothing
 			plan = &Plan{Name: a.Plan}
 			g.plans[a.Plan] = plan
-			g.out.Log(fmt.Sprintf("plan %q is unknown: no quota", a.Plan))
+			g.out.Log("a plan is unknown: no quota for " + a.Plan)
 		}
 		c = &customer{key: id, plan: plan, window: math.MinInt64, at: now, hardAt: now}
 		g.customers[id] = c
@@ -221,7 +212,7 @@
 
 // Wait says how long until the next Tick is due.
 func (g *Gateway) Wait(now float64) float64 {
-	next := math.Inf(1)
+	next := 0.25
 	for _, inv := range g.line {
 		next = min(next, g.lapse(inv)-now)
 	}
@@ -230,9 +221,6 @@
 			next = min(next, 0.05)
 		}
 	}
-	if slices.ContainsFunc(g.inOrder, (*customer).mustTell) {
-		next = min(next, 0.25)
-	}
 	return max(next, 0.001)
 }
 
@@ -240,70 +228,54 @@
 func (g *Gateway) Tick(now float64) {
 	g.watch(now)
 	for _, c := range g.inOrder {
-		if c.mustTell() && now-c.told > 0.25 && g.mayCall(now, c) {
+		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear of it soon
+		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall() {
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
 	}
 }
 
-// Gone says that the client has left: nothing is sent for the invocation any more.
-func (g *Gateway) Gone(now float64, inv *Invocation) {
-	if inv.stage != finished {
-		g.finish(now, inv)
-	}
-}
-
 // end gives the final answer. A throttling says that trying again is harmless, so it needs the proof that
 // nothing ran or an operation that may run again.
 func (g *Gateway) end(now float64, inv *Invocation) Answer {
-	harmless := inv.repeatable(now) && (inv.mayRun == nil || inv.op.Effect == Idempotent || inv.op.Group == "all")
-	g.finish(now, inv)
-	if !harmless {
+	op, repeatable := inv.op, inv.repeatable(now)
+	g.Gone(now, inv)
+	if !repeatable || inv.mayRun != nil && op.Effect == Tokened && op.Group != "all" {
 		return Answer{Do: GiveUp}
 	}
-	if inv.comeBack <= 0 {
-		inv.comeBack = inv.op.mean
-	}
-	return Answer{Do: Throttle, RetryAfter: inv.comeBack}
+	return Answer{Do: Throttle, RetryAfter: max(inv.comeBack, inv.op.mean/2)}
 }
 
-func (g *Gateway) finish(now float64, inv *Invocation) {
-	if inv.stage == waiting {
-		g.leaveLine(inv)
-	}
-	inv.stage = finished
-	if inv.out == 0 {
+// Gone says that an invocation is over: nothing is sent for it any more, and what it holds is given back.
+func (g *Gateway) Gone(now float64, inv *Invocation) {
+	g.leaveLine(inv)
+	if inv.stage = finished; inv.out == 0 {
 		g.release(now, inv)
 	}
 }
 
 // ---- The design: count, refuse, settle.
 
-// windowLength is open in the design. Long windows make edges rare; a plan that caps what is out gets shorter ones,
-// since a place stranded by a dead api gateway lapses with its window.
+// windowLength is open in the design. Long windows make edges rare; where only what is out counts they are
+// short, since a place stranded by a dead api gateway lapses with its window.
 func (p *Plan) windowLength() float64 {
 	if p.Rate <= 0 {
 		return 2
-	} else if p.MaxOut > 0 {
-		return min(25, max(10, p.Burst/p.Rate))
 	}
-	return min(25, max(20, p.Burst/p.Rate))
+	return min(25, max(15, p.Burst/p.Rate))
 }
 
 // pack is what one open place adds to a count that also keeps units; totals have seven digits.
 func (p *Plan) pack() float64 {
-	if p.MaxOut <= 0 || p.Rate <= 0 {
-		return 1
-	}
 	return math.Pow(10, math.Ceil(math.Log10(max(1000, 4*(p.Burst+p.Rate*p.windowLength())))))
 }
 
 func (p *Plan) limited() bool { return p.Rate > 0 || p.MaxOut > 0 }
 
-// roll brings a customer's room up to now and, at a window's edge, to the new name. The room is what the window's
-// allowance leaves above the last total. Inside a window it grows at the plan's rate; when a total tells what the
-// others used meanwhile, what passes one burst is lost, so at an edge at most one burst is carried over.
+// roll brings a customer's room up to now and, at a window's edge, to the new name. The room is what the
+// window's allowance leaves above the last total; it grows at the plan's rate, and what passes one burst is
+// lost once a total has told what the others used, so that an edge carries over at most one burst.
 func (g *Gateway) roll(now float64, c *customer) {
 	p := c.plan
 	c.room += p.Rate * (now - c.at)
@@ -330,24 +302,19 @@
 		inv.comeBack = inv.size * c.width / c.plan.CeilingRate
 		return g.end(now, inv)
 	}
-	if !c.plan.limited() {
+	if g.roll(now, c); !c.plan.limited() {
 		g.join(inv)
 		return Answer{}
 	}
-	g.roll(now, c)
-	seen := 0.07
-	if g.crowded {
-		seen = 1
-	}
-	if short := inv.units - c.room; short > 0 && now-c.sawAt < seen {
-		// A total just seen leaves no room: asking again would only load the counter, all the more a crowded one.
+	recent := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 1
+	if short := inv.units - c.room; short > 0 && recent { // a total just seen leaves no room
 		inv.comeBack = short / c.plan.Rate
 		return g.end(now, inv)
 	}
 	inv.charged = true
 	c.out++
 	c.room -= inv.units
-	if !g.mayCall(now, c) || inv.giveUp-now < g.counter.Limit+0.01 {
+	if !g.mayCall() || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 		return Answer{}
 	}
@@ -356,13 +323,8 @@
 	return Answer{}
 }
 
-func (g *Gateway) mayCall(now float64, c *customer) bool {
-	return g.counter.Present && now >= c.askAt && float64(g.calls) < g.callsMost
-}
-
-// mustTell: enough is owed that others should hear of it before the next add.
-func (c *customer) mustTell() bool {
-	return c.plan.limited() && (math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out)
+func (g *Gateway) mayCall() bool {
+	return g.counter.Present && float64(g.calls) < g.callsMost
 }
 
 // tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
@@ -404,15 +366,12 @@
 		g.missed(now, k, how)
 		return
 	}
-	c.askAt, c.pause, c.lentAt = 0, 0, 0
-	if k.window == c.window {
+	if c.lentAt = 0; k.window == c.window {
 		g.read(now, k, sum)
 	}
-	switch {
-	case inv == nil || inv.stage != asking:
-	case inv.comeBack == 0:
+	if inv != nil && inv.stage == asking && inv.comeBack == 0 {
 		g.join(inv)
-	default: // over: the estimate is taken off again, at once
+	} else if inv != nil && inv.stage == asking { // over: the estimate is taken off again, at once
 		g.refuse(now, inv)
 	}
 }
@@ -424,8 +383,8 @@
 	g.ready = append(g.ready, inv)
 }
 
-// crowd guards against a counter that is slow, silent or refusing, whatever its cause: fewer calls are out while
-// answers fail or are late, down to one, which is the trial that ends it.
+// crowd guards against a counter that is slow, silent or refusing, whatever its cause: fewer calls are out
+// while answers fail or are late, down to one, which is the trial that ends it.
 func (g *Gateway) crowd(how Outcome, took float64) {
 	was := g.callsMost
 	if how == Succeeded && took < 0.4*g.counter.Limit {
@@ -454,8 +413,8 @@
 		c.doubt, c.doubtLet = 0, 0
 	}
 	if others < -(4*g.counter.Most + p.Burst/4) {
-		// Guards against a count that was forgotten: no take-offs of others explain so low a total. The room
-		// stays as it is, so what was used stays used and later settlements open none.
+		// Guards against a count that was forgotten: no take-offs of others explain so low a total. The room stays
+		// as it is, so what was used stays used and later settlements open none.
 		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
 		others = max(0, units-k.units)
 	}
@@ -466,7 +425,7 @@
 	}
 	back := min(c.excess, max(0, -others))
 	c.room = min(p.Burst-held, min(c.room, p.Burst-held+usual)-others-back)
-	// Below nothing the store takes nothing: what others added beyond it is no debt, nor room when it is taken off.
+	// What others added beyond the room took nothing: it is no debt, nor room when it is taken off.
 	over := max(0, -c.room-held)
 	if g.counter.Settles { // there settlements may take it below
 		over = 0
@@ -498,16 +457,14 @@
 	if k.window == c.window {
 		c.standing -= k.open
 	}
-	c.pause = min(1, max(0.1, 2*c.pause))
-	c.askAt = now + c.pause
 	if k.inv != nil && k.inv.stage == asking {
 		g.bridge(now, k.inv)
 	}
 }
 
-// bridge decides without the counter, by this instance's share of the quota; the counter is told later. The share
-// is its part of what all have added of late. Right after a total the whole room is known, so the share sets in as
-// that knowledge ages.
+// bridge decides without the counter, by this instance's share of the quota: its part of what all added of
+// late. The counter is told later. Right after a total the whole room is known; the share sets in as that
+// ages.
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
 	if c.lentAt == 0 {
@@ -546,25 +503,16 @@
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if (c.owed < -0.5 || c.standing > c.out) && g.mayCall(now, c) {
+	if (c.owed < -0.5 || c.standing > c.out) && g.mayCall() {
 		g.tell(now, c, nil)
 	}
 }
 
-// settle puts the true units in the place of the estimate; the difference rides with the next call.
-func (g *Gateway) settle(inv *Invocation, units float64) {
-	if g.counter.Settles && inv.charged && inv.units > 0 {
-		inv.cust.owed += units - inv.units
-		inv.cust.room -= units - inv.units
-	}
-}
-
-// underCeiling holds a hard ceiling by this instance's part of it alone. It starts empty, so that restarts grant
+// underCeiling holds a hard ceiling by this instance's part alone. It starts empty, so that restarts grant
 // nothing twice, and needs no counter: safe if all the others do the same.
 func (g *Gateway) underCeiling(now float64, c *customer, units float64) bool {
 	p := c.plan
-	c.hard = min(c.hard+p.CeilingRate/c.width*(now-c.hardAt), p.CeilingBurst/c.width)
-	c.hardAt = now
+	c.hard, c.hardAt = min(c.hard+p.CeilingRate/c.width*(now-c.hardAt), p.CeilingBurst/c.width), now
 	if p.CeilingRate > 0 && units > c.hard {
 		return false
 	}
@@ -575,9 +523,8 @@
 // ---- The line and the places.
 
 func (g *Gateway) join(inv *Invocation) {
-	if inv.stage < waiting {
-		inv.cust.mine += inv.units
-		inv.cust.all += inv.units
+	if c := inv.cust; inv.stage < waiting {
+		c.mine, c.all = c.mine+inv.units, c.all+inv.units
 	}
 	inv.stage, inv.toHost = waiting, nil
 	g.line = append(g.line, inv)
@@ -587,23 +534,17 @@
 	g.line = slices.DeleteFunc(g.line, func(x *Invocation) bool { return x == inv })
 }
 
-// lapse is when an invocation in line is given up: by then an answer in time has become unlikely. What is given up
-// is given up early, so that its client's next try may still be in time.
+// lapse is when an invocation in line is given up: by then an answer in time has become unlikely. It is
+// early, so that its client's next try may still be in time.
 func (g *Gateway) lapse(inv *Invocation) float64 {
 	return min(inv.giveUp-0.7*inv.op.mean,
 		max(inv.born, min(inv.wanted-1.3*inv.op.mean, inv.born+0.5*inv.op.Objective)))
 }
 
-// fromLine gives the invocation that the next free place should take, or one that has waited too long. The line goes
-// by billed value for the time it takes; a client's repeat, which often comes too late, counts less. While the line
-// is long the newest goes first among equals: the oldest would be late anyway.
+// fromLine gives the invocation that the next free place should take, or one that has waited too long. The
+// line goes by billed value for unpressed time; a repeat, which often comes too late, counts less. Among
+// equals the oldest goes first, in a long line the newest: the oldest would be late anyway.
 func (g *Gateway) fromLine(now float64) *Invocation {
-	var free []*Host
-	for _, h := range g.hosts {
-		if g.free(now, h) {
-			free = append(free, h)
-		}
-	}
 	var best *Invocation
 	var most float64
 	for _, inv := range g.line {
@@ -613,7 +554,7 @@
 		}
 		pressed := now-inv.born > 0.2*inv.op.Objective
 		if best == nil || worth > most*1.2 || pressed && worth > most*0.8 {
-			if h := g.bestHost(now, inv, free); h != nil {
+			if h := g.bestHost(now, inv); h != nil {
 				best, most, inv.toHost = inv, worth, h
 				continue
 			}
@@ -635,7 +576,8 @@
 	if h.aside {
 		places = 1
 	}
-	return h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt) && float64(len(h.out))+1 <= max(1, places)
+	ready := h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt)
+	return ready && float64(len(h.out))+1 <= max(1, places)
 }
 
 // fewest is the least share of a place kept at any host: all api gateways together keep about three there.
@@ -654,11 +596,11 @@
 	return max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h))
 }
 
-func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
+func (g *Gateway) bestHost(now float64, inv *Invocation) *Host {
 	var best *Host
-	var least float64
-	for _, h := range free {
-		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
+	least := math.Inf(1)
+	for _, h := range g.hosts {
+		if !g.free(now, h) || !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
 			continue
 		}
 		slow := max(h.slow, 1/g.power(now, h))
@@ -674,7 +616,7 @@
 		} else if h.aside {
 			cost = 0 // the sparing trial of a host set aside
 		}
-		if best == nil || cost < least {
+		if cost < least {
 			best, least = h, cost
 		}
 	}
@@ -724,10 +666,6 @@
 
 // After decides what to do once a delivery has ended.
 func (g *Gateway) After(now float64, d *Delivery, e Ended) Answer {
-	if d.ended {
-		return Answer{}
-	}
-	d.ended = true
 	inv := d.Inv
 	inv.out--
 	d.Host.out = slices.DeleteFunc(d.Host.out, func(x *Delivery) bool { return x == d })
@@ -735,11 +673,13 @@
 		inv.mayRun = nil
 	}
 	g.learn(now, d, e)
-	if e.How == Succeeded && e.Units > 0 {
-		g.settle(inv, e.Units)
+	if c := inv.cust; g.counter.Settles && e.How == Succeeded && e.Units > 0 && inv.charged && inv.units > 0 {
+		// The true units take the place of the estimate; the difference rides with the next call.
+		c.owed += e.Units - inv.units
+		c.room -= e.Units - inv.units
 	}
 	if inv.stage == finished || e.Over {
-		g.finish(now, inv)
+		g.Gone(now, inv)
 		return Answer{}
 	}
 	if g.another(now, inv) && inv.repeatable(now) {
@@ -753,10 +693,8 @@
 
 // Hosts brings the list of hosts, whole or as changes.
 func (g *Gateway) Hosts(now float64, list []Listed, whole bool) {
-	if whole {
-		for _, h := range g.hosts {
-			h.listed = false
-		}
+	for _, h := range g.hosts {
+		h.listed = h.listed && !whole
 	}
 	for _, l := range list {
 		h := g.byAddr[l.Addr]
@@ -764,35 +702,27 @@
 			h = &Host{Addr: l.Addr}
 			g.byAddr[l.Addr] = h
 			g.hosts = append(g.hosts, h)
-			h.reset()
-		} else if l.Since != h.since {
-			h.reset()
-			h.restAt = 0
+		}
+		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap, h.restAt = 4, 1, 1, 0, 0, false, 0, 0
 		}
 		h.zone, h.cell, h.since, h.listed = l.Zone, l.Cell, l.Since, l.State == "active"
 	}
 	slices.SortFunc(g.hosts, func(a, b *Host) int { return strings.Compare(a.Addr, b.Addr) })
 }
 
-// reset forgets what was learned of a host's earlier life.
-func (h *Host) reset() {
-	h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap = 4, 1, 1, 0, 0, false, 0
-}
-
 // learn takes in how a delivery ended at its host.
 func (g *Gateway) learn(now float64, d *Delivery, e Ended) {
 	h, op := d.Host, d.Inv.op
 	switch e.How {
 	case Succeeded:
-		op.seen++
-		op.mean += max(0.03, 1/(op.seen+3)) * (e.Took - op.mean)
+		op.mean += 0.05 * (e.Took - op.mean)
 		op.base = min(op.mean, op.base*1.0005)
 		h.slow += 0.2 * (e.Took/op.base - h.slow)
-		if gap := (now - h.sign) * float64(len(h.out)+1); h.pace == 0 {
-			h.pace = max(gap, op.mean)
-		} else {
-			h.pace += 0.1 * (gap - h.pace)
+		if h.pace == 0 {
+			h.pace = op.mean
 		}
+		h.pace += 0.1 * ((now-h.sign)*float64(len(h.out)+1) - h.pace)
 		h.sign, h.fails = now, 0
 		if h.best = min(h.slow, h.best*1.003); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(g.fewest(), h.places*0.93)
@@ -802,11 +732,11 @@
 		if h.places < 1 { // guards against many api gateways crowding a host with one delivery each: it rests
 			h.restAt = max(h.restAt, now+e.Took*(1/h.places-1))
 		}
-		if h.aside || h.asked {
-			g.tellPeers("+" + h.Addr)
+		if (h.aside || h.asked) && g.allow.Peers {
+			g.out.Tell("+" + h.Addr)
 		}
-		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
 		h.asked = false
+		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
 	case TurnedAway:
 		h.places = max(g.fewest(), h.places*0.7)
 		h.restAt = max(h.restAt, now+0.05)
@@ -821,8 +751,8 @@
 	}
 }
 
-// watch judges each host by how unusual its present silence is, given its gaps so far and its fellows' silence:
-// that all are slow at once is no reason to set any aside.
+// watch judges each host by how unusual its present silence is, given its gaps so far and its fellows'
+// silence. That all are slow at once is no reason to set any aside.
 func (g *Gateway) watch(now float64) {
 	var odd []float64
 	for _, h := range g.hosts {
@@ -849,16 +779,15 @@
 		}
 	}
 	h.trialGap = min(8, max(1, 2*h.trialGap))
-	if h.aside {
-		h.trialAt = now + h.trialGap
-		return
-	}
-	if 2*out > len(g.hosts) {
+	h.trialAt = now + h.trialGap
+	if h.aside || 2*out > len(g.hosts) {
 		return
 	}
-	h.aside, h.trialAt = true, now+h.trialGap
+	h.aside = true
 	g.out.Log("host " + h.Addr + " set aside: " + why)
-	g.tellPeers("-" + h.Addr)
+	if g.allow.Peers {
+		g.out.Tell("-" + h.Addr)
+	}
 	for _, d := range h.out {
 		if inv := d.Inv; g.allow.Cancel && inv.stage == sent && g.another(now, inv) &&
 			inv.op.Effect != NonIdempotent {
@@ -874,21 +803,12 @@
 	}
 }
 
-func (g *Gateway) tellPeers(text string) {
-	if g.allow.Peers {
-		g.out.Tell(text)
-	}
-}
-
-// Told brings a peer's message: "-host" asks for word of a host set aside, "+host" reports a good answer. Anything
-// else is dropped.
+// Told brings a peer's message: "-host" asks for word of a host set aside, "+host" reports a good answer.
+// Anything else is dropped.
 func (g *Gateway) Told(now float64, text string) {
-	if len(text) < 2 {
-		return
-	}
-	if h := g.byAddr[text[1:]]; h != nil && text[0] == '-' {
+	if h := g.byAddr[strings.TrimPrefix(text, "-")]; h != nil {
 		h.asked = true
-	} else if h != nil && text[0] == '+' && h.listed {
+	} else if h := g.byAddr[strings.TrimPrefix(text, "+")]; h != nil && h.listed {
 		g.comeBack(h, "a peer reports good answers")
 	}
 }
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -32,9 +32,9 @@
 func (f *fake) Log(text string)    { f.logs = append(f.logs, text) }
 
 var fakeOps = []Operation{
-	{Name: "read", Objective: 1, Timeout: 4, Value: 1, Effect: Idempotent},
-	{Name: "mark", Objective: 1, Timeout: 4, Value: 5, Effect: Tokened, Group: "zone", TokenTime: 2},
-	{Name: "once", Objective: 1, Timeout: 4, Value: 5, Effect: NonIdempotent},
+	{Name: "read", Objective: 1, Value: 1, Effect: Idempotent},
+	{Name: "mark", Objective: 1, Value: 5, Effect: Tokened, Group: "zone", TokenTime: 2},
+	{Name: "once", Objective: 1, Value: 5, Effect: NonIdempotent},
 }
 
 // newFake starts an api gateway, one of three, with the plan and two hosts.
--- a/choice/values.go
+++ b/choice/values.go
@@ -27,7 +27,6 @@
 type Operation struct {
 	Name      string
 	Objective float64 // latency objective: the answer is wanted within this
-	Timeout   float64 // integration timeout: its client gives up, all its tries together
 	Value     float64 // billed value
 	Effect    Effect
 	Group     string  // tokened: who drops repeats: "all", "zone" or "cell"
@@ -101,7 +100,7 @@
 
 const (
 	NotYet   Do = iota
-	Send        // to Host, for Limit seconds at most (0: until the client gives up)
+	Send        // to Host
 	Throttle    // final; trying again is harmless, after RetryAfter
 	GiveUp      // final; errored, no promise
 )
@@ -110,7 +109,6 @@
 type Answer struct {
 	Do         Do
 	Host       *Host
-	Limit      float64
 	RetryAfter float64
 }
 
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 
 	"otterseam/choice"
 	"otterseam/wire"
@@ -132,7 +131,7 @@
 		if !ok {
 			return fmt.Errorf("CREATE: unknown effect %q", k.Effect)
 		}
-		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Timeout: k.Deadline, Value: k.Gain, Effect: e,
+		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Value: k.Gain, Effect: e,
 			Group: k.Group, TokenTime: k.KeyTTL})
 	}
 	var plans []choice.Plan
@@ -195,7 +194,7 @@
 func (in *instance) write(inv *choice.Invocation, a choice.Answer) {
 	switch a.Do {
 	case choice.Send:
-		in.reply.Put("PASS_ON", inv.Ref, a.Limit, a.Host.Addr)
+		in.reply.Put("PASS_ON", inv.Ref, 0, a.Host.Addr)
 	case choice.Throttle:
 		in.reply.Put("SHED", inv.Ref, a.RetryAfter)
 	case choice.GiveUp:
@@ -211,7 +210,7 @@
 
 func (in *instance) timer(now float64) {
 	w := in.gw.Wait(now)
-	if math.IsInf(w, 1) || (in.bell > 0 && in.bell <= now+w) {
+	if in.bell > 0 && in.bell <= now+w {
 		return
 	}
 	in.bell = now + w
