--- a/choice/choice.go
+++ b/choice/choice.go
@@ -283,6 +283,7 @@
 		if c.window == math.MinInt64 { // no total seen: the whole burst counts as unused
 			c.room = p.Burst
 		}
+		c.owed += c.doubtLet
 		c.window, c.seen, c.open, c.standing, c.doubt, c.doubtLet, c.excess = w, 0, 0, 0, 0, 0, 0
 		f := fnv.New64a()
 		fmt.Fprintf(f, "%s %d", c.key, w)
@@ -503,7 +504,7 @@
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if (c.owed < -0.5 || c.standing > c.out) && g.mayCall() {
+	if (inv.mayRun == nil && c.owed < 0 || c.standing > c.out) && g.mayCall() {
 		g.tell(now, c, nil)
 	}
 }
@@ -761,11 +762,13 @@
 			odd = append(odd, h.odd)
 		}
 	}
-	slices.Sort(odd)
+	usual := 0.0 // a host alone at work has no fellows
+	if slices.Sort(odd); len(odd) > 1 {
+		usual = odd[(len(odd)-1)/2]
+	}
 	for _, h := range g.hosts {
-		if h.odd > 12 && h.odd > 4*odd[len(odd)/2] {
-			g.setAside(now, h, fmt.Sprintf("silent %.2f s, %.0f times its gaps, fellows %.1f", now-h.sign, h.odd,
-				odd[len(odd)/2]))
+		if h.odd > 12 && h.odd > 4*usual {
+			g.setAside(now, h, fmt.Sprintf("silent %.2f s, %.0f gaps, fellows %.1f", now-h.sign, h.odd, usual))
 		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,17 +1,23 @@
 package choice
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
+
+var ten = Plan{Name: "p", Rate: 2, Burst: 10}
 
 func TestEstimateIsAddedThenSent(t *testing.T) {
-	f := newFake(t, Plan{Name: "p", Rate: 2, Burst: 10})
+	f := newFake(t, ten)
 	inv := f.take(3, 2)
+	f.wantSent(inv, 0)
 	f.wantCall(3)
 	f.total(3)
 	f.wantSent(inv, 1)
 }
 
 func TestThrottledWhenOverAndEstimateTakenOff(t *testing.T) {
-	f := newFake(t, Plan{Name: "p", Rate: 2, Burst: 10})
+	f := newFake(t, ten)
 	inv := f.take(4, 2)
 	f.wantCall(4)
 	f.total(12) // others have 8 of the 10
@@ -20,3 +26,438 @@
 		t.Fatalf("want a throttling that says 1 s, got %+v", a)
 	}
 }
+
+func TestSettlesByTheTrueUnitsUpAndDown(t *testing.T) {
+	f := newFake(t, ten)
+	f.g.counter.Settles = true
+	for _, c := range []struct{ actual, rides float64 }{{5, 4}, {1, 0}} {
+		f.wait(1)
+		inv := f.take(3, 2)
+		f.total(3)
+		f.endsWith(inv, Ended{How: Succeeded, Units: c.actual})
+		f.wait(0.1)
+		f.take(2, 2) // the difference rides with the next add
+		f.wantCall(c.rides)
+		f.total(c.rides)
+	}
+}
+
+func TestSettlesAtNoughtWhenNothingRan(t *testing.T) {
+	f := newFake(t, ten)
+	f.g.Hosts(f.now, nil, true) // no host: it waits in line and is given up
+	inv := f.take(3, 2)
+	f.total(3)
+	f.wait(1)
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("want a throttling, got %+v", f.last[inv])
+	}
+	f.wantCall(-3)
+}
+
+func TestWindowEdgeCarriesAtMostOneBurst(t *testing.T) {
+	f := newFake(t, ten)
+	f.take(8, 2)
+	f.total(8)
+	old := f.calls[0].name
+	f.wait(40) // idle for windows on end
+	f.take(8, 2)
+	if f.calls[f.n].name == old {
+		t.Fatal("the new window has the old name")
+	}
+	f.total(8)
+	f.wait(0.1)
+	inv := f.take(8, 2)
+	f.wantCall(8)
+	f.total(16)
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("16 units passed at once after an edge: %+v", f.last[inv])
+	}
+}
+
+// What runs again after which ending: the second rule.
+func TestFurtherDeliveriesByEffectAndOutcome(t *testing.T) {
+	for _, c := range []struct {
+		op, ending string
+		again      bool
+		final      Do
+	}{
+		{"read", "F", true, NotYet}, {"read", "E", true, NotYet}, {"read", "T", true, NotYet},
+		{"read", "R", true, NotYet}, {"read", "X", true, NotYet}, {"read", "C", true, NotYet},
+		{"mark", "F", true, NotYet}, {"mark", "C", true, NotYet}, {"mark", "N", true, NotYet},
+		{"mark", "E", true, NotYet}, {"mark", "T", true, NotYet},
+		{"once", "F", true, NotYet}, {"once", "C", true, NotYet}, {"once", "N", true, NotYet},
+		{"once", "E", false, GiveUp}, {"once", "T", false, GiveUp}, {"once", "R", false, GiveUp},
+		{"once", "X", false, GiveUp},
+	} {
+		f := newFake(t, Plan{Name: "p"})
+		inv := f.takeOp(c.op, 1, 2)
+		f.wantSent(inv, 1)
+		f.ends(inv, Outcome(c.ending[0]))
+		if again := len(inv.Deliveries) == 2; again != c.again && c.op != "mark" || f.last[inv].Do == Throttle {
+			t.Errorf("%s after %s: %d deliveries, %+v", c.op, c.ending, len(inv.Deliveries), f.last[inv])
+		} else if !c.again && f.last[inv].Do != c.final {
+			t.Errorf("%s after %s: want %v, got %+v", c.op, c.ending, c.final, f.last[inv])
+		}
+		if c.op == "mark" && strings.Contains("ET", c.ending) && len(inv.Deliveries) == 2 {
+			if h := inv.Deliveries[0].Host; h.zone != inv.Deliveries[1].Host.zone {
+				t.Errorf("a tokened repeat left its zone after %s", c.ending)
+			}
+		}
+	}
+}
+
+func TestTokenedIsNotRepeatedAfterItsTimeNorThrottled(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	inv := f.takeOp("mark", 1, 2)
+	f.g.ops["mark"].Objective, inv.wanted = 4, f.now+4
+	f.now += 2.1 // its token lives for 2 s
+	f.ends(inv, Failed)
+	f.wantSent(inv, 1)
+	if f.last[inv].Do != GiveUp {
+		t.Fatalf("want errored, got %+v", f.last[inv])
+	}
+}
+
+func TestNothingNewToADrainingHost(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "leaving"}}, false)
+	for range 6 {
+		if inv := f.take(1, 2); len(inv.Deliveries) > 0 && inv.Deliveries[0].Host.Addr == "a" {
+			t.Fatal("sent to a draining host")
+		}
+	}
+}
+
+func TestAColdHostGetsItsPartOnly(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active", Since: f.now}}, true)
+	f.g.ops["read"].mean = 0.01
+	for range 300 { // 3 s, each answered within 10 ms
+		f.take(1, 2)
+		f.wait(0.01)
+		f.answerAll()
+	}
+	n := len(f.sends)
+	// Factor 2 x share 0.2 to 0.44 x one core, a third of it for this api gateway: of work of 10 ms, 40 at most.
+	if n < 3 || n > 60 {
+		t.Fatalf("%d deliveries to a cold host in 3 s", n)
+	}
+}
+
+func TestNonIdempotentAvoidsAHostTooSlowForIt(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active", Since: f.now}}, true)
+	f.g.ops["once"].base = 0.3 // five times that on a host at a fifth of its capacity
+	f.wantSent(f.takeOp("once", 1, 2), 0)
+	f.wantSent(f.take(1, 2), 1)
+}
+
+func TestAClientWithLittleTimeIsAnsweredAtOnce(t *testing.T) {
+	f := newFake(t, ten)
+	inv := f.g.Take(f.now, Asked{Operation: "read", Customer: "c", Plan: "p", Units: 1, GiveUp: f.now + 0.02})
+	f.turns()
+	if f.last[inv].Do != Throttle || len(f.calls) > 0 {
+		t.Fatalf("want a throttling with no call, got %+v and %d calls", f.last[inv], len(f.calls))
+	}
+}
+
+func TestSilentCounterIsBridgedByShareAndToldLater(t *testing.T) {
+	f := newFake(t, ten)
+	f.take(1, 2)
+	f.total(9) // 8 by others
+	f.wait(3)
+	let := 0.0
+	for range 30 { // 6 s of silence at 5 units a second, where the plan fills 2
+		inv := f.take(1, 2)
+		for f.n < len(f.calls) {
+			f.counted(TimedOut, 0)
+		}
+		if len(inv.Deliveries) > 0 {
+			let++
+			f.ends(inv, Succeeded)
+		}
+		f.wait(0.2)
+	}
+	if let < 3 || let > 17 { // the whole quota would be 10 + 12
+		t.Fatalf("%v units let in without the counter", let)
+	}
+	f.take(1, 2)
+	f.total(f.calls[f.n].amount) // a new window, and nothing of the silence was added
+	f.wait(1)
+	if owed := f.calls[len(f.calls)-1].amount; owed < let/2 {
+		t.Fatalf("let in %v, told %v", let, owed)
+	}
+}
+
+func TestRefusingCounterOwesWhatItLetIn(t *testing.T) {
+	f := newFake(t, ten)
+	inv := f.take(4, 2)
+	f.counted(TurnedAway, 0)
+	f.wantSent(inv, 1)
+	f.wait(0.1)
+	f.take(1, 2)
+	f.wantCall(5)
+}
+
+func TestAnUnansweredAddThatCountedIsNotToldTwice(t *testing.T) {
+	f := newFake(t, ten)
+	f.take(4, 2)
+	f.counted(TimedOut, 0) // it was added all the same
+	f.take(1, 2)
+	f.wantCall(5) // the 4 let in are owed for now
+	f.total(9)    // 4 + 5: the total shows that the first counted
+	f.take(1, 2)
+	f.wantCall(-3) // and they are taken off again
+}
+
+func TestCrowdedCounterIsAskedLess(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", Rate: 1000, Burst: 10000})
+	for range 60 {
+		f.take(1, 2)
+		for f.n < len(f.calls) {
+			f.counted(TimedOut, 0)
+		}
+	}
+	before := len(f.calls)
+	for range 10 {
+		f.take(1, 2)
+	}
+	if asked := len(f.calls) - before; asked != 1 {
+		t.Fatalf("%d calls out at a silent counter, want the one trial", asked)
+	}
+	if len(f.logs) != 1 {
+		t.Fatalf("want one line for the change of mode, got %q", f.logs)
+	}
+}
+
+func TestAForgottenCountOpensNoRoom(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", Rate: 0.1, Burst: 100})
+	f.take(8, 2)
+	f.total(98)
+	f.wait(0.1)
+	inv := f.take(8, 2)
+	f.wantCall(8)
+	f.total(8) // the count began again at nothing
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("a forgotten count let in %+v", f.last[inv])
+	}
+	if len(f.logs) != 1 || !strings.Contains(f.logs[0], "forgotten") {
+		t.Fatalf("want one line on the count, got %q", f.logs)
+	}
+}
+
+func TestUnitsBeyondTheRoomAreNoDebt(t *testing.T) {
+	f := newFake(t, ten)
+	f.take(1, 2)
+	f.total(60) // others were let in far beyond the quota
+	f.wait(3)
+	inv := f.take(4, 2)
+	f.wantCall(-1)
+	f.total(59)
+	f.total(63)
+	f.wantSent(inv, 1) // 3 s fill 6 units
+}
+
+func TestOpenCapIsHeldAndAPlaceToldAtOnce(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", MaxOut: 2})
+	first := f.take(1, 2)
+	f.wantCall(1000)
+	f.total(2000) // another api gateway has one out
+	f.wantSent(first, 1)
+	second := f.take(1, 2)
+	f.total(3000)
+	if f.last[second].Do != Throttle {
+		t.Fatalf("a third went out: %+v", f.last[second])
+	}
+	f.wantCall(-1000)
+	f.total(2000)
+	f.ends(first, Succeeded)
+	f.wantCall(-1000)
+}
+
+func TestSilentHostIsSetAsideAndItsWorkMoved(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.warmUp(40)
+	inv := f.take(1, 2)
+	h := inv.Deliveries[0].Host
+	f.wait(0.9)
+	if !h.aside || len(f.off) != 1 || f.told[0] != "-"+h.Addr {
+		t.Fatalf("set aside %v, cancels %d, told %q", h.aside, len(f.off), f.told)
+	}
+	f.ends(inv, Withdrawn)
+	f.wantSent(inv, 2)
+	if inv.Deliveries[1].Host == h {
+		t.Fatal("sent again to the silent host")
+	}
+}
+
+func TestASetAsideHostComesBackByAPeersWordOrATrial(t *testing.T) {
+	for _, word := range []string{"+a", ""} {
+		f := newFake(t, Plan{Name: "p"})
+		f.warmUp(20)
+		h := f.g.byAddr["a"]
+		f.g.setAside(f.now, h, "for the story")
+		f.g.Told(f.now, "+nobody")
+		f.g.Told(f.now, "\x00")
+		f.g.Told(f.now, word)
+		if h.aside != (word == "") {
+			t.Fatalf("aside %v after %q", h.aside, word)
+		}
+		f.wait(1.1)
+		inv := f.take(1, 2)
+		if word == "" && inv.Deliveries[0].Host != h {
+			t.Fatal("no trial")
+		}
+		f.ends(inv, Succeeded)
+		if h.aside {
+			t.Fatal("a good answer did not bring it back")
+		}
+	}
+}
+
+func TestAPeerThatAsksHearsOfAGoodAnswer(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.Told(f.now, "-a")
+	f.warmUp(4)
+	if len(f.told) != 1 || f.told[0] != "+a" {
+		t.Fatalf("told %q", f.told)
+	}
+}
+
+func TestAllSlowSetsNoneAside(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.warmUp(20)
+	f.g.byAddr["b"].pace = f.g.byAddr["a"].pace
+	for range 8 { // all places of both
+		f.take(1, 2)
+	}
+	f.wait(3)
+	for _, h := range f.g.hosts {
+		if h.aside {
+			t.Fatalf("host %s set aside: %q", h.Addr, f.logs)
+		}
+	}
+}
+
+func TestFastErrorsSetAHostAside(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	h := f.g.byAddr["a"]
+	for range 20 {
+		inv := f.takeOp("once", 1, 2)
+		if inv.Deliveries[0].Host == h {
+			f.ends(inv, Failed)
+		} else {
+			f.ends(inv, Succeeded)
+		}
+	}
+	if !h.aside {
+		t.Fatal("still in use")
+	}
+}
+
+func TestWorkWaitsHereAndTheMostValuableGoesFirst(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	var first *Invocation
+	for range 8 { // four places each at two hosts
+		first = f.take(1, 2)
+	}
+	cheap, dear := f.take(1, 2), f.takeOp("once", 1, 2)
+	f.wantSent(cheap, 0)
+	f.ends(first, Succeeded)
+	f.wantSent(dear, 1)
+	f.wantSent(cheap, 0)
+	f.wait(0.6)
+	if f.last[cheap].Do != Throttle {
+		t.Fatalf("want it given up early, got %+v", f.last[cheap])
+	}
+}
+
+func TestPlacesFallWhenAnswersSlow(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.warmUp(10)
+	h := f.g.byAddr["a"]
+	f.g.hosts = []*Host{h}
+	for range 30 {
+		inv := f.take(1, 2)
+		f.now += 0.5
+		f.ends(inv, Succeeded)
+	}
+	if h.places > 1 {
+		t.Fatalf("%.1f places", h.places)
+	}
+	f.g.at.Gateways = 10 // ten of us with one place each would still crowd it
+	for range 40 {
+		if inv := f.take(1, 2); len(inv.Deliveries) > 0 {
+			f.now += 0.5
+			f.ends(inv, Succeeded)
+		} else {
+			f.wait(0.5)
+		}
+	}
+	if h.places >= 1 {
+		t.Fatalf("%.1f places among ten api gateways", h.places)
+	}
+}
+
+func TestACeilingHoldsWithoutCounterAndAcrossRestarts(t *testing.T) {
+	let := 0.0
+	for range 4 { // four lives of 5 s
+		f := newFake(t, Plan{Name: "p", CeilingRate: 4, CeilingBurst: 40})
+		f.g.counter.Present = false
+		for range 50 {
+			if inv := f.take(1, 2); len(inv.Deliveries) > 0 {
+				let++
+				f.ends(inv, Succeeded)
+			}
+			f.wait(0.1)
+		}
+	}
+	if let < 20 || let > 40 { // two api gateways, half of 4 a second each, for 20 s
+		t.Fatalf("%v units passed", let)
+	}
+}
+
+func TestOddStarts(t *testing.T) {
+	f := newFake(t, ten)
+	f.g.counter.Present = false // no counter: its share of the quota
+	let := 0
+	for range 10 {
+		if inv := f.take(2, 2); len(inv.Deliveries) > 0 {
+			let++
+			f.ends(inv, Succeeded)
+		}
+	}
+	if let < 2 || let > 5 || len(f.calls) > 0 {
+		t.Fatalf("%d let in without a counter, %d calls", let, len(f.calls))
+	}
+	f = newFake(t, ten) // a customer of an unknown plan: no quota, and a line in the log
+	inv := f.g.Take(f.now, Asked{Operation: "read", Customer: "c", Plan: "q", Units: 500, GiveUp: f.now + 4})
+	f.turns()
+	f.wantSent(inv, 1)
+	if len(f.logs) != 1 {
+		t.Fatalf("logs %q", f.logs)
+	}
+	inv = f.g.Take(f.now, Asked{Operation: "new", Customer: "c", Plan: "q", GiveUp: f.now + 4}) // unknown operation
+	f.turns()
+	f.ends(inv, TimedOut) // taken as non-idempotent
+	if f.last[inv].Do != GiveUp {
+		t.Fatalf("got %+v", f.last[inv])
+	}
+	f = newFake(t, Plan{Name: "p"})
+	f.g.Hosts(f.now, nil, true) // no hosts: answered in time
+	inv = f.take(1, 2)
+	f.wait(1)
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("got %+v", f.last[inv])
+	}
+}
+
+func TestAGoneClientGetsNothingMore(t *testing.T) {
+	f := newFake(t, ten)
+	inv := f.take(3, 2)
+	f.g.Gone(f.now, inv)
+	f.total(3)
+	f.wait(0.5)
+	f.wantSent(inv, 0)
+	f.wantCall(-3)
+}
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -120,3 +120,21 @@
 	f.note(inv, f.g.After(f.now, d, e))
 	f.turns()
 }
+
+// warmUp lets n invocations of 20 ms succeed, one after the other.
+func (f *fake) warmUp(n int) {
+	for range n {
+		inv := f.take(1, 2)
+		f.now += 0.02
+		f.ends(inv, Succeeded)
+	}
+}
+
+// answerAll lets everything succeed that has been out for 10 ms.
+func (f *fake) answerAll() {
+	for _, d := range f.sends {
+		if d.Inv.out > 0 && f.now-d.sent > 0.0099 {
+			f.ends(d.Inv, Succeeded)
+		}
+	}
+}
