First places shared among the api gateways: large fleets no longer jam at the start

Places that grow under a part of the latency objective were tried and refuted (0.1, 0.16, 0.25). Should also catch a host that starts among many api gateways. May harm where few invocations meet large hosts: places grow slowly from there.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -705,7 +705,7 @@
 			g.hosts = append(g.hosts, h)
 		}
 		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
-			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap, h.restAt = 4, 1, 1, 0, 0, false, 0, 0
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap, h.restAt = 4*g.fewest(), 1, 1, 0, 0, false, 0, 0
 		}
 		h.zone, h.cell, h.since, h.listed = l.Zone, l.Cell, l.Since, l.State == "active"
 	}
