--- a/choice/choice.go
+++ b/choice/choice.go
@@ -553,6 +553,9 @@
 		if inv.repeat {
 			worth /= 4
 		}
+		if inv.cust.plan.MaxOut > 0 { // it holds an open place that its customer lacks meanwhile
+			worth *= 1.5
+		}
 		pressed := now-inv.born > 0.2*inv.op.Objective
 		if best == nil || worth > most*1.2 || pressed && worth > most*0.8 {
 			if h := g.bestHost(now, inv); h != nil {
