--- a/choice/choice.go
+++ b/choice/choice.go
@@ -216,10 +216,8 @@
 	for _, inv := range g.line {
 		next = min(next, g.lapse(inv)-now)
 	}
-	for _, h := range g.hosts {
-		if len(h.out) > 0 || h.restAt > now && len(g.line) > 0 {
-			next = min(next, 0.05)
-		}
+	if len(g.line) > 0 || slices.ContainsFunc(g.hosts, func(h *Host) bool { return len(h.out) > 0 }) {
+		next = min(next, 0.05)
 	}
 	return max(next, 0.001)
 }
@@ -552,8 +550,7 @@
 		worth := inv.op.Value / inv.op.base
 		if inv.repeat {
 			worth /= 4
-		}
-		if inv.cust.plan.MaxOut > 0 { // it holds an open place that its customer lacks meanwhile
+		} else if inv.cust.plan.MaxOut > 0 { // it holds an open place that its customer lacks meanwhile
 			worth *= 1.5
 		}
 		pressed := now-inv.born > 0.2*inv.op.Objective
