After a long gap the others' use counts as spread over it

Cause: when the counter came back after an outage, all that the others had let in meanwhile was taken off one burst, so customers with 20 to 46 units of room were throttled for seconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -417,7 +417,9 @@
 		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
 		others = max(0, units-k.units)
 	}
-	usual := (c.all - c.mine) / 8 * (now - c.sawAt) // what the others would have used since the last total
+	// What the others would have used since the last total; after a long gap, what they did use.
+	blind := now - c.sawAt
+	usual := max((c.all-c.mine)/8*blind, max(0, others)*blind/(blind+4))
 	held := c.asking
 	if k.inv != nil && k.inv.stage == asking {
 		held += k.inv.units
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -461,3 +461,13 @@
 	f.wantSent(inv, 0)
 	f.wantCall(-3)
 }
+
+func TestAfterALongGapTheOthersUseWasSpreadOverIt(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", Rate: 2, Burst: 10})
+	f.take(1, 2)
+	f.total(1)
+	f.wait(14)
+	inv := f.take(4, 2) // others used 20 of the 28 that came in meanwhile
+	f.total(25)
+	f.wantSent(inv, 1)
+}
