Cold budget for two cores of work instead of one

Where hosts have one core only, places (one to four, each answered before the next) still bound what is sent.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -653,8 +653,8 @@
 	}
 	h.out = append(h.out, d)
 	if w := g.warmth(now, h); w < 1 {
-		// The cold budget: this instance's part of start share x factor, for one core's worth of this operation.
-		h.restAt = now + inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*g.power(now, h))
+		// The cold budget: this instance's part of start share x factor, for two cores of this operation.
+		h.restAt = now + 0.5*inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*g.power(now, h))
 	}
 	if h.aside {
 		h.trialAt = now + h.trialGap
