--- a/choice/choice.go
+++ b/choice/choice.go
@@ -313,8 +313,7 @@
 	inv.charged = true
 	c.out++
 	c.room -= inv.units
-	if !g.mayCall() || inv.giveUp-now < g.counter.Limit+0.01 ||
-		g.crowded && c.room > c.plan.Burst/2 && now-c.sawAt < 1 {
+	if !g.mayCall() || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 		return Answer{}
 	}
