--- a/choice/choice.go
+++ b/choice/choice.go
@@ -294,11 +294,7 @@
 // admit begins the ordinary path: the estimate goes to the counter.
 func (g *Gateway) admit(now float64, inv *Invocation) Answer {
 	c := inv.cust
-	if now >= inv.giveUp-0.7*inv.op.mean { // too late for any answer
-		return g.end(now, inv)
-	}
-	if !g.underCeiling(now, c, inv.size) {
-		inv.comeBack = inv.size * c.width / c.plan.CeilingRate
+	if now >= inv.giveUp-0.7*inv.op.mean || !g.underCeiling(now, inv) { // too late for any answer, or too much
 		return g.end(now, inv)
 	}
 	if g.roll(now, c); !c.plan.limited() {
@@ -427,11 +423,10 @@
 	back := min(c.excess, max(0, -others))
 	c.room = min(p.Burst-held, min(c.room, p.Burst-held+usual)-others-back)
 	// What others added beyond the room took nothing: it is no debt, nor room when it is taken off.
-	over := max(0, -c.room-held)
-	if g.counter.Settles { // there settlements may take it below
-		over = 0
+	c.excess -= back
+	if over := -c.room - held; over > 0 && !g.counter.Settles { // settlements may take it below
+		c.room, c.excess = c.room+over, c.excess+over
 	}
-	c.room, c.excess = c.room+over, c.excess-back+over
 	c.all += max(0, others)
 	c.seen, c.sawAt = units, now
 	if k.inv == nil {
@@ -511,13 +506,14 @@
 
 // underCeiling holds a hard ceiling by this instance's part alone. It starts empty, so that restarts grant
 // nothing twice, and needs no counter: safe if all the others do the same.
-func (g *Gateway) underCeiling(now float64, c *customer, units float64) bool {
-	p := c.plan
+func (g *Gateway) underCeiling(now float64, inv *Invocation) bool {
+	c, p := inv.cust, inv.cust.plan
 	c.hard, c.hardAt = min(c.hard+p.CeilingRate/c.width*(now-c.hardAt), p.CeilingBurst/c.width), now
-	if p.CeilingRate > 0 && units > c.hard {
+	if p.CeilingRate > 0 && inv.size > c.hard {
+		inv.comeBack = (inv.size - c.hard) * c.width / p.CeilingRate
 		return false
 	}
-	c.hard -= units
+	c.hard -= inv.size
 	return true
 }
 
@@ -707,7 +703,7 @@
 			g.hosts = append(g.hosts, h)
 		}
 		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
-			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.trialGap, h.restAt = 4*g.fewest(), 1, 1, 0, 0, false, 0, 0
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = 4*g.fewest(), 1, 1, 0, 0, false, 0
 		}
 		h.zone, h.cell, h.since, h.listed = l.Zone, l.Cell, l.Since, l.State == "active"
 	}
@@ -726,7 +722,7 @@
 			h.pace = op.mean
 		}
 		h.pace += 0.1 * ((now-h.sign)*float64(len(h.out)+1) - h.pace)
-		h.sign, h.fails = now, 0
+		h.sign, h.fails, h.trialGap = now, 0, 0
 		if h.best = min(h.slow, h.best*1.003); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(g.fewest(), h.places*0.93)
 		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
@@ -740,15 +736,17 @@
 		}
 		h.asked = false
 		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
-	case TurnedAway:
-		h.places = max(g.fewest(), h.places*0.7)
-		h.restAt = max(h.restAt, now+0.05)
 	case TimedOut:
 		h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
 		h.places = max(g.fewest(), h.places*0.8)
-	case Failed, NoConnection, Reset:
-		// Guards against a host that answers fast with errors and so draws all work: it is judged by good answers.
-		if h.fails++; h.fails >= 3 {
+	case TurnedAway, Failed, NoConnection, Reset:
+		// Guards against hosts that end work fast and badly and so draw it all: one is judged by good answers, and
+		// many, too many to set aside, rest longer with each bad ending.
+		h.fails++
+		h.restAt = max(h.restAt, now+min(1, 0.02*math.Exp2(float64(h.fails))))
+		if e.How == TurnedAway {
+			h.places = max(g.fewest(), h.places*0.7)
+		} else if h.fails >= 3 {
 			g.setAside(now, h, fmt.Sprintf("%d bad endings in a row", h.fails))
 		}
 	}
@@ -803,17 +801,18 @@
 
 func (g *Gateway) comeBack(h *Host, why string) {
 	if h.aside {
-		h.aside, h.fails, h.places, h.pace, h.trialGap = false, 0, 1, 0, 0
+		h.aside, h.fails, h.places, h.pace = false, 0, 1, 0
 		g.out.Log("host " + h.Addr + " back: " + why)
 	}
 }
 
-// Told brings a peer's message: "-host" asks for word of a host set aside, "+host" reports a good answer.
-// Anything else is dropped.
+// Told brings a peer's message: "-host" asks for word of a host set aside, "+host" reports a good answer;
+// else it is dropped. A host that fails again after peers' word comes back by trial alone: it can't be
+// reached from here.
 func (g *Gateway) Told(now float64, text string) {
 	if h := g.byAddr[strings.TrimPrefix(text, "-")]; h != nil {
 		h.asked = true
-	} else if h := g.byAddr[strings.TrimPrefix(text, "+")]; h != nil && h.listed {
+	} else if h := g.byAddr[strings.TrimPrefix(text, "+")]; h != nil && h.listed && h.trialGap <= 1 {
 		g.comeBack(h, "a peer reports good answers")
 	}
 }
