Best times are forgotten slowly: places no longer creep up under a long press

Keeping 2.3 instead of 3 deliveries at a host was tried and refuted. Covers any long overload, whatever its cause.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -716,14 +716,14 @@
 	switch e.How {
 	case Succeeded:
 		op.mean += 0.05 * (e.Took - op.mean)
-		op.base = min(op.mean, op.base*1.0005)
+		op.base = min(op.mean, op.base*1.0001)
 		h.slow += 0.2 * (e.Took/op.base - h.slow)
 		if h.pace == 0 {
 			h.pace = op.mean
 		}
 		h.pace += 0.1 * ((now-h.sign)*float64(len(h.out)+1) - h.pace)
 		h.sign, h.fails, h.trialGap = now, 0, 0
-		if h.best = min(h.slow, h.best*1.003); h.slow > 1.7*h.best { // its queue has grown: work waits better here
+		if h.best = min(h.slow, h.best*1.0005); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(g.fewest(), h.places*0.93)
 		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
 			h.places = min(32, h.places+0.1*min(1, h.places))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -498,3 +498,18 @@
 		t.Fatal("back by peers' word although it failed here again")
 	}
 }
+
+func TestPlacesDoNotCreepUpWhileAHostStaysPressed(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	h := f.g.byAddr["a"]
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active"}}, true)
+	f.warmUp(200)
+	for range 600 {
+		inv := f.take(1, 2)
+		f.now += 0.06 // three times its best
+		f.ends(inv, Succeeded)
+	}
+	if h.places > 1.2 {
+		t.Fatalf("%.1f places after a long press", h.places)
+	}
+}
