--- a/choice/choice.go
+++ b/choice/choice.go
@@ -723,6 +723,7 @@
 		}
 		h.pace += 0.1 * ((now-h.sign)*float64(len(h.out)+1) - h.pace)
 		h.sign, h.fails, h.trialGap = now, 0, 0
+		// Forgotten slowly: else a long press would teach that slow is normal, and places would creep up.
 		if h.best = min(h.slow, h.best*1.0005); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(g.fewest(), h.places*0.93)
 		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
