Deliveries that time out in a row count as silence

May harm where one host is much slower than its fellows and answers nothing in time: it is then rightly left out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -318,9 +318,7 @@
 	return Answer{}
 }
 
-func (g *Gateway) mayCall() bool {
-	return g.counter.Present && float64(g.calls) < g.callsMost
-}
+func (g *Gateway) mayCall() bool { return g.counter.Present && float64(g.calls) < g.callsMost }
 
 // tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
 func (g *Gateway) tell(now float64, c *customer, inv *Invocation) {
@@ -740,6 +738,7 @@
 	case TimedOut:
 		h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
 		h.places = max(g.fewest(), h.places*0.8)
+		fallthrough // three in a row without a good answer between are silence too
 	case TurnedAway, Failed, NoConnection, Reset:
 		// Guards against hosts that end work fast and badly and so draw it all: one is judged by good answers, and
 		// many, too many to set aside, rest longer with each bad ending.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -513,3 +513,20 @@
 		t.Fatalf("%.1f places after a long press", h.places)
 	}
 }
+
+func TestAHostThatHangsEveryTimeIsSetAside(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	h := f.g.byAddr["a"]
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active"}, {Addr: "b", Zone: "y", State: "leaving"}}, true)
+	f.warmUp(5)
+	f.g.Hosts(f.now, []Listed{{Addr: "b", Zone: "y", State: "active"}}, false)
+	for range 3 { // one at a time, so that its silence begins anew with each
+		inv := &Invocation{op: f.g.ops["once"], cust: f.g.inOrder[0], wanted: f.now + 1, giveUp: f.now + 4}
+		f.g.send(f.now, inv, h)
+		f.now += 0.1
+		f.g.After(f.now, inv.Deliveries[0], Ended{How: TimedOut, Took: 0.1})
+	}
+	if !h.aside {
+		t.Fatal("still in use")
+	}
+}
