--- a/choice/choice.go
+++ b/choice/choice.go
@@ -456,16 +456,14 @@
 	}
 }
 
-// bridge decides without the counter, by this instance's share of the quota: its part of what all added of
-// late. The counter is told later. Right after a total the whole room is known; the share sets in as that
-// ages.
+// bridge decides without the counter, by this instance's share of the quota, its part of what all added of late,
+// however fresh the last total: the others bridge from the same one. The counter is told later.
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
 	if c.lentAt == 0 {
 		prior := max(1, p.Burst/2)
 		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
-		known := math.Exp(-(now - c.sawAt) / 0.3)
-		c.lent, c.lentAt = (c.share+(1-c.share)*known)*max(0, min(p.Burst, c.room+inv.units)), now
+		c.lent, c.lentAt = c.share*max(0, min(p.Burst, c.room+inv.units)), now
 	}
 	share := c.share
 	c.lent = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units))
