--- a/choice/choice.go
+++ b/choice/choice.go
@@ -456,8 +456,8 @@
 	}
 }
 
-// bridge decides without the counter, by this instance's share of the quota: its part of what all added of late,
-// however fresh the last total, since others bridge from the same one. The counter is told later.
+// bridge decides without the counter, by this instance's share of the quota, its part of what all added of
+// late; however fresh the last total, since others bridge from the same one. The counter is told later.
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
 	if c.lentAt == 0 {
