--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -530,3 +530,28 @@
 		t.Fatal("still in use")
 	}
 }
+
+func TestARestartedApiGatewayLearnsFromTheFirstTotal(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", Rate: 0.1, Burst: 10}) // it knows nothing; others have used all
+	f.take(4, 2)
+	f.total(14)
+	f.wait(0.1)
+	inv := f.take(4, 2)
+	f.total(10)
+	f.total(14)
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("let in after a total that left no room: %+v", f.last[inv])
+	}
+}
+
+func TestTrafficThatMovedHereIsCountedNotShared(t *testing.T) {
+	f := newFake(t, ten)
+	f.take(1, 3)
+	f.total(8) // till now the others had nearly all of it
+	f.wait(4)  // 8 more units have come in, and the customer moves here
+	for _, total := range []float64{10, 12, 14, 16} {
+		inv := f.take(2, 3)
+		f.total(total)
+		f.wantSent(inv, 1)
+	}
+}
