Clean-up after re-reading: hosts with a place found once a look, unread fields gone

The line looked up every host's free places anew for each invocation waiting; it does so once a look now, and not at all while nobody waits. Fields of the interface that nothing read are gone (two at once, weight, report, number), and a peer's message without its sign is dropped, as its comment says.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,12 +465,11 @@
 		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
 		c.lent, c.lentAt = c.share*max(0, min(p.Burst, c.room+inv.units)), now
 	}
-	share := c.share
-	c.lent = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units))
+	c.lent = min(c.lent+c.share*p.Rate*(now-c.lentAt), max(c.lent, c.share*p.Burst, inv.units))
 	c.lentAt = now
 	if inv.units > c.lent {
-		inv.comeBack = (inv.units - c.lent) / (share * p.Rate)
-	} else if p.MaxOut > 0 && float64(c.out) > max(1, math.Round(share*float64(p.MaxOut))) {
+		inv.comeBack = (inv.units - c.lent) / (c.share * p.Rate)
+	} else if p.MaxOut > 0 && float64(c.out) > max(1, math.Round(c.share*float64(p.MaxOut))) {
 		inv.comeBack = inv.op.mean
 	}
 	c.owed += inv.units
@@ -538,8 +537,11 @@
 // line goes by billed value for unpressed time; a repeat, which often comes too late, counts less. Among
 // equals the oldest goes first, in a long line the newest: the oldest would be late anyway.
 func (g *Gateway) fromLine(now float64) *Invocation {
-	var best *Invocation
-	var most float64
+	if len(g.line) == 0 {
+		return nil
+	}
+	free := slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !g.free(now, h) })
+	best, most := (*Invocation)(nil), 0.0
 	for _, inv := range g.line {
 		worth := inv.op.Value / inv.op.base
 		if inv.repeat {
@@ -549,7 +551,7 @@
 		}
 		pressed := now-inv.born > 0.2*inv.op.Objective
 		if best == nil || worth > most*1.2 || pressed && worth > most*0.8 {
-			if h := g.bestHost(now, inv); h != nil {
+			if h := g.bestHost(now, inv, free); h != nil {
 				best, most, inv.toHost = inv, worth, h
 				continue
 			}
@@ -591,11 +593,11 @@
 	return max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h))
 }
 
-func (g *Gateway) bestHost(now float64, inv *Invocation) *Host {
+func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
 	var best *Host
 	least := math.Inf(1)
-	for _, h := range g.hosts {
-		if !g.free(now, h) || !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
+	for _, h := range free {
+		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
 			continue
 		}
 		slow := max(h.slow, 1/g.power(now, h))
@@ -808,9 +810,10 @@
 // else it is dropped. A host that fails again after peers' word comes back by trial alone: it can't be
 // reached from here.
 func (g *Gateway) Told(now float64, text string) {
-	if h := g.byAddr[strings.TrimPrefix(text, "-")]; h != nil {
+	h := g.byAddr[strings.TrimLeft(text, "+-")]
+	if h != nil && text[0] == '-' {
 		h.asked = true
-	} else if h := g.byAddr[strings.TrimPrefix(text, "+")]; h != nil && h.listed && h.trialGap <= 1 {
+	} else if h != nil && text[0] == '+' && h.listed && h.trialGap <= 1 {
 		g.comeBack(h, "a peer reports good answers")
 	}
 }
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -40,7 +40,7 @@
 // newFake starts an api gateway, one of three, with the plan and two hosts.
 func newFake(t *testing.T, p Plan) *fake {
 	f := &fake{t: t, now: 1000, last: map[*Invocation]Answer{}}
-	f.g = New(Standing{Number: 0, Gateways: 3, Zone: "z"}, fakeOps, []Plan{p},
+	f.g = New(Standing{Gateways: 3, Zone: "z"}, fakeOps, []Plan{p},
 		Counter{Present: true, Limit: 0.05, Most: 8}, Cold{Share: 0.2, Warm: 10, Factor: 2},
 		Allowed{Deliveries: 4, Cancel: true, Peers: true}, f)
 	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active"}, {Addr: "b", Zone: "y", State: "active"}}, true)
--- a/choice/values.go
+++ b/choice/values.go
@@ -44,14 +44,13 @@
 
 // Standing is this instance's place among the api gateways.
 type Standing struct {
-	Number, Gateways int
-	Zone             string
+	Gateways int
+	Zone     string
 }
 
 // Allowed is what the deployment lets an api gateway do.
 type Allowed struct {
 	Deliveries int // for one invocation
-	TwoAtOnce  bool
 	Cancel     bool
 	Peers      bool
 }
@@ -73,8 +72,7 @@
 type Listed struct {
 	Addr, Zone string
 	Cell       int
-	State      string // "active", "leaving" or "left"
-	Weight     float64
+	State      string  // "active", "leaving" or "left"
 	Since      float64 // clock time of its last start; 0: long ago
 }
 
@@ -88,11 +86,10 @@
 
 // Ended is how a delivery ended.
 type Ended struct {
-	How    Outcome
-	Over   bool    // the invocation is over by this outcome or before it
-	Took   float64 // seconds since it was sent
-	Units  float64 // true units, where they are settled
-	Report map[string]float64
+	How   Outcome
+	Over  bool    // the invocation is over by this outcome or before it
+	Took  float64 // seconds since it was sent
+	Units float64 // true units, where they are settled
 }
 
 // Do is what an answer asks for.
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -116,7 +116,7 @@
 	list := make([]choice.Listed, 0, len(entries))
 	for _, e := range entries {
 		list = append(list, choice.Listed{Addr: e.Host, Zone: e.Zone, Cell: e.Cell, State: e.State,
-			Weight: e.Weight, Since: e.Since})
+			Since: e.Since})
 	}
 	return list
 }
@@ -139,11 +139,11 @@
 		plans = append(plans, choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, MaxOut: t.MaxOut,
 			CeilingRate: t.NeverOver, CeilingBurst: t.HardBurst})
 	}
-	in.gw = choice.New(choice.Standing{Number: s.Slot, Gateways: s.Balancers, Zone: s.Locality},
+	in.gw = choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality},
 		ops, plans,
 		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
 		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
-		choice.Allowed{Deliveries: s.Caps.TryLimit, TwoAtOnce: s.Caps.SecondCopies, Cancel: s.Caps.Cancel,
+		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
 			Peers: s.Caps.PeerMessages},
 		in)
 	if s.Registry == "on_request" {
@@ -164,7 +164,7 @@
 			return
 		}
 		in.write(inv, in.gw.After(now, inv.Deliveries[m.Attempt], choice.Ended{How: choice.Outcome(m.How[0]),
-			Over: m.Done, Took: m.Delay, Units: m.Actual, Report: m.Pressure}))
+			Over: m.Done, Took: m.Delay, Units: m.Actual}))
 		in.drop(inv)
 	case *wire.Hangup:
 		if inv := in.invs[m.Ref]; inv != nil {
