Grown deployments: cold budget over all, paced counter calls, choice by chance

Changes: counter calls are paced by rate (a fifth less after each failure, a little more after each good answer); the cold budget is counted over all api gateways and the first delivery waits for a part of it by chance; hosts are drawn in proportion to their speed the more of us there are, by what they said they hold where they did; deliveries out in all are limited by answer times over latency objectives; a few of many tell their peers; where one sees little of a customer itself, it lends one invocation to a customer far from its quota, a chance to others.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,9 @@
 package choice
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -52,10 +54,10 @@
 	cust                 *customer
 	size, units          float64 // as it says, and as the quota on the rate counts it
 	born, wanted, giveUp float64 // it came, its latency objective ends, its client gives up
-	stage                stage
-	repeat, charged      bool // it is marked as a client's repeat; it holds units and an open place
-	out                  int  // deliveries out
 	comeBack             float64
+	stage                stage
+	repeat, charged      bool      // it is marked as a client's repeat; it holds units and an open place
+	out                  int       // deliveries out
 	mayRun               *Delivery // the first delivery not proved not run
 	toHost               *Host     // chosen by Turn
 }
@@ -65,21 +67,18 @@
 
 // Host is one server of the back end.
 type Host struct {
-	Addr, zone        string
-	cell              int
-	since             float64 // its last start
-	listed            bool    // active in the list
-	aside, asked      bool    // set aside here; set aside by a peer that asks for word of it
-	out               []*Delivery
-	places            float64 // how many deliveries this instance may have out there
-	slow              float64 // time of its answers over their operation's base
-	best              float64 // the least of it, forgotten slowly
-	pace              float64 // mean gap between good answers times deliveries out
-	sign              float64 // last good answer, or when it was given work after none
-	odd               float64 // how unusual its present silence is
-	fails             int     // bad endings since the last good one
-	trialAt, trialGap float64 // set aside: next trial, and how far apart
-	restAt            float64 // nothing new before: it was full, or is cold and paced
+	Addr, zone           string
+	cell, fails          int  // fails: bad endings since the last good one
+	listed, aside, asked bool // active in the list; set aside here; by a peer that asks for word of it
+	out                  []*Delivery
+	since, coldNext      float64 // its last start; while cold nothing new before it has grown so far
+	places               float64 // how many deliveries this instance may have out there
+	slow, best           float64 // time of its answers over their operation's base; the least of it
+	pace, odd            float64 // mean gap between good answers times deliveries out; how odd its silence is
+	sign                 float64 // last good answer, or when it was given work after none
+	trialAt, trialGap    float64 // set aside: next trial, and how far apart
+	restAt               float64 // nothing new before
+	held, heldAt         float64 // invocations it said it holds, with those sent since, and when that was
 }
 
 type operation struct {
@@ -118,31 +117,39 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	at          Standing
-	counter     Counter
-	cold        Cold
-	allow       Allowed
-	out         Out
-	ops         map[string]*operation
-	plans       map[string]*Plan
-	hosts       []*Host // in the order of their addresses
-	byAddr      map[string]*Host
-	customers   map[string]*customer
-	inOrder     []*customer
-	names       map[uint64][]*call
-	calls       int     // counter calls out
-	callsMost   float64 // and how many may be
-	crowded     bool    // few of late
-	ready, line []*Invocation
+	at               Standing
+	counter          Counter
+	cold             Cold
+	allow            Allowed
+	out              Out
+	ops              map[string]*operation
+	plans            map[string]*Plan
+	hosts            []*Host // in the order of their addresses
+	byAddr           map[string]*Host
+	customers        map[string]*customer
+	inOrder          []*customer
+	names            map[uint64][]*call
+	callRate, knee   float64 // counter calls a second that may be made; the same when calls began to fail
+	callRoom, callAt float64 // how many may be made now, as of callAt
+	deniedAt         float64 // last time that a call was wanted and not made
+	failing, crowded bool    // the last call failed; one was denied of late
+	ready, line      []*Invocation
+	abroad, most     float64 // deliveries out; how many there may be a host, from all api gateways
+	wait, held       float64 // of late: answer times over latency objectives, what hosts said they hold
+	mean, luck       float64 // time of good answers of any operation; a chance, drawn for the next delivery
+	drawn            uint64  // chances drawn so far
+	all, own         float64 // api gateways; how much of a host's or customer's affairs one can judge by itself
 }
 
 // New makes an instance that knows nothing but its start.
 func New(at Standing, ops []Operation, ps []Plan, ctr Counter, cold Cold, allow Allowed, out Out) *Gateway {
-	g := &Gateway{at: at, counter: ctr, cold: cold, allow: allow, out: out,
-		ops: map[string]*operation{}, plans: map[string]*Plan{}, byAddr: map[string]*Host{},
-		customers: map[string]*customer{}, names: map[uint64][]*call{}, callsMost: 32}
+	g := &Gateway{at: at, counter: ctr, cold: cold, allow: allow, out: out, ops: map[string]*operation{},
+		plans: map[string]*Plan{}, byAddr: map[string]*Host{}, customers: map[string]*customer{},
+		names: map[uint64][]*call{}, callRate: 32, callRoom: 8, knee: math.Inf(1), deniedAt: math.Inf(-1),
+		most: 12, wait: 0.2, all: max(1, float64(at.Gateways)), own: min(1, 12/max(1, float64(at.Gateways)))}
 	for _, o := range ops {
 		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
+		g.mean += o.Objective / 5 / float64(len(ops))
 	}
 	for _, p := range ps {
 		g.plans[p.Name] = &p
@@ -226,8 +233,8 @@
 func (g *Gateway) Tick(now float64) {
 	g.watch(now)
 	for _, c := range g.inOrder {
-		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear of it soon
-		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall() {
+		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear
+		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall(now) {
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
@@ -309,7 +316,7 @@
 	inv.charged = true
 	c.out++
 	c.room -= inv.units
-	if !g.mayCall() || inv.giveUp-now < g.counter.Limit+0.01 {
+	if !g.mayCall(now) || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 		return Answer{}
 	}
@@ -318,7 +325,14 @@
 	return Answer{}
 }
 
-func (g *Gateway) mayCall() bool { return g.counter.Present && float64(g.calls) < g.callsMost }
+// mayCall paces the calls, so that all api gateways together ask no more than the counter takes.
+func (g *Gateway) mayCall(now float64) bool {
+	g.callRoom = min(max(1, g.callRate/8), g.callRoom+g.callRate*(now-g.callAt))
+	if g.callAt = now; g.callRoom < 1 {
+		g.deniedAt = now
+	}
+	return g.counter.Present && g.callRoom >= 1
+}
 
 // tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
 func (g *Gateway) tell(now float64, c *customer, inv *Invocation) {
@@ -333,7 +347,7 @@
 		amount += float64(k.open) * c.plan.pack()
 	}
 	c.owed, c.told, c.standing = 0, now, c.standing+k.open
-	g.calls++
+	g.callRoom--
 	g.names[c.name] = append(g.names[c.name], k)
 	g.out.Count(c.name, amount, min(60, 2.2*c.plan.windowLength()))
 }
@@ -348,10 +362,9 @@
 	if g.names[name] = q[1:]; len(q) == 1 {
 		delete(g.names, name)
 	}
-	g.calls--
 	c, inv := k.cust, k.inv
 	g.roll(now, c)
-	g.crowd(how, took)
+	g.crowd(now, how, took)
 	if inv != nil {
 		c.asking -= inv.units
 	}
@@ -376,18 +389,27 @@
 	g.ready = append(g.ready, inv)
 }
 
-// crowd guards against a counter that is slow, silent or refusing, whatever its cause: fewer calls are out
-// while answers fail or are late, down to one, which is the trial that ends it.
-func (g *Gateway) crowd(how Outcome, took float64) {
-	was := g.callsMost
+// crowd guards against a counter that is slow, silent, refusing or too small, whatever its cause: calls a second
+// fall with each failed or late answer, and grow by a little with each good one, so that all share what there is.
+// The few that are still made are the trial that ends it.
+func (g *Gateway) crowd(now float64, how Outcome, took float64) {
 	if how == Succeeded && took < 0.4*g.counter.Limit {
-		g.callsMost = min(64, was+max(0.1, 1/was))
-	} else {
-		g.callsMost = max(1, was*0.8)
+		if g.callRate < g.knee/2 {
+			g.callRate *= 1.1
+		}
+		if g.callRate += 0.05; g.failing {
+			g.failing, g.callRate = false, max(g.callRate, g.knee/2)
+		}
+	} else if how != Succeeded {
+		if !g.failing {
+			g.failing, g.knee = true, g.callRate
+		}
+		g.callRate *= 0.8
 	}
-	if crowded := g.callsMost < 4 || g.crowded && g.callsMost < 16; crowded != g.crowded {
+	g.callRate = min(2000, max(g.callRate, 0.3+10/g.all))
+	if crowded := now-g.deniedAt < 2; crowded != g.crowded {
 		g.crowded = crowded
-		g.out.Log(fmt.Sprintf("counter: last %c in %.3f s, at most %.0f calls out", how, took, g.callsMost))
+		g.out.Log(fmt.Sprintf("counter: last %c in %.3f s, at most %.1f calls a second", how, took, g.callRate))
 	}
 }
 
@@ -463,7 +485,13 @@
 	if c.lentAt == 0 {
 		prior := max(1, p.Burst/2)
 		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
-		c.lent, c.lentAt = c.share*max(0, min(p.Burst, c.room+inv.units)), now
+		room := max(0, min(p.Burst, c.room+inv.units))
+		c.lent, c.lentAt = c.share*room, now
+		if one := min(room, inv.units); room > p.Burst/2 && !inv.repeat && g.chance() > g.own {
+			c.lent = max(c.lent, one) // far from its quota, as most are
+		} else if g.own < 1 {
+			c.lent = max(c.lent, g.chance()*one/2)
+		}
 	}
 	c.lent = min(c.lent+c.share*p.Rate*(now-c.lentAt), max(c.lent, c.share*p.Burst, inv.units))
 	c.lentAt = now
@@ -494,7 +522,7 @@
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if (inv.mayRun == nil && c.owed < 0 || c.standing > c.out) && g.mayCall() {
+	if (inv.mayRun == nil && c.owed < 0 || c.standing > c.out) && g.mayCall(now) {
 		g.tell(now, c, nil)
 	}
 }
@@ -537,10 +565,22 @@
 // line goes by billed value for unpressed time; a repeat, which often comes too late, counts less. Among
 // equals the oldest goes first, in a long line the newest: the oldest would be late anyway.
 func (g *Gateway) fromLine(now float64) *Invocation {
+	var free []*Host
+	listed := 0.0
 	if len(g.line) == 0 {
 		return nil
 	}
-	free := slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !g.free(now, h) })
+	for _, h := range g.hosts {
+		if h.listed {
+			listed++
+		}
+		if g.free(now, h) {
+			free = append(free, h)
+		}
+	}
+	if g.abroad >= math.Floor(max(1, g.most*listed/g.all)+g.luck) {
+		free = nil
+	}
 	best, most := (*Invocation)(nil), 0.0
 	for _, inv := range g.line {
 		worth := inv.op.Value / inv.op.base
@@ -568,18 +608,17 @@
 func (g *Gateway) free(now float64, h *Host) bool {
 	places := h.places
 	if w := g.warmth(now, h); w < 1 {
+		if g.grown(now, h) < h.coldNext {
+			return false
+		}
 		places = min(places, 1+3*w)
 	}
 	if h.aside {
 		places = 1
 	}
-	ready := h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt)
-	return ready && float64(len(h.out))+1 <= max(1, places)
+	return h.listed && now >= h.restAt && (!h.aside || now >= h.trialAt) && float64(len(h.out))+1 <= max(1, places)
 }
 
-// fewest is the least share of a place kept at any host: all api gateways together keep about three there.
-func (g *Gateway) fewest() float64 { return min(1, 3/max(1, float64(g.at.Gateways))) }
-
 // warmth is how warm a host is, from 0 (just started) to 1.
 func (g *Gateway) warmth(now float64, h *Host) float64 {
 	if h.since <= 0 {
@@ -588,9 +627,23 @@
 	return min(1, max(0, (now-h.since)/max(g.cold.Warm, 0.001)))
 }
 
-// power is the share of its capacity that a host has at least.
-func (g *Gateway) power(now float64, h *Host) float64 {
-	return max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h))
+// grown is how many seconds of its full capacity a host has had at least since it started.
+func (g *Gateway) grown(now float64, h *Host) float64 {
+	return (now - h.since) * (g.cold.Share + (1-g.cold.Share)*g.warmth(now, h)/2)
+}
+
+// coldGap is the cold budget: how much a host that has just started grows between deliveries from here, if all
+// api gateways together keep to what two cores can do. The first waits for a part of it by chance: with many of
+// us one delivery from each would already be too much, and what is under one goes out from a few.
+func (g *Gateway) coldGap() float64 {
+	return 0.5 * g.mean * g.all / min(1, g.cold.Factor/2)
+}
+
+// chance draws from [0, 1).
+func (g *Gateway) chance() float64 {
+	g.drawn++
+	b := binary.LittleEndian.AppendUint64(nil, g.at.Seed)
+	return float64(crc32.ChecksumIEEE(binary.LittleEndian.AppendUint64(b, g.drawn))) / (1 << 32)
 }
 
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
@@ -600,13 +653,21 @@
 		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
 			continue
 		}
-		slow := max(h.slow, 1/g.power(now, h))
+		slow := max(h.slow, 1/max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h)))
 		if inv.op.Effect == NonIdempotent && now+inv.op.base*slow > inv.wanted {
 			continue // once sent it could only wait there
 		}
-		cost := slow * (1 + 0.5*float64(len(h.out)))
+		// Guards against all api gateways choosing the same host: the more of us there are, the less each knows of
+		// a host, and the more it goes by chance, in proportion to what hosts can do.
+		cost := slow * (1 + 0.5*float64(len(h.out))) * math.Pow(-math.Log(1-g.chance()), 1-g.own)
+		// What a host said it holds goes before chance: one with less than usual is taken, one with more is left.
+		if few := g.own < 1 && now-h.heldAt < 1; few && h.held <= g.held {
+			cost = slow * (1 + h.held) / 100
+		} else if few {
+			cost = slow * (1 + h.held) * 100
+		}
 		if h.zone != g.at.Zone {
-			cost += 0.05
+			cost += 0.0005
 		}
 		if slices.ContainsFunc(inv.Deliveries, func(d *Delivery) bool { return d.Host == h }) {
 			cost += 10
@@ -639,6 +700,8 @@
 	d := &Delivery{Inv: inv, Host: h, Number: len(inv.Deliveries), sent: now}
 	inv.Deliveries = append(inv.Deliveries, d)
 	inv.out++
+	g.abroad++
+	g.luck = g.chance()
 	if inv.mayRun == nil {
 		inv.mayRun = d
 	}
@@ -646,9 +709,11 @@
 		h.sign = now
 	}
 	h.out = append(h.out, d)
-	if w := g.warmth(now, h); w < 1 {
-		// The cold budget: this instance's part of start share x factor, for two cores of this operation.
-		h.restAt = now + 0.5*inv.op.mean*max(1, float64(g.at.Gateways))/(g.cold.Factor*g.power(now, h))
+	h.coldNext = g.grown(now, h) + g.coldGap()
+	if h.held++; g.allow.Probes && g.own < 1 && g.wait > 0.1 {
+		if x := g.hosts[int(g.chance()*float64(len(g.hosts)))]; x.listed && !x.aside {
+			g.out.Probe(x)
+		}
 	}
 	if h.aside {
 		h.trialAt = now + h.trialGap
@@ -665,6 +730,7 @@
 func (g *Gateway) After(now float64, d *Delivery, e Ended) Answer {
 	inv := d.Inv
 	inv.out--
+	g.abroad--
 	d.Host.out = slices.DeleteFunc(d.Host.out, func(x *Delivery) bool { return x == d })
 	if strings.ContainsRune("FCN", rune(e.How)) && inv.mayRun == d { // proved not run
 		inv.mayRun = nil
@@ -693,6 +759,10 @@
 	for _, h := range g.hosts {
 		h.listed = h.listed && !whole
 	}
+	size := 0.0
+	for _, l := range list {
+		size += l.Weight / float64(len(list))
+	}
 	for _, l := range list {
 		h := g.byAddr[l.Addr]
 		if h == nil {
@@ -701,19 +771,43 @@
 			g.hosts = append(g.hosts, h)
 		}
 		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
-			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = 4*g.fewest(), 1, 1, 0, 0, false, 0
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = 4*g.own, 1, 1, 0, 0, false, 0
+			if l.Weight > 0 { // till it is known: by its size
+				h.slow = size / l.Weight
+				h.best = h.slow
+			}
+			h.since = l.Since
+			h.coldNext = g.grown(now, h) + g.chance()*g.coldGap()
 		}
 		h.zone, h.cell, h.since, h.listed = l.Zone, l.Cell, l.Since, l.State == "active"
 	}
 	slices.SortFunc(g.hosts, func(a, b *Host) int { return strings.Compare(a.Addr, b.Addr) })
 }
 
+// Probed brings what a host said it holds, to a probe or with an answer; below 0 if nothing.
+func (g *Gateway) Probed(now float64, addr string, held float64) {
+	if h := g.byAddr[addr]; h != nil && held >= 0 && held < 1e6 {
+		h.held, h.heldAt = held, now
+		g.held += 0.05 * (held - g.held)
+	}
+}
+
 // learn takes in how a delivery ended at its host.
 func (g *Gateway) learn(now float64, d *Delivery, e Ended) {
 	h, op := d.Host, d.Inv.op
+	g.Probed(now, h.Addr, e.Held)
+	// Guards against all hosts pressed at once, which no host's few answers here would tell: fewer are out in all.
+	if strings.ContainsRune("STF", rune(e.How)) {
+		if g.wait += 0.1 * (e.Took/op.Objective - g.wait); g.wait > 0.4 || e.How == TurnedAway {
+			g.most = max(2.5, g.most*0.9)
+		} else {
+			g.most = min(32, g.most+0.3)
+		}
+	}
 	switch e.How {
 	case Succeeded:
 		op.mean += 0.05 * (e.Took - op.mean)
+		g.mean += 0.05 * (e.Took - g.mean)
 		op.base = min(op.mean, op.base*1.0001)
 		h.slow += 0.2 * (e.Took/op.base - h.slow)
 		if h.pace == 0 {
@@ -723,30 +817,24 @@
 		h.sign, h.fails, h.trialGap = now, 0, 0
 		// Forgotten slowly: else a long press would teach that slow is normal, and places would creep up.
 		if h.best = min(h.slow, h.best*1.0005); h.slow > 1.7*h.best { // its queue has grown: work waits better here
-			h.places = max(g.fewest(), h.places*0.93)
+			h.places = max(1, h.places*0.93)
 		} else if h.slow < 1.35*h.best && float64(len(h.out))+2 > h.places {
-			h.places = min(32, h.places+0.1*min(1, h.places))
+			h.places = min(32, h.places+0.1)
 		}
-		if h.places < 1 { // guards against many api gateways crowding a host with one delivery each: it rests
-			h.restAt = max(h.restAt, now+e.Took*(1/h.places-1))
-		}
-		if (h.aside || h.asked) && g.allow.Peers {
-			g.out.Tell("+" + h.Addr)
+		if h.aside || h.asked {
+			g.tellPeers("+" + h.Addr)
 		}
 		h.asked = false
 		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
-	case TimedOut:
-		h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
-		h.places = max(g.fewest(), h.places*0.8)
-		fallthrough // three in a row without a good answer between are silence too
-	case TurnedAway, Failed, NoConnection, Reset:
+	case TimedOut, TurnedAway, Failed, NoConnection, Reset: // time-outs in a row are silence too
 		// Guards against hosts that end work fast and badly and so draw it all: one is judged by good answers, and
 		// many, too many to set aside, rest longer with each bad ending.
 		h.fails++
 		h.restAt = max(h.restAt, now+min(1, 0.02*math.Exp2(float64(h.fails))))
-		if e.How == TurnedAway {
-			h.places = max(g.fewest(), h.places*0.7)
-		} else if h.fails >= 3 {
+		if e.How == TimedOut {
+			h.slow += 0.12 * (max(h.slow, e.Took/op.base) - h.slow)
+		}
+		if h.places = max(1, h.places*0.75); h.fails >= 3 && e.How != TurnedAway {
 			g.setAside(now, h, fmt.Sprintf("%d bad endings in a row", h.fails))
 		}
 	}
@@ -788,9 +876,7 @@
 	}
 	h.aside = true
 	g.out.Log("host " + h.Addr + " set aside: " + why)
-	if g.allow.Peers {
-		g.out.Tell("-" + h.Addr)
-	}
+	g.tellPeers("-" + h.Addr)
 	for _, d := range h.out {
 		if inv := d.Inv; g.allow.Cancel && inv.stage == sent && g.another(now, inv) &&
 			inv.op.Effect != NonIdempotent {
@@ -799,6 +885,12 @@
 	}
 }
 
+func (g *Gateway) tellPeers(text string) {
+	if g.allow.Peers && g.chance() < g.own { // guards against peers drowning each other: few say the same
+		g.out.Tell(text)
+	}
+}
+
 func (g *Gateway) comeBack(h *Host, why string) {
 	if h.aside {
 		h.aside, h.fails, h.places, h.pace = false, 0, 1, 0
--- a/choice/values.go
+++ b/choice/values.go
@@ -46,6 +46,7 @@
 type Standing struct {
 	Gateways int
 	Zone     string
+	Seed     uint64 // for its chances
 }
 
 // Allowed is what the deployment lets an api gateway do.
@@ -53,6 +54,7 @@
 	Deliveries int // for one invocation
 	Cancel     bool
 	Peers      bool
+	Probes     bool
 }
 
 // Counter describes the counter service.
@@ -74,6 +76,7 @@
 	Cell       int
 	State      string  // "active", "leaving" or "left"
 	Since      float64 // clock time of its last start; 0: long ago
+	Weight     float64 // its size beside the others'; 0: not told
 }
 
 // Asked is an invocation as it came in.
@@ -90,6 +93,7 @@
 	Over  bool    // the invocation is over by this outcome or before it
 	Took  float64 // seconds since it was sent
 	Units float64 // true units, where they are settled
+	Held  float64 // invocations that the host says it holds; below 0: not told
 }
 
 // Do is what an answer asks for.
@@ -113,6 +117,7 @@
 type Out interface {
 	Count(name uint64, amount, life float64)
 	Cancel(d *Delivery)
+	Probe(h *Host)
 	Tell(text string) // to every other api gateway
 	Log(text string)
 }
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -116,7 +116,7 @@
 	list := make([]choice.Listed, 0, len(entries))
 	for _, e := range entries {
 		list = append(list, choice.Listed{Addr: e.Host, Zone: e.Zone, Cell: e.Cell, State: e.State,
-			Since: e.Since})
+			Since: e.Since, Weight: e.Weight})
 	}
 	return list
 }
@@ -139,12 +139,12 @@
 		plans = append(plans, choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, MaxOut: t.MaxOut,
 			CeilingRate: t.NeverOver, CeilingBurst: t.HardBurst})
 	}
-	in.gw = choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality},
+	in.gw = choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality, Seed: c.Seed},
 		ops, plans,
 		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
 		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
 		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
-			Peers: s.Caps.PeerMessages},
+			Peers: s.Caps.PeerMessages, Probes: s.Caps.MayProbe},
 		in)
 	if s.Registry == "on_request" {
 		in.reply.Put("TRACK", true)
@@ -164,7 +164,7 @@
 			return
 		}
 		in.write(inv, in.gw.After(now, inv.Deliveries[m.Attempt], choice.Ended{How: choice.Outcome(m.How[0]),
-			Over: m.Done, Took: m.Delay, Units: m.Actual}))
+			Over: m.Done, Took: m.Delay, Units: m.Actual, Held: held(m.Pressure)}))
 		in.drop(inv)
 	case *wire.Hangup:
 		if inv := in.invs[m.Ref]; inv != nil {
@@ -176,6 +176,8 @@
 			in.bell = 0
 		}
 		in.gw.Tick(now)
+	case *wire.StatusBack:
+		in.gw.Probed(now, m.Host, held(m.Pressure))
 	case *wire.Message:
 		in.gw.Told(now, m.Data)
 	case *wire.Sum:
@@ -183,6 +185,14 @@
 	}
 }
 
+// held is what a load report says that the host holds, below 0 if it does not.
+func held(report map[string]float64) float64 {
+	if v, ok := report["outstanding"]; ok {
+		return v
+	}
+	return -1
+}
+
 // turns asks about each invocation whose turn it is.
 func (in *instance) turns(now float64) {
 	for inv := in.gw.Turn(now); inv != nil; inv = in.gw.Turn(now) {
