Over-quota customers told and cut by part; moved when silent; first totals read aright

Changes, all acting only as far as an instance can't judge by what it sees itself (more than a dozen of us): a first total allows for the window's gain, and what others used before it is taken as their use in it; a total without room cuts the part of the customer's tries let in without a call, here and (told by a few) at peers, and the part grows back by a twentieth a second; a delivery silent for four mean answers is moved and no longer counts as out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,6 +31,7 @@
 	Inv    *Invocation
 	Host   *Host
 	Number int
+	lost   bool // silent for too long
 	sent   float64
 }
 
@@ -103,6 +104,7 @@
 	mine, all         float64 // units let in of late: here, everywhere
 	share             float64 // its part of the quota without the counter
 	lent, lentAt      float64 // what may be let in without the counter, as of then (0: it answers)
+	part, overAt      float64 // of its units let in here without a call; last cut, for a total that left no room
 	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
 }
 
@@ -186,7 +188,7 @@
 			g.plans[a.Plan] = plan
 			g.out.Log("a plan is unknown: no quota for " + a.Plan)
 		}
-		c = &customer{key: id, plan: plan, window: math.MinInt64, at: now, hardAt: now}
+		c = &customer{key: id, plan: plan, window: math.MinInt64, at: now, hardAt: now, part: 1, overAt: now - 60}
 		g.customers[id] = c
 		g.inOrder = append(g.inOrder, c)
 	}
@@ -286,7 +288,7 @@
 	c.room += p.Rate * (now - c.at)
 	if w := int64(math.Floor(now / p.windowLength())); w != c.window {
 		if c.window == math.MinInt64 { // no total seen: the whole burst counts as unused
-			c.room = p.Burst
+			c.room = p.Burst + (1-g.own)*p.Rate*math.Mod(now, p.windowLength())
 		}
 		c.owed += c.doubtLet
 		c.window, c.seen, c.open, c.standing, c.doubt, c.doubtLet, c.excess = w, 0, 0, 0, 0, 0, 0
@@ -316,7 +318,7 @@
 	inv.charged = true
 	c.out++
 	c.room -= inv.units
-	if !g.mayCall(now) || inv.giveUp-now < g.counter.Limit+0.01 {
+	if g.crowded && c.part < 1 && now-c.overAt < 2 && g.own < 1 || !g.mayCall(now) || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 		return Answer{}
 	}
@@ -435,6 +437,14 @@
 	}
 	// What the others would have used since the last total; after a long gap, what they did use.
 	blind := now - c.sawAt
+	if age := math.Mod(now, p.windowLength()); p.Rate > 0 && others > 0 && blind > age {
+		// No total of this window yet: before it they used as much as in it.
+		if use := others / max(1, age); c.sawAt == 0 {
+			others += (1 - g.own) * p.Burst * min(1, max(0, 2*use/p.Rate-1))
+		} else {
+			others += (1 - g.own) * use * (blind - age)
+		}
+	}
 	usual := max((c.all-c.mine)/8*blind, max(0, others)*blind/(blind+4))
 	held := c.asking
 	if k.inv != nil && k.inv.stage == asking {
@@ -454,8 +464,19 @@
 	}
 	if short := -(c.room + c.asking); p.Rate > 0 && short > 0 {
 		k.inv.comeBack = short / p.Rate
+		g.tellPeers("=" + c.key)
+		g.over(now, c, 0.5)
 	} else if p.MaxOut > 0 && c.open > float64(p.MaxOut) {
 		k.inv.comeBack = k.inv.op.mean
+		g.tellPeers("=" + c.key)
+		g.over(now, c, 0.5)
+	}
+}
+
+// over says that a customer's total left no room, here or by a peer's word: less of it is let in without a call.
+func (g *Gateway) over(now float64, c *customer, cut float64) {
+	if now-c.overAt > 1 {
+		c.part, c.overAt = cut*min(1, c.part*math.Exp(0.05*(now-c.overAt))), now
 	}
 }
 
@@ -493,9 +514,16 @@
 			c.lent = max(c.lent, g.chance()*one/2)
 		}
 	}
-	c.lent = min(c.lent+c.share*p.Rate*(now-c.lentAt), max(c.lent, c.share*p.Burst, inv.units))
+	fill := c.share * p.Rate
+	if g.own < 1 {
+		fill *= 4
+	}
+	c.lent = min(c.lent+fill*(now-c.lentAt), max(c.lent, c.share*p.Burst, inv.units))
 	c.lentAt = now
-	if inv.units > c.lent {
+	part := c.part * math.Exp(0.05*(now-c.overAt))
+	if g.own < 1 && g.chance() > part {
+		inv.comeBack = 0.5
+	} else if inv.units > c.lent {
 		inv.comeBack = (inv.units - c.lent) / (c.share * p.Rate)
 	} else if p.MaxOut > 0 && float64(c.out) > max(1, math.Round(c.share*float64(p.MaxOut))) {
 		inv.comeBack = inv.op.mean
@@ -730,7 +758,9 @@
 func (g *Gateway) After(now float64, d *Delivery, e Ended) Answer {
 	inv := d.Inv
 	inv.out--
-	g.abroad--
+	if !d.lost {
+		g.abroad--
+	}
 	d.Host.out = slices.DeleteFunc(d.Host.out, func(x *Delivery) bool { return x == d })
 	if strings.ContainsRune("FCN", rune(e.How)) && inv.mayRun == d { // proved not run
 		inv.mayRun = nil
@@ -797,7 +827,7 @@
 	h, op := d.Host, d.Inv.op
 	g.Probed(now, h.Addr, e.Held)
 	// Guards against all hosts pressed at once, which no host's few answers here would tell: fewer are out in all.
-	if strings.ContainsRune("STF", rune(e.How)) {
+	if strings.ContainsRune("SF", rune(e.How)) {
 		if g.wait += 0.1 * (e.Took/op.Objective - g.wait); g.wait > 0.4 || e.How == TurnedAway {
 			g.most = max(2.5, g.most*0.9)
 		} else {
@@ -845,6 +875,16 @@
 func (g *Gateway) watch(now float64) {
 	var odd []float64
 	for _, h := range g.hosts {
+		for _, d := range h.out {
+			inv := d.Inv
+			if !d.lost && g.own < 1 && now-d.sent > 4*inv.op.mean {
+				d.lost = true
+				g.abroad--
+				if g.allow.Cancel && inv.stage == sent && g.another(now, inv) && inv.op.Effect != NonIdempotent {
+					g.out.Cancel(d)
+				}
+			}
+		}
 		if h.odd = 0; h.listed && !h.aside && len(h.out) > 0 && h.pace > 0 {
 			h.odd = (now - h.sign) / h.pace * math.Sqrt(float64(len(h.out)))
 			odd = append(odd, h.odd)
@@ -886,7 +926,7 @@
 }
 
 func (g *Gateway) tellPeers(text string) {
-	if g.allow.Peers && g.chance() < g.own { // guards against peers drowning each other: few say the same
+	if g.allow.Peers && g.chance() < 4*g.own { // guards against peers drowning each other: few say the same
 		g.out.Tell(text)
 	}
 }
@@ -902,6 +942,11 @@
 // else it is dropped. A host that fails again after peers' word comes back by trial alone: it can't be
 // reached from here.
 func (g *Gateway) Told(now float64, text string) {
+	if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
+		c := g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways})
+		g.over(now, c, 0.6)
+		return
+	}
 	h := g.byAddr[strings.TrimLeft(text, "+-")]
 	if h != nil && text[0] == '-' {
 		h.asked = true
