--- a/choice/values.go
+++ b/choice/values.go
@@ -54,7 +54,6 @@
 	Deliveries int // for one invocation
 	Cancel     bool
 	Peers      bool
-	Probes     bool
 }
 
 // Counter describes the counter service.
@@ -93,7 +92,6 @@
 	Over  bool    // the invocation is over by this outcome or before it
 	Took  float64 // seconds since it was sent
 	Units float64 // true units, where they are settled
-	Held  float64 // invocations that the host says it holds; below 0: not told
 }
 
 // Do is what an answer asks for.
@@ -117,7 +115,6 @@
 type Out interface {
 	Count(name uint64, amount, life float64)
 	Cancel(d *Delivery)
-	Probe(h *Host)
 	Tell(text string) // to every other api gateway
 	Log(text string)
 }
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -144,7 +144,7 @@
 		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
 		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
 		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
-			Peers: s.Caps.PeerMessages, Probes: s.Caps.MayProbe},
+			Peers: s.Caps.PeerMessages},
 		in)
 	if s.Registry == "on_request" {
 		in.reply.Put("TRACK", true)
@@ -164,7 +164,7 @@
 			return
 		}
 		in.write(inv, in.gw.After(now, inv.Deliveries[m.Attempt], choice.Ended{How: choice.Outcome(m.How[0]),
-			Over: m.Done, Took: m.Delay, Units: m.Actual, Held: held(m.Pressure)}))
+			Over: m.Done, Took: m.Delay, Units: m.Actual}))
 		in.drop(inv)
 	case *wire.Hangup:
 		if inv := in.invs[m.Ref]; inv != nil {
@@ -176,8 +176,6 @@
 			in.bell = 0
 		}
 		in.gw.Tick(now)
-	case *wire.StatusBack:
-		in.gw.Probed(now, m.Host, held(m.Pressure))
 	case *wire.Message:
 		in.gw.Told(now, m.Data)
 	case *wire.Sum:
@@ -185,14 +183,6 @@
 	}
 }
 
-// held is what a load report says that the host holds, below 0 if it does not.
-func held(report map[string]float64) float64 {
-	if v, ok := report["outstanding"]; ok {
-		return v
-	}
-	return -1
-}
-
 // turns asks about each invocation whose turn it is.
 func (in *instance) turns(now float64) {
 	for inv := in.gw.Turn(now); inv != nil; inv = in.gw.Turn(now) {
@@ -234,6 +224,5 @@
 	in.reply.Put("BUMP", name, amount, life)
 }
 func (in *instance) Cancel(d *choice.Delivery) { in.reply.Put("CALL_OFF", d.Inv.Ref, d.Number) }
-func (in *instance) Probe(h *choice.Host)      { in.reply.Put("SOUND_OUT", h.Addr) }
 func (in *instance) Tell(text string)          { in.reply.Put("ANNOUNCE", nil, text) }
 func (in *instance) Log(text string)           { in.reply.Put("TRACE", text) }
