--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,6 @@
 	"strings"
 )
 
-// Delivery is one try at sending an invocation on.
 type Delivery struct {
 	Inv    *Invocation
 	Host   *Host
@@ -56,7 +55,6 @@
 
 func (inv *Invocation) Finished() bool { return inv.stage == finished && inv.out == 0 }
 
-// Host is one server of the back end.
 type Host struct {
 	Addr, zone           string
 	cell, fails          int  // fails: bad endings since the last good one
@@ -76,21 +74,20 @@
 	mean, base float64 // time of good answers: of late, unpressed
 }
 
-// customer is what this instance knows of one customer's counts.
 type customer struct {
-	key               string
-	plan              *Plan
-	window            int64
-	name              uint64
-	width             float64
-	seen, open, sawAt float64 // units and open places in the last total, and when that was
-	room, at, asking  float64 // units that may still be let in, as of at, less those of calls that are out
-	owed, told        float64 // units to add with the next call, and when the last was
-	out, standing     int     // open places held here, and of them on the counter
-	mine, all, share  float64 // units let in of late: here, everywhere; its part of the quota without a call
-	lent, lentAt      float64 // what may be let in without a call, as of then (0: a total came since)
-	part, overAt      float64 // of its tries let in without a call, as of when a total last left no room
-	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
+	key                  string
+	plan                 *Plan
+	window               int64
+	name                 uint64
+	width                float64
+	seen, open, sawAt    float64 // units and open places in the last total, and when that was
+	room, at, asking     float64 // units that may still be let in, as of at, less those of calls that are out
+	owed, told           float64 // units to add with the next call, and when the last was
+	out, standing        int     // open places held here, and of them on the counter
+	mine, all, share     float64 // units let in of late: here, everywhere; its part of the quota without a call
+	lent, lentAt         float64 // what may be let in without a call, as of then (0: a total came since)
+	part, overAt         float64 // of its tries let in without a call, as of when a total last left no room
+	excess, hard, hardAt float64 // units under the hard ceiling, as of hardAt
 }
 
 type call struct {
@@ -117,6 +114,7 @@
 	names              map[uint64][]*call
 	callRate, deniedAt float64 // counter calls a second that may be made; when one was last wanted and not made
 	callRoom, callAt   float64 // how many may be made now, as of callAt
+	tellAt, shut       float64 // no message to the peers before; share of deliveries of late with no connection
 	crowded            bool    // one was denied of late
 	ready, line        []*Invocation
 	abroad, most       float64 // deliveries out; how many there may be a host, from all api gateways
@@ -235,8 +233,6 @@
 	}
 }
 
-// ---- The design: count, refuse, settle.
-
 // windowLength: long ones make edges rare; a place stranded by a dead api gateway lapses with its short one.
 func (p *Plan) windowLength() float64 {
 	if p.Rate <= 0 {
@@ -262,7 +258,7 @@
 		if c.window == math.MinInt64 { // no total seen: the whole burst counts as unused
 			c.room = p.Burst + (1-g.own)*p.Rate*math.Mod(now, p.windowLength())
 		}
-		c.window, c.seen, c.open, c.standing = w, 0, 0, 0
+		c.window, c.seen, c.open, c.standing, c.excess = w, 0, 0, 0, 0
 		f := fnv.New64a()
 		fmt.Fprintf(f, "%s %d", c.key, w)
 		c.name = f.Sum64() >> 1
@@ -306,7 +302,6 @@
 	return g.counter.Present && g.callRoom >= 1
 }
 
-// tell makes one counter call: the estimate if there is one, what is owed, and the change in open places.
 func (g *Gateway) tell(now float64, c *customer, inv *Invocation) {
 	k := &call{cust: c, window: c.window, inv: inv}
 	if inv != nil {
@@ -348,7 +343,7 @@
 	} else if inv.comeBack == 0 {
 		g.join(inv)
 	} else { // over: the estimate is taken off again, at once
-		g.tellPeers("=" + c.key)
+		g.tellPeers(now, "="+c.key)
 		g.over(now, c, 0.5)
 		g.refuse(now, inv)
 	}
@@ -376,7 +371,6 @@
 	}
 }
 
-// read takes a total in and marks the call's invocation if it is over a limit.
 func (g *Gateway) read(now float64, k *call, sum float64) {
 	c, p, units := k.cust, k.cust.plan, sum
 	if p.MaxOut > 0 {
@@ -405,9 +399,11 @@
 	if k.inv != nil && k.inv.stage == asking {
 		held += k.inv.units
 	}
-	c.room = min(p.Burst-held, min(c.room, p.Burst-held+usual)-others)
-	if !g.counter.Settles { // what others added beyond the room took nothing; only settlements may take it below
-		c.room = max(c.room, -held)
+	back := min(c.excess, max(0, -others))
+	c.room = min(p.Burst-held, min(c.room, p.Burst-held+usual)-others-back)
+	// What others added beyond the room took nothing: it is no debt, nor room when it is taken off.
+	if c.excess -= back; !g.counter.Settles { // settlements may take it below
+		c.room, c.excess = max(c.room, -held), c.excess+max(0, -held-c.room)
 	}
 	c.all += max(0, others)
 	c.seen, c.sawAt = units, now
@@ -499,8 +495,6 @@
 	return true
 }
 
-// ---- The line and the places.
-
 func (g *Gateway) join(inv *Invocation) {
 	if c := inv.cust; inv.stage < waiting {
 		c.mine, c.all = c.mine+inv.units, c.all+inv.units
@@ -554,7 +548,6 @@
 	return best
 }
 
-// free says whether this instance may give a host one more delivery.
 func (g *Gateway) free(now float64, h *Host) bool {
 	w, places := g.warmth(now, h), max(1, h.places)
 	if w < 1 {
@@ -566,7 +559,6 @@
 	return float64(len(h.out))+1 <= places && !h.aside || h.aside && now >= h.trialAt && len(h.out) == 0
 }
 
-// warmth is how warm a host is, from 0 (just started) to 1.
 func (g *Gateway) warmth(now float64, h *Host) float64 {
 	if h.since <= 0 {
 		return 1
@@ -588,7 +580,7 @@
 
 func (g *Gateway) chance() float64 {
 	g.drawn++
-	return float64(crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d", g.at.Seed, g.drawn))) / (1 << 32)
+	return float64(2654435761*crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d", g.at.Seed, g.drawn))) / (1 << 32)
 }
 
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
@@ -601,7 +593,10 @@
 		slow := max(h.slow, 1/max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h)))
 		// Guards against all choosing the same host: the less one knows of a host by itself, the more it goes by
 		// chance, in proportion to what hosts can do.
-		cost := slow * (1 + 0.5*float64(len(h.out))) * math.Pow(-math.Log(1-g.chance()), 1-g.own)
+		cost := math.Pow(slow, 2-g.own) * (1 + 0.5*float64(len(h.out))) * math.Pow(-math.Log(1-g.chance()), 1-g.own)
+		if h.pace == 0 { // guards against hosts that hold all the connections they take: stay where one is in
+			cost *= 1 + 100*g.shut
+		}
 		if h.zone != g.at.Zone {
 			cost += 0.05
 		}
@@ -706,6 +701,9 @@
 
 func (g *Gateway) learn(now float64, d *Delivery, e Ended) {
 	h, op := d.Host, d.Inv.op
+	if g.shut *= 0.97; e.How == NoConnection {
+		g.shut += 0.03
+	}
 	// Guards against all hosts pressed at once, which no host's few answers here would tell: fewer are out in
 	// all.
 	if strings.ContainsRune("SF", rune(e.How)) {
@@ -734,7 +732,7 @@
 		}
 		if h.aside || h.asked {
 			h.asked = false
-			g.tellPeers("+" + h.Addr)
+			g.tellPeers(now, "+"+h.Addr)
 		}
 		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
 	case TimedOut, TurnedAway, Failed, NoConnection, Reset: // time-outs in a row are silence too
@@ -771,7 +769,6 @@
 	}
 }
 
-// setAside gives a host no more work, unless too few would be left.
 func (g *Gateway) setAside(now float64, h *Host, why string) {
 	idle := slices.DeleteFunc(slices.Clone(g.hosts), func(x *Host) bool { return x.listed && !x.aside })
 	h.trialGap = min(8, max(1, 2*h.trialGap))
@@ -781,7 +778,7 @@
 	}
 	h.aside = true
 	g.out.Log("host " + h.Addr + " set aside: " + why)
-	g.tellPeers("-" + h.Addr)
+	g.tellPeers(now, "-"+h.Addr)
 	for _, d := range h.out {
 		if inv := d.Inv; g.allow.Cancel && inv.stage == sent && g.another(now, inv) &&
 			inv.op.Effect != NonIdempotent {
@@ -790,8 +787,10 @@
 	}
 }
 
-func (g *Gateway) tellPeers(text string) {
-	if g.allow.Peers && g.chance() < 4*g.own { // guards against peers drowning each other: few say the same
+func (g *Gateway) tellPeers(now float64, text string) {
+	// Guards against peers drowning each other: few say the same, and all together half of what one takes in.
+	if g.allow.Peers && now >= g.tellAt && g.chance() < g.own {
+		g.tellAt = now + 2*g.own*g.all/max(1, g.allow.Mail)
 		g.out.Tell(text)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -593,3 +593,67 @@
 		f.wantSent(inv, 1)
 	}
 }
+
+func TestATotalOverTheQuotaCutsWhatIsLetInWithoutACallHereAndAtPeers(t *testing.T) {
+	f := newFakeOf(t, Plan{Name: "p", Rate: 20, Burst: 100}, 100)
+	f.g.counter.Present = false
+	let := func() (n int) {
+		for range 200 {
+			f.wait(0.1)
+			if inv := f.take(1, 1); len(inv.Deliveries) > 0 {
+				n++
+				f.ends(inv, Succeeded)
+			}
+		}
+		return n
+	}
+	all := let()
+	for range 4 {
+		f.g.Told(f.now, "=p c")
+		f.g.Told(f.now, "=q c") // an unknown plan, and nonsense: dropped
+		f.g.Told(f.now, "= ")
+		f.wait(1.1)
+	}
+	if cut := let(); all < 190 || cut > all*2/3 || cut == 0 {
+		t.Fatalf("%d let in before peers said it was over, %d after", all, cut)
+	}
+}
+
+func TestAFirstTotalInTheMiddleOfAWindowAllowsForWhatItGained(t *testing.T) {
+	for _, c := range []struct {
+		total float64
+		want  Do
+	}{{14, Send}, {40, Throttle}} { // 2 a second for 10 s of a window, and a burst of 10: well under, and over
+		f := newFakeOf(t, ten, 300)
+		inv := f.take(2, 2) // the clock stands at 1000, its window began at 990
+		f.total(c.total)
+		if f.last[inv].Do != c.want {
+			t.Fatalf("a first total of %v: %+v", c.total, f.last[inv])
+		}
+	}
+}
+
+func TestHostsThatHoldAllTheConnectionsTheyTakeAreLeftToThoseWhoAreIn(t *testing.T) {
+	f := newFakeOf(t, Plan{Name: "p"}, 300)
+	list := []Listed{{Addr: "in", Zone: "z", State: "active"}}
+	for _, a := range strings.Split("abcdefghijklmnopqrst", "") {
+		list = append(list, Listed{Addr: a, Zone: "z", State: "active"})
+	}
+	f.g.Hosts(f.now, list, true)
+	met := map[*Host]bool{}
+	for range 300 {
+		inv := f.take(1, 2)
+		for inv.out > 0 {
+			d := inv.Deliveries[len(inv.Deliveries)-1]
+			if met[d.Host] = true; d.Host.Addr == "in" {
+				f.ends(inv, Succeeded)
+			} else {
+				f.ends(inv, NoConnection)
+			}
+		}
+		f.wait(0.05)
+	}
+	if bad := len(f.sends) - 300; bad > 150 {
+		t.Fatalf("%d deliveries without a connection at %d hosts", bad, len(met))
+	}
+}
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -44,7 +44,7 @@
 	f := &fake{t: t, now: 1000, last: map[*Invocation]Answer{}}
 	f.g = New(Standing{Gateways: gateways, Zone: "z"}, fakeOps, []Plan{p},
 		Counter{Present: true, Limit: 0.05, Most: 8}, Cold{Share: 0.2, Warm: 10, Factor: 2},
-		Allowed{Deliveries: 4, Cancel: true, Peers: true}, f)
+		Allowed{Deliveries: 4, Cancel: true, Peers: true, Mail: 60}, f)
 	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active"}, {Addr: "b", Zone: "y", State: "active"}}, true)
 	return f
 }
--- a/choice/values.go
+++ b/choice/values.go
@@ -54,6 +54,7 @@
 	Deliveries int // for one invocation
 	Cancel     bool
 	Peers      bool
+	Mail       float64 // messages a second that a peer takes in
 }
 
 // Counter describes the counter service.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -120,6 +120,7 @@
 		Limit   float64 `json:"count_limit"`
 		Settles bool    `json:"settles"`
 		Most    float64 `json:"most_units"`
+		Mail    float64 `json:"mail_per_s"`
 	} `json:"extra"`
 	Plans []struct {
 		Name      string  `json:"name"`
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -144,7 +144,7 @@
 		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
 		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
 		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
-			Peers: s.Caps.PeerMessages},
+			Peers: s.Caps.PeerMessages, Mail: s.Extra.Mail},
 		in)
 	if s.Registry == "on_request" {
 		in.reply.Put("TRACK", true)
