A delivery ends with its objective where a late answer is worth nothing

Cause: when hosts leave one operation unanswered, each delivery hung till the client gave up, 4 to 5 s, and held its customer's open place and one of the few deliveries out from here. Change: where the start says that a late answer is worth nothing, a delivery that may be repeated ends with the latency objective.

Covers vanished hosts too. Harm: an answer just after the objective is lost to a client that would have taken it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,6 @@
 
 const fresh, asking, refused, waiting, sent, finished stage = 0, 1, 2, 3, 4, 5
 
-// Invocation is what a client sent, from Take to its final answer and the end of its deliveries.
 type Invocation struct {
 	Ref                  string
 	Deliveries           []*Delivery
@@ -225,7 +224,6 @@
 	return Answer{Do: Throttle, RetryAfter: max(inv.comeBack, inv.op.mean/2)}
 }
 
-// Gone says that an invocation is over: nothing is sent for it any more, and what it holds is given back.
 func (g *Gateway) Gone(now float64, inv *Invocation) {
 	g.leaveLine(inv)
 	if inv.stage = finished; inv.out == 0 {
@@ -465,7 +463,6 @@
 	g.join(inv)
 }
 
-// release gives back what an invocation holds: its open place, and its units if nothing of it ran.
 func (g *Gateway) release(now float64, inv *Invocation) {
 	if !inv.charged {
 		return
@@ -566,7 +563,6 @@
 	return min(1, max(0, (now-h.since)/max(g.cold.Warm, 0.001)))
 }
 
-// grown is how many seconds of its full capacity a host has had at least since it started.
 func (g *Gateway) grown(now float64, h *Host) float64 {
 	return (now - h.since) * (g.cold.Share + (1-g.cold.Share)*g.warmth(now, h)/2)
 }
@@ -640,7 +636,11 @@
 		h.sign = now
 	}
 	h.out = append(h.out, d)
-	return Answer{Do: Send, Host: h}
+	a := Answer{Do: Send, Host: h}
+	if inv.op.Late == 0 && inv.op.Effect != NonIdempotent {
+		a.Within = max(inv.wanted-now, inv.op.base) // guards against silence that holds places for nothing
+	}
+	return a
 }
 
 func (g *Gateway) another(now float64, inv *Invocation) bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -657,3 +657,13 @@
 		t.Fatalf("%d deliveries without a connection at %d hosts", bad, len(met))
 	}
 }
+
+func TestADeliveryEndsWithTheObjectiveWhereALateAnswerIsWorthNothing(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.ops["mark"].Late = 0.2
+	for op, want := range map[string]float64{"read": 1, "mark": 0, "once": 0} {
+		if a := f.last[f.takeOp(op, 1, 2)]; a.Do != Send || a.Within != want {
+			t.Errorf("%s: want %v s, got %+v", op, want, a)
+		}
+	}
+}
--- a/choice/values.go
+++ b/choice/values.go
@@ -28,6 +28,7 @@
 	Name      string
 	Objective float64 // latency objective: the answer is wanted within this
 	Value     float64 // billed value
+	Late      float64 // part of it that an answer after the objective is worth
 	Effect    Effect
 	Group     string  // tokened: who drops repeats: "all", "zone" or "cell"
 	TokenTime float64 // tokened: for how long
@@ -110,6 +111,7 @@
 	Do         Do
 	Host       *Host
 	RetryAfter float64
+	Within     float64 // Send: the delivery is given up after this; 0: when the client gives up
 }
 
 // Out is the narrow way out for what belongs to no single invocation.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -105,6 +105,7 @@
 		Goal     float64 `json:"goal_time"`
 		Deadline float64 `json:"deadline"`
 		Gain     float64 `json:"gain"`
+		Late     float64 `json:"late_worth"`
 		Effect   string  `json:"effect"`
 		Group    string  `json:"group"`
 		KeyTTL   float64 `json:"key_ttl"`
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -131,7 +131,7 @@
 		if !ok {
 			return fmt.Errorf("CREATE: unknown effect %q", k.Effect)
 		}
-		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Value: k.Gain, Effect: e,
+		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Value: k.Gain, Late: k.Late, Effect: e,
 			Group: k.Group, TokenTime: k.KeyTTL})
 	}
 	var plans []choice.Plan
@@ -194,7 +194,7 @@
 func (in *instance) write(inv *choice.Invocation, a choice.Answer) {
 	switch a.Do {
 	case choice.Send:
-		in.reply.Put("PASS_ON", inv.Ref, 0, a.Host.Addr)
+		in.reply.Put("PASS_ON", inv.Ref, a.Within, a.Host.Addr)
 	case choice.Throttle:
 		in.reply.Put("SHED", inv.Ref, a.RetryAfter)
 	case choice.GiveUp:
--- a/wirehost/host_test.go
+++ b/wirehost/host_test.go
@@ -7,7 +7,7 @@
 )
 
 const start = `["CREATE",7,{"balancers":1,"slot_no":0,"locality":"z","caps":{"try_limit":2,"cancel":true},` +
-	`"classes":[{"name":"read","goal_time":1,"gain":1,"effect":"idempotent"}],"plans":[{"name":"p"}],"extra":{}}]`
+	`"classes":[{"name":"read","goal_time":1,"gain":1,"late_worth":0.2,"effect":"idempotent"}],"plans":[{"name":"p"}],"extra":{}}]`
 const hosts = `["DIRECTORY",0,[["h:1","z","k",0,"active",1,null]]],["DISCOVERY","stale_copy",1,0]`
 
 func play(t *testing.T, lines ...string) string {
