--- a/choice/choice.go
+++ b/choice/choice.go
@@ -688,7 +688,7 @@
 			g.hosts = append(g.hosts, h)
 		}
 		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
-			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = 4*g.own, 1, 1, 0, 0, false, 0
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = min(4, 12/g.all), 1, 1, 0, 0, false, 0
 			if h.since = l.Since; l.Weight > 0 { // till it is known: by its size
 				h.slow, h.best = size/l.Weight, size/l.Weight
 			}
