Clean-up after re-reading: hosts looked at once, the cut part reckoned in one place

- A full limit in all no longer scans every host for free places, nor is the list copied twice.
- How a cut part grows back stood in two places with its constant; it is one function now.
- The field for others' units beyond the room had lost its meaning in the comment; the number of api gateways is reckoned once; comments left with one word on a line are whole again.
The one on a silent counter asked too seldom for its bound to fail; it now asks 100 times a second against the same bound, and fails without the pacing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,19 +74,20 @@
 }
 
 type customer struct {
-	key                  string
-	plan                 *Plan
-	window               int64
-	name                 uint64
-	width                float64
-	seen, open, sawAt    float64 // units and open places in the last total, and when that was
-	room, at, asking     float64 // units that may still be let in, as of at, less those of calls that are out
-	owed, told           float64 // units to add with the next call, and when the last was
-	out, standing        int     // open places held here, and of them on the counter
-	mine, all, share     float64 // units let in of late: here, everywhere; its part of the quota without a call
-	lent, lentAt         float64 // what may be let in without a call, as of then (0: a total came since)
-	part, overAt         float64 // of its tries let in without a call, as of when a total last left no room
-	excess, hard, hardAt float64 // units under the hard ceiling, as of hardAt
+	key               string
+	plan              *Plan
+	window            int64
+	name              uint64
+	width             float64
+	seen, open, sawAt float64 // units and open places in the last total, and when that was
+	room, at, asking  float64 // units that may still be let in, as of at, less those of calls that are out
+	owed, told        float64 // units to add with the next call, and when the last was
+	out, standing     int     // open places held here, and of them on the counter
+	mine, all, share  float64 // units let in of late: here, everywhere; its part of the quota without a call
+	lent, lentAt      float64 // what may be let in without a call, as of then (0: a total came since)
+	part, overAt      float64 // of its tries let in without a call, as of when a total last left no room
+	excess            float64 // others' units in the total beyond the room there was
+	hard, hardAt      float64 // units under the hard ceiling, as of hardAt
 }
 
 type call struct {
@@ -123,10 +124,11 @@
 }
 
 func New(at Standing, ops []Operation, ps []Plan, ctr Counter, cold Cold, allow Allowed, out Out) *Gateway {
+	all := max(1, float64(at.Gateways))
 	g := &Gateway{at: at, counter: ctr, cold: cold, allow: allow, out: out, ops: map[string]*operation{},
 		plans: map[string]*Plan{}, byAddr: map[string]*Host{}, customers: map[string]*customer{},
 		names: map[uint64][]*call{}, callRate: 32, callRoom: 8, deniedAt: math.Inf(-1),
-		most: 12, wait: 0.2, all: max(1, float64(at.Gateways)), own: min(1, 12/max(1, float64(at.Gateways)))}
+		most: 12, wait: 0.2, all: all, own: min(1, 12/all)}
 	for _, o := range ops {
 		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
 		g.mean += o.Objective / 5 / float64(len(ops))
@@ -354,8 +356,7 @@
 }
 
 // crowd guards against a counter that is slow, silent, refusing or too small: calls a second fall with a
-// failed one and grow a little with a good one, so that all share what there is. The few still made are the
-// trial.
+// failed one and grow a bit with a good one, so that all share what there is. The few still made are trials.
 func (g *Gateway) crowd(now float64, how Outcome, took float64) {
 	if how != Succeeded {
 		g.callRate *= 0.8
@@ -415,10 +416,13 @@
 	}
 }
 
+// partNow is the part of a customer's tries let in without a call, as it has grown back since it was cut.
+func (c *customer) partNow(now float64) float64 { return min(1, c.part*math.Exp(0.05*(now-c.overAt))) }
+
 // over: a customer's total left no room, here or by a peer's word; less of it is let in without a call.
 func (g *Gateway) over(now float64, c *customer, cut float64) {
 	if now-c.overAt > 1 {
-		c.part, c.overAt = cut*min(1, c.part*math.Exp(0.05*(now-c.overAt))), now
+		c.part, c.overAt = cut*c.partNow(now), now
 	}
 }
 
@@ -448,7 +452,7 @@
 	}
 	most := max(c.lent, c.share*p.Burst, inv.units)
 	c.lent, c.lentAt = min(c.lent+c.share*p.Rate*(now-c.lentAt), most), now
-	if g.own < 1 && g.chance() > c.part*math.Exp(0.05*(now-c.overAt)) {
+	if g.own < 1 && g.chance() > c.partNow(now) {
 		inv.comeBack = 0.5
 	} else if inv.units > c.lent {
 		inv.comeBack = (inv.units - c.lent) / (c.share * p.Rate)
@@ -479,8 +483,7 @@
 	}
 }
 
-// underCeiling holds a hard ceiling by this instance's part alone, empty at first: restarts grant nothing
-// twice.
+// underCeiling holds a hard ceiling by this instance's part, empty at first: restarts grant nothing twice.
 func (g *Gateway) underCeiling(now float64, inv *Invocation) bool {
 	c, p := inv.cust, inv.cust.plan
 	c.hard, c.hardAt = min(c.hard+p.CeilingRate/c.width*(now-c.hardAt), p.CeilingBurst/c.width), now
@@ -518,9 +521,9 @@
 		return nil
 	}
 	listed := slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !h.listed })
-	free := slices.DeleteFunc(slices.Clone(listed), func(h *Host) bool { return !g.free(now, h) })
-	if g.abroad >= math.Floor(max(1, g.most*float64(len(listed))/g.all)+g.luck) {
-		free = nil
+	var free []*Host
+	if g.abroad < math.Floor(max(1, g.most*float64(len(listed))/g.all)+g.luck) {
+		free = slices.DeleteFunc(listed, func(h *Host) bool { return !g.free(now, h) })
 	}
 	best, most := (*Invocation)(nil), 0.0
 	for _, inv := range g.line {
@@ -567,9 +570,8 @@
 	return (now - h.since) * (g.cold.Share + (1-g.cold.Share)*g.warmth(now, h)/2)
 }
 
-// coldGap is the cold budget: how much a host that has just started grows between deliveries from here, if
-// all together keep to what two cores can do. The first waits for a part of it by chance: one from each is
-// too much.
+// coldGap is the cold budget: how much a host just started grows between deliveries from here, if all
+// together keep to what two cores can do. The first waits for a part of it by chance: one each is too much.
 func (g *Gateway) coldGap() float64 {
 	return 0.5 * g.mean * g.all / min(1, g.cold.Factor/2)
 }
@@ -704,8 +706,7 @@
 	if g.shut *= 0.97; e.How == NoConnection {
 		g.shut += 0.03
 	}
-	// Guards against all hosts pressed at once, which no host's few answers here would tell: fewer are out in
-	// all.
+	// Guards against all hosts pressed at once, which no host's few answers here would tell: fewer go out.
 	if strings.ContainsRune("SF", rune(e.How)) {
 		if g.wait += 0.1 * (e.Took/op.Objective - g.wait); g.wait > 0.4 || e.How == TurnedAway {
 			g.most = max(2.5, g.most*0.9)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -161,9 +161,7 @@
 	let := 0.0
 	for range 30 { // 6 s of silence at 5 units a second, where the plan fills 2
 		inv := f.take(1, 2)
-		for f.n < len(f.calls) {
-			f.counted(TimedOut, 0)
-		}
+		f.noTotals()
 		if len(inv.Deliveries) > 0 {
 			let++
 			f.ends(inv, Succeeded)
@@ -203,20 +201,18 @@
 	f := newFake(t, Plan{Name: "p", Rate: 1000, Burst: 10000})
 	for range 60 {
 		f.take(1, 2)
-		for f.n < len(f.calls) {
-			f.counted(TimedOut, 0)
-		}
+		f.noTotals()
 	}
 	before := len(f.calls)
-	for range 100 { // 10 s
+	for i := range 500 { // 5 s, 100 a second
 		f.take(1, 2)
-		for f.n < len(f.calls) {
-			f.counted(TimedOut, 0)
+		f.noTotals()
+		if i%10 == 9 {
+			f.wait(0.1)
 		}
-		f.wait(0.1)
 	}
 	if asked := len(f.calls) - before; asked < 10 || asked > 110 {
-		t.Fatalf("%d calls in 10 s at a silent counter, want a few trials", asked)
+		t.Fatalf("%d calls in 5 s at a silent counter, want a few trials", asked)
 	}
 	for range 100 { // it answers again
 		f.take(1, 2)
@@ -444,9 +440,8 @@
 		f := newFake(t, Plan{Name: "p", CeilingRate: 4, CeilingBurst: 40})
 		f.g.counter.Present = false
 		for range 50 {
-			if inv := f.take(1, 2); len(inv.Deliveries) > 0 {
+			if f.passes(1, 2) {
 				let++
-				f.ends(inv, Succeeded)
 			}
 			f.wait(0.1)
 		}
@@ -461,9 +456,8 @@
 	f.g.counter.Present = false // no counter: its share of the quota
 	let := 0
 	for range 10 {
-		if inv := f.take(2, 2); len(inv.Deliveries) > 0 {
+		if f.passes(2, 2) {
 			let++
-			f.ends(inv, Succeeded)
 		}
 	}
 	if let < 2 || let > 5 || len(f.calls) > 0 {
@@ -502,7 +496,7 @@
 }
 
 func TestAfterALongGapTheOthersUseWasSpreadOverIt(t *testing.T) {
-	f := newFake(t, Plan{Name: "p", Rate: 2, Burst: 10})
+	f := newFake(t, ten)
 	f.take(1, 2)
 	f.total(1)
 	f.wait(14)
@@ -600,9 +594,8 @@
 	let := func() (n int) {
 		for range 200 {
 			f.wait(0.1)
-			if inv := f.take(1, 1); len(inv.Deliveries) > 0 {
+			if f.passes(1, 1) {
 				n++
-				f.ends(inv, Succeeded)
 			}
 		}
 		return n
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -140,3 +140,20 @@
 		}
 	}
 }
+
+// passes says whether an invocation goes out now; it is answered at once.
+func (f *fake) passes(units float64, width int) bool {
+	inv := f.take(units, width)
+	if len(inv.Deliveries) == 0 {
+		return false
+	}
+	f.ends(inv, Succeeded)
+	return true
+}
+
+// noTotals lets all counter calls end without an answer.
+func (f *fake) noTotals() {
+	for f.n < len(f.calls) {
+		f.counted(TimedOut, 0)
+	}
+}
