--- /dev/null
+++ b/cmd/otterseam/main.go
@@ -0,0 +1,167 @@
+// Command otterseam is the api gateway on sockets.
+//
+// This file owns what the process is given (environment, configuration, signals), its log, and the group in which
+// all parts live and end. It must never know the protocol or decide anything.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/gateway"
+	"otterseam/wire"
+)
+
+// file is the configuration as it stands on disk.
+type file struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Seed       string `json:"seed"`
+	PeerListen string `json:"peer_listen"`
+	Counter    string `json:"counter"`
+	Limits     struct {
+		Memory  float64 `json:"memory_mb"`
+		Sockets int     `json:"sockets"`
+	} `json:"limits"`
+	Peers    []string       `json:"peers"`
+	PeersAll string         `json:"peers_all"`
+	Known    gateway.Roster `json:"known"`
+	Settings wire.Start     `json:"settings"`
+}
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("api_gateway", os.Getenv("EDGE_NAME")).Logger()
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	if err := run(log); err != nil {
+		log.Error().Err(err).Msg("ended")
+		os.Exit(1)
+	}
+}
+
+// read finds the configuration; what the environment says of addresses fills in what the file leaves out.
+func read() (f file, err error) {
+	path := os.Getenv("EDGE_CONFIG")
+	if path == "" {
+		return f, errors.New("EDGE_CONFIG names no configuration")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return f, fmt.Errorf("configuration: %w", err)
+	}
+	if err = json.Unmarshal(text, &f); err != nil {
+		return f, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if f.Listen == "" {
+		f.Listen = os.Getenv("EDGE_LISTEN")
+	}
+	if f.Discovery == "" {
+		f.Discovery = os.Getenv("EDGE_DISCOVERY")
+	}
+	if f.Listen == "" || f.Discovery == "" || len(f.Settings.Classes) == 0 || f.Settings.Balancers < 1 {
+		return f, fmt.Errorf("configuration %s: listen, discovery or settings are missing", path)
+	}
+	return f, nil
+}
+
+func run(log zerolog.Logger) error {
+	f, err := read()
+	if err != nil {
+		return err
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return fmt.Errorf("configuration: seed: %w", err)
+	}
+	memory, sockets := f.Limits.Memory, f.Limits.Sockets
+	if memory <= 0 {
+		memory = 192
+	}
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(0.7 * memory * (1 << 20)))
+	// Of the descriptors a rest is kept for the counter, discovery, peers and the runtime.
+	clientsMost, hostsMost := max(8, (sockets-40)*55/100), max(8, (sockets-40)*40/100)
+
+	root, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, ctx := errgroup.WithContext(root)
+	buffers := gateway.NewBuffers(64)
+	loop := gateway.NewLoop(log)
+	module, err := f.Settings.Module(seed, loop)
+	if err != nil {
+		return err
+	}
+	peers, err := gateway.NewPeers(loop, f.PeerListen, f.Settings.Slot, f.Peers, f.PeersAll)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	hosts := gateway.NewHosts(ctx, group, loop, buffers, hostsMost, f.Settings.Caps.Connect, f.Settings.Caps.Idle)
+	counter := gateway.NewCounter(loop, f.Settings.Extra.Limit)
+	discovery := gateway.NewDiscovery(loop, log)
+	var listed atomic.Bool
+	clients, err := gateway.NewClients(ctx, group, loop, log, buffers, f.Listen, f.Settings.Methods(), clientsMost,
+		func() bool { return listed.Load() && counter.Known() })
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+
+	group.Go(func() error { return loop.Run(ctx, module, hosts, counter, peers) })
+	group.Go(func() error { return peers.Read(ctx) })
+	group.Go(func() error { return peers.Write(ctx) })
+	discovery.Use(ctx, f.Known)
+	listed.Store(true)
+	group.Go(func() error { return discovery.Run(ctx, f.Discovery) })
+	address := f.Counter
+	if !f.Settings.Extra.Counter {
+		address = ""
+	}
+	counter.Run(ctx, group, address)
+	group.Go(clients.Accept)
+	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case s := <-signals:
+			log.Info().Str("signal", s.String()).Msg("ending")
+			clients.End(longest(f.Settings) + 200*time.Millisecond)
+			loop.Quiet(ctx, 100*time.Millisecond)
+		}
+		stop()
+		clients.Close()
+		return nil
+	})
+	err = group.Wait()
+	if err == nil {
+		log.Info().Msg("ended")
+	}
+	return err
+}
+
+// longest is for how long a client may still wait for an answer.
+func longest(s wire.Start) time.Duration {
+	most := 1.0
+	for _, k := range s.Classes {
+		most = max(most, k.Limit)
+	}
+	return time.Duration(most * float64(time.Second))
+}
--- /dev/null
+++ b/gateway/clients.go
@@ -0,0 +1,358 @@
+package gateway
+
+// This file owns the listener and the connections of clients: it reads requests, answers at once what is malformed,
+// hands the rest to the loop and writes the one answer each gets. It must never decide about an invocation, answer
+// one twice, or end a connection while an answer is owed on it.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/http1"
+)
+
+const (
+	slowest   = 5 * time.Second        // a request begun must be whole after this
+	lateEntry = 400 * time.Millisecond // after the call to end, new connections still come for this long
+)
+
+type Clients struct {
+	ctx        context.Context
+	group      *errgroup.Group
+	loop       *Loop
+	log        zerolog.Logger
+	buffers    *Buffers
+	listener   net.Listener
+	operations map[string]string // the method of each
+	ready      func() bool
+	most       int
+	ending     atomic.Bool
+
+	mu   sync.Mutex
+	open map[*client]bool
+}
+
+// client is one connection: one goroutine reads requests, one writes answers.
+type client struct {
+	clients *Clients
+	tcp     net.Conn
+	answers chan answer   // room for the one that can be owed
+	free    chan struct{} // holds a token while no answer is owed
+	done    chan struct{}
+	inv     *invocation // the last one taken
+	arrived func()      // brings it to the loop
+	left    func()      // says that nobody waits for it any more
+
+	mu    sync.Mutex
+	begun bool      // bytes of a request have come
+	since time.Time // when it came to rest between requests
+	last  bool      // its last answer is written
+}
+
+// answer is what the loop hands over; status 0: the client is gone, nothing is to be written.
+type answer struct {
+	request, reply *Buffer
+	status         int
+	retryAfter     float64
+}
+
+// NewClients opens the listener. operations gives the method of each operation.
+func NewClients(ctx context.Context, group *errgroup.Group, loop *Loop, log zerolog.Logger, buffers *Buffers,
+	listen string, operations map[string]string, most int, ready func() bool) (*Clients, error) {
+	lc := net.ListenConfig{KeepAlive: -1}
+	l, err := lc.Listen(ctx, "tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	return &Clients{ctx: ctx, group: group, loop: loop, log: log, buffers: buffers, listener: l,
+		operations: operations, ready: ready, most: most, open: map[*client]bool{}}, nil
+}
+
+// Accept takes connections until the listener is closed. Out of descriptors, or at its limit, it makes room by
+// closing the connection that has rested longest, and goes on.
+func (cs *Clients) Accept() error {
+	for {
+		tcp, err := cs.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			cs.log.Warn().Err(err).Msg("accept pauses")
+			cs.makeRoom()
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		c := &client{clients: cs, tcp: tcp, answers: make(chan answer, 1), free: make(chan struct{}, 1),
+			done: make(chan struct{}), since: time.Now()}
+		c.arrived = func() { cs.loop.take(c.inv) }
+		c.left = func() { cs.loop.gone(c.inv) }
+		c.free <- struct{}{}
+		cs.mu.Lock()
+		cs.open[c] = true
+		n := len(cs.open)
+		cs.mu.Unlock()
+		cs.group.Go(func() error { c.write(); return nil })
+		cs.group.Go(func() error { c.serve(); return nil })
+		for ; n >= cs.most && cs.ctx.Err() == nil; n = cs.count() {
+			if !cs.makeRoom() {
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}
+}
+
+func (cs *Clients) count() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)
+}
+
+// makeRoom ends the connection that has rested longest between requests.
+func (cs *Clients) makeRoom() bool {
+	var oldest *client
+	var least time.Time
+	cs.mu.Lock()
+	for c := range cs.open {
+		c.mu.Lock()
+		if !c.since.IsZero() && (oldest == nil || c.since.Before(least)) {
+			oldest, least = c, c.since
+		}
+		c.mu.Unlock()
+	}
+	cs.mu.Unlock()
+	return oldest != nil && oldest.poke()
+}
+
+// End answers all that has been taken and closes every connection between requests. New connections are still taken
+// for a while, as the front sends them, each for one request.
+func (cs *Clients) End(limit time.Duration) {
+	cs.ending.Store(true)
+	time.Sleep(lateEntry)
+	until := time.Now().Add(limit)
+	for quiet := 0; quiet < 3 && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		cs.mu.Lock()
+		for c := range cs.open {
+			c.poke()
+		}
+		if quiet++; len(cs.open) > 0 {
+			quiet = 0
+		}
+		cs.mu.Unlock()
+	}
+	cs.listener.Close()
+}
+
+// Close ends the listener and every connection.
+func (cs *Clients) Close() {
+	cs.listener.Close()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		c.tcp.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// serve reads requests until the connection ends, waits until nothing is owed on it, and closes it: the one place
+// where that is done.
+func (c *client) serve() {
+	cs := c.clients
+	b, n := cs.buffers.Take(), 0
+	b.Begin(b.Bytes, false)
+	for {
+		status, call := c.request(b, n)
+		if status < 0 || !c.settled() { // at its end, or the answer before this one can't be written any more
+			break
+		}
+		next := cs.buffers.Take()
+		next.Begin(next.Bytes, false)
+		n = copy(next.Space(), b.Rest())
+		if status > 0 {
+			last := status != 200 || b.Close || cs.ending.Load()
+			c.tcp.SetWriteDeadline(time.Now().Add(slowest))
+			c.tcp.Write(http1.AppendOwn(b.Bytes[:0], status, 0, last))
+			cs.buffers.Give(b)
+			if b = next; last {
+				c.linger()
+				break
+			}
+			c.next(n)
+			c.rest()
+			continue
+		}
+		<-c.free
+		c.inv = &invocation{Call: call, from: c, request: b}
+		b = next
+		c.next(n)
+		cs.loop.tell(cs.ctx, c.arrived)
+	}
+	cs.buffers.Give(b)
+	select {
+	case <-c.free:
+	default: // an answer is owed, and nobody is there to take it
+		cs.loop.tell(cs.ctx, c.left)
+		select {
+		case <-c.free:
+		case <-cs.ctx.Done():
+		}
+	}
+	close(c.done)
+	cs.mu.Lock()
+	delete(cs.open, c)
+	cs.mu.Unlock()
+	c.tcp.Close()
+}
+
+// settled waits until no answer is owed; false: the connection was ended with the last one.
+func (c *client) settled() bool {
+	select {
+	case <-c.free:
+	case <-c.clients.ctx.Done():
+		return false
+	}
+	c.free <- struct{}{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.last
+}
+
+// linger lets a client that is still sending read why it is refused, before the connection is reset.
+func (c *client) linger() {
+	if t, ok := c.tcp.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.tcp.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	for b := make([]byte, 512); ; {
+		if _, err := c.tcp.Read(b); err != nil {
+			return
+		}
+	}
+}
+
+// rest notes that an answer is written; begin, that bytes of the next request have come.
+func (c *client) rest() {
+	c.mu.Lock()
+	if !c.begun {
+		c.since = time.Now()
+	}
+	c.mu.Unlock()
+}
+
+// next: the request before has been read; n bytes of the next have come.
+func (c *client) next(n int) {
+	c.mu.Lock()
+	c.begun = n > 0
+	c.mu.Unlock()
+}
+
+func (c *client) begin() {
+	c.mu.Lock()
+	c.begun, c.since = true, time.Time{}
+	c.mu.Unlock()
+}
+
+// poke ends the connection if it rests between requests; a request that comes at this moment is still served.
+func (c *client) poke() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun || c.since.IsZero() {
+		return false
+	}
+	c.since = time.Time{}
+	c.tcp.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// request reads one request into b, n bytes of which have come. It gives status 0 and the call for an invocation, a
+// status to answer at once, or -1 when the connection is at its end.
+func (c *client) request(b *Buffer, n int) (status int, call http1.Call) {
+	whole, err := false, error(nil)
+	if n > 0 {
+		whole, err = b.Got(n)
+	}
+	for timed := false; !whole && err == nil; {
+		if !b.Empty() && !timed { // a request begun must come to its end
+			timed = true
+			c.tcp.SetReadDeadline(time.Now().Add(slowest))
+		}
+		var bad error
+		if n, bad = c.tcp.Read(b.Space()); n > 0 {
+			if b.Empty() {
+				c.begin()
+			}
+			if whole, err = b.Got(n); whole && timed {
+				c.tcp.SetReadDeadline(time.Time{})
+			}
+		} else if bad != nil {
+			var ne net.Error
+			if errors.As(bad, &ne) && ne.Timeout() {
+				c.settled() // called to end, or too slow: but not before what is owed has been written
+			}
+			return -1, call
+		}
+	}
+	switch {
+	case errors.Is(err, http1.ErrHeadTooLong):
+		return 431, call
+	case errors.Is(err, http1.ErrBodyTooLong):
+		return 413, call
+	case err != nil:
+		return 400, call
+	case string(b.Target) == http1.HealthPath:
+		if c.clients.ready() && !c.clients.ending.Load() {
+			return 200, call
+		}
+		return 503, call
+	}
+	call, ok := http1.ReadCall(&b.Message)
+	if method := c.clients.operations[call.Operation]; !ok || method == "" || method != string(b.Method) ||
+		method == "GET" && len(b.Body) > 0 {
+		return 400, call
+	}
+	return 0, call
+}
+
+// write writes the answers the loop hands over, each into the buffer of its request, and gives both buffers back.
+func (c *client) write() {
+	cs := c.clients
+	for {
+		var a answer
+		select {
+		case a = <-c.answers:
+		case <-c.done:
+			return
+		}
+		last := a.request.Close || cs.ending.Load()
+		out := a.request.Bytes[:0]
+		switch {
+		case a.status == 0:
+			out = nil
+		case a.reply != nil:
+			out = http1.AppendAnswer(out, &a.reply.Message, last)
+		default:
+			out = http1.AppendOwn(out, a.status, a.retryAfter, last)
+		}
+		if len(out) > 0 {
+			c.tcp.SetWriteDeadline(time.Now().Add(slowest))
+			if _, err := c.tcp.Write(out); err != nil {
+				last = true
+			}
+		}
+		cs.buffers.Give(a.request)
+		cs.buffers.Give(a.reply)
+		if last {
+			c.mu.Lock()
+			c.last = true
+			c.mu.Unlock()
+			c.tcp.SetReadDeadline(time.Unix(1, 0)) // the reader closes
+		}
+		c.rest()
+		c.free <- struct{}{}
+	}
+}
--- /dev/null
+++ b/gateway/counter.go
@@ -0,0 +1,348 @@
+package gateway
+
+// This file owns the connections to the counter and the calls out on each. Answers come in the order of the calls;
+// a call that is late has been told as such and keeps only its place in that order. It must never make a call again,
+// and never let two calls on one name be answered out of their order.
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/choice"
+	"otterseam/http1"
+)
+
+const (
+	counterConns = 3
+	mostCalls    = 256 // out on one connection
+)
+
+type Counter struct {
+	loop  *Loop
+	limit float64 // a call is late after this
+	conns []*counterConn
+	names map[uint64]*nameCalls
+	calls []*call      // in the order of their making; the late and the answered leave from the front
+	none  []*call      // could not be made; told after the present call of the module
+	spare []*call      // to be used again
+	tried atomic.Int32 // connections whose first attempt is over
+}
+
+// nameCalls are the calls out on one name: all on one connection, so that their answers keep their order.
+type nameCalls struct {
+	conn *counterConn
+	n    int
+}
+
+type call struct {
+	counter *Counter
+	name    uint64
+	made    float64
+	until   int64 // where it ends in what is written to its connection
+	told    bool
+	held    int // by how many lists: used again when by none
+	how     choice.Outcome
+	sum     float64
+	answer  func() // c.answered, made once
+}
+
+type counterConn struct {
+	counter *Counter
+	wake    chan struct{} // something is to be written; always room for one
+
+	mu      sync.Mutex
+	up      bool
+	pending []byte
+	added   int64
+	written int64
+	order   []*call
+}
+
+func NewCounter(loop *Loop, limit float64) *Counter {
+	c := &Counter{loop: loop, limit: limit, names: map[uint64]*nameCalls{}}
+	for range counterConns {
+		c.conns = append(c.conns, &counterConn{counter: c, wake: make(chan struct{}, 1)})
+	}
+	return c
+}
+
+// Known says whether it is known of each connection if it can be had.
+func (c *Counter) Known() bool { return int(c.tried.Load()) >= len(c.conns) }
+
+// Run keeps the connections up until the end; without an address there is no counter.
+func (c *Counter) Run(ctx context.Context, group *errgroup.Group, addr string) {
+	if addr == "" {
+		c.tried.Store(counterConns)
+		return
+	}
+	for _, k := range c.conns {
+		group.Go(func() error { return k.run(ctx, addr) })
+	}
+}
+
+// add makes a call. One that finds no connection, or no room, was not made.
+func (c *Counter) add(name uint64, amount, life float64) {
+	k := c.take()
+	k.name, k.made = name, c.loop.now
+	at := c.names[name]
+	if at == nil {
+		at = &nameCalls{conn: c.least()}
+		c.names[name] = at
+	}
+	at.n++
+	if at.conn == nil || !at.conn.put(k, amount, life) {
+		k.how = choice.NoConnection
+		c.none = append(c.none, k)
+		return
+	}
+	k.held = 2 // by this list, and by the order of its connection
+	c.calls = append(c.calls, k)
+}
+
+// drop takes a call out of one list.
+func (c *Counter) drop(k *call) {
+	if k.held--; k.held <= 0 {
+		c.spare = append(c.spare, k)
+	}
+}
+
+func (c *Counter) take() *call {
+	if n := len(c.spare); n > 0 {
+		k := c.spare[n-1]
+		c.spare = c.spare[:n-1]
+		k.told, k.held = false, 0
+		return k
+	}
+	k := &call{counter: c}
+	k.answer = k.answered
+	return k
+}
+
+// least is the connection with the fewest calls in its order, late ones counted.
+func (c *Counter) least() (best *counterConn) {
+	least := math.MaxInt
+	for _, k := range c.conns {
+		k.mu.Lock()
+		n, up := len(k.order), k.up
+		k.mu.Unlock()
+		if up && n < least {
+			best, least = k, n
+		}
+	}
+	return best
+}
+
+// next is when the oldest call that is out becomes late.
+func (c *Counter) next() float64 {
+	for len(c.calls) > 0 && c.calls[0].told {
+		k := c.calls[0]
+		c.calls = c.calls[1:]
+		c.drop(k)
+	}
+	if len(c.calls) == 0 {
+		return math.Inf(1)
+	}
+	return c.calls[0].made + c.limit
+}
+
+func (c *Counter) expire() {
+	for c.next() <= c.loop.now {
+		k := c.calls[0]
+		c.tellOf(k, choice.TimedOut, 0)
+	}
+}
+
+// refused tells of the calls that could not be made, after the module's call that made them.
+func (c *Counter) refused() {
+	for len(c.none) > 0 {
+		k := c.none[0]
+		c.none = c.none[1:]
+		c.tellOf(k, k.how, 0)
+		c.drop(k)
+	}
+}
+
+func (c *Counter) tellOf(k *call, how choice.Outcome, sum float64) {
+	k.told = true
+	at := c.names[k.name]
+	if at.n--; at.n == 0 {
+		delete(c.names, k.name)
+	}
+	c.loop.module.Counted(c.loop.now, k.name, how, sum, c.loop.now-k.made)
+}
+
+// answered runs on the loop, once for each call that was made, late or not.
+func (k *call) answered() {
+	if !k.told {
+		k.counter.tellOf(k, k.how, k.sum)
+	}
+	k.counter.drop(k)
+}
+
+func (k *counterConn) put(x *call, amount, life float64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.up || len(k.order) >= mostCalls {
+		return false
+	}
+	before := len(k.pending)
+	k.pending = http1.AppendAdd(k.pending, x.name, amount, life)
+	k.added += int64(len(k.pending) - before)
+	x.until = k.added
+	k.order = append(k.order, x)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// run has one connection after another, with a pause that grows while they fail.
+func (k *counterConn) run(ctx context.Context, addr string) error {
+	dialer := net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: -1}
+	pause, first := 10*time.Millisecond, true
+	for ctx.Err() == nil {
+		tcp, err := dialer.DialContext(ctx, "tcp", addr)
+		if first {
+			k.counter.tried.Add(1)
+			first = false
+		}
+		if err == nil && k.live(ctx, tcp) {
+			pause = 10 * time.Millisecond
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, 250*time.Millisecond)
+	}
+	return nil
+}
+
+// live uses one connection until it ends, and closes it; it says whether any call was answered.
+func (k *counterConn) live(ctx context.Context, tcp net.Conn) (answered bool) {
+	k.mu.Lock()
+	k.up, k.pending, k.added, k.written, k.order = true, k.pending[:0], 0, 0, k.order[:0]
+	k.mu.Unlock()
+	done := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Go(func() { k.write(ctx, tcp, done) })
+	answered = k.read(ctx, tcp)
+	close(done)
+	tcp.SetDeadline(time.Unix(1, 0))
+	writer.Wait()
+	tcp.Close()
+	k.mu.Lock()
+	lost := append([]*call(nil), k.order...)
+	k.up, k.order = false, k.order[:0]
+	written := k.written
+	k.mu.Unlock()
+	for _, x := range lost {
+		x.how = choice.NoConnection
+		if x.until <= written { // it may have been added
+			x.how = choice.TimedOut
+		}
+		k.counter.loop.tell(ctx, x.answer)
+	}
+	return answered
+}
+
+func (k *counterConn) write(ctx context.Context, tcp net.Conn, done chan struct{}) {
+	var going []byte
+	for {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			tcp.SetDeadline(time.Unix(1, 0))
+			return
+		case <-k.wake:
+		}
+		k.mu.Lock()
+		going, k.pending = k.pending, going[:0]
+		k.mu.Unlock()
+		if len(going) == 0 {
+			continue
+		}
+		n, err := tcp.Write(going)
+		k.mu.Lock()
+		k.written += int64(n)
+		k.mu.Unlock()
+		if err != nil {
+			tcp.SetDeadline(time.Unix(1, 0))
+			return
+		}
+	}
+}
+
+// read reads answers, each for the oldest call in the order, until the connection ends or an answer makes no sense.
+func (k *counterConn) read(ctx context.Context, tcp net.Conn) (answered bool) {
+	b := &Buffer{Bytes: make([]byte, http1.Room)}
+	b.Begin(b.Bytes, true)
+	for {
+		tcp.SetReadDeadline(time.Now().Add(time.Second))
+		n, err := tcp.Read(b.Space())
+		for whole, bad := b.Got(n); whole || bad != nil; whole, bad = b.Got(n) {
+			if bad != nil {
+				return answered
+			}
+			x := k.oldest()
+			if x == nil || !x.read(&b.Message) {
+				return answered
+			}
+			k.mu.Lock()
+			k.order = k.order[1:]
+			k.mu.Unlock()
+			answered = true
+			k.counter.loop.tell(ctx, x.answer)
+			last := b.Close
+			n = copy(b.Bytes, b.Rest())
+			if b.Begin(b.Bytes, true); last {
+				return answered
+			}
+		}
+		if ne, ok := err.(net.Error); ok && ne.Timeout() && ctx.Err() == nil && !k.stuck() {
+			continue
+		}
+		if err != nil {
+			return answered
+		}
+	}
+}
+
+func (k *counterConn) oldest() *call {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.order) == 0 {
+		return nil
+	}
+	return k.order[0]
+}
+
+// stuck says that a call is out though nothing has come for a whole second: the connection may be dead.
+func (k *counterConn) stuck() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.order) > 0
+}
+
+// read takes over what the counter answered; false: it made no sense, and the call may have been counted.
+func (x *call) read(m *http1.Message) bool {
+	switch m.Status {
+	case 200:
+		sum, ok := http1.Number(m.Body)
+		x.how, x.sum = choice.Succeeded, sum
+		return ok
+	case 503, 400, 404:
+		x.how = choice.TurnedAway
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/discovery.go
@@ -0,0 +1,167 @@
+package gateway
+
+// This file owns the watch on discovery and the list of hosts as last held. What can't be read is dropped and
+// logged, and the list goes on as it was. It must never make the loop wait or take a silent discovery for an empty
+// list.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"otterseam/choice"
+	"otterseam/http1"
+)
+
+type Discovery struct {
+	loop    *Loop
+	log     zerolog.Logger
+	version int64
+}
+
+// Roster is the list of hosts, or a change of it, as discovery writes it.
+type Roster struct {
+	Version int64         `json:"version"`
+	Full    bool          `json:"full"`
+	Servers []RosterEntry `json:"servers"`
+}
+
+type RosterEntry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started float64 `json:"started_ms"`
+}
+
+var states = map[string]string{"Ready": "active", "Terminating": "leaving", "Gone": "left"}
+
+func NewDiscovery(loop *Loop, log zerolog.Logger) *Discovery { return &Discovery{loop: loop, log: log} }
+
+// Use hands a list to the loop, entries that make no sense left out.
+func (d *Discovery) Use(ctx context.Context, r Roster) {
+	d.version = r.Version
+	var list []choice.Listed
+	var addrs []string
+	for _, e := range r.Servers {
+		state := states[e.State]
+		if _, err := netip.ParseAddrPort(e.Addr); e.ID == "" || state == "" || err != nil && state != "left" {
+			d.log.Warn().Str("host", e.ID).Str("addr", e.Addr).Str("state", e.State).Msg("entry dropped")
+			continue
+		}
+		list = append(list, choice.Listed{Addr: e.ID, Zone: e.Zone, Cell: e.Cell, State: state,
+			Since: max(0, e.Started/1000), Weight: max(0, e.Weight)})
+		addrs = append(addrs, e.Addr)
+	}
+	d.loop.tell(ctx, func() { d.loop.list(list, addrs, r.Full) })
+}
+
+// list tells sockets and module of the hosts; a host that is left goes on being known.
+func (l *Loop) list(list []choice.Listed, addrs []string, whole bool) {
+	listed := map[string]bool{}
+	for i, e := range list {
+		listed[e.Addr] = true
+		l.hosts.List(e.Addr, addrs[i], e.State == "active")
+	}
+	if whole {
+		l.hosts.Only(listed)
+	}
+	l.module.Hosts(l.now, list, whole)
+	l.settle()
+}
+
+// Run watches until the end, anew from the version held whenever the watch breaks or falls silent.
+func (d *Discovery) Run(ctx context.Context, addr string) error {
+	dialer := net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	pause := 50 * time.Millisecond
+	for ctx.Err() == nil {
+		tcp, err := dialer.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			var heard bool
+			if heard, err = d.watch(ctx, tcp); heard {
+				pause = 50 * time.Millisecond
+			}
+			tcp.Close()
+		}
+		if ctx.Err() == nil {
+			d.log.Debug().Err(err).Msg("watch made anew")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, time.Second)
+	}
+	return nil
+}
+
+var errNoWatch = errors.New("not a watch")
+
+// watch reads one watch to its end; heard: it brought at least one line.
+func (d *Discovery) watch(ctx context.Context, tcp net.Conn) (heard bool, err error) {
+	stop := context.AfterFunc(ctx, func() { tcp.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err = tcp.Write(http1.AppendWatch(nil, d.version)); err != nil {
+		return false, err
+	}
+	raw, n := make([]byte, 2*http1.Room), 0
+	headed := false
+	var lines http1.Lines
+	data := make([]byte, 0, 512<<10) // a line of a thousand hosts
+	for ctx.Err() == nil {
+		tcp.SetReadDeadline(time.Now().Add(5 * time.Second)) // an empty line comes every 2 s
+		m, err := tcp.Read(raw[n:])
+		if n += m; m == 0 && err != nil {
+			return heard, err
+		}
+		if !headed {
+			status, chunked, size, bad := http1.StreamHead(raw[:n])
+			if bad != nil || size > 0 && (status != 200 || !chunked) {
+				return heard, errNoWatch
+			}
+			if size == 0 {
+				continue
+			}
+			headed, n = true, copy(raw, raw[size:n])
+		}
+		var used int
+		var done bool
+		if data, used, done, err = lines.Join(data, raw[:n]); err != nil {
+			return heard, err
+		}
+		n = copy(raw, raw[used:n])
+		for {
+			line, rest, ok := bytes.Cut(data, []byte("\n"))
+			if !ok {
+				break
+			}
+			heard = true
+			d.line(ctx, line)
+			data = data[:copy(data, rest)]
+		}
+		if done {
+			return heard, errNoWatch
+		}
+	}
+	return heard, ctx.Err()
+}
+
+func (d *Discovery) line(ctx context.Context, line []byte) {
+	if line = bytes.TrimSpace(line); len(line) == 0 {
+		return
+	}
+	var r Roster
+	if err := json.Unmarshal(line, &r); err != nil {
+		d.log.Warn().Err(err).Msg("line of the watch dropped")
+		return
+	}
+	d.Use(ctx, r)
+}
--- /dev/null
+++ b/gateway/hosts.go
@@ -0,0 +1,401 @@
+package gateway
+
+// This file owns the connections to hosts, one delivery on each at a time: who is idle, who waits for a connection,
+// what a broken one means for the delivery on it. It must never send a delivery again by itself, choose a host, or
+// write to a connection whose delivery has been given up.
+
+import (
+	"container/heap"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/choice"
+	"otterseam/http1"
+)
+
+type Hosts struct {
+	ctx      context.Context
+	group    *errgroup.Group
+	loop     *Loop
+	buffers  *Buffers
+	dialer   net.Dialer
+	idleFor  float64 // a connection idle for longer is closed, well before its host would
+	most     int     // connections in all
+	open     int
+	byID     map[string]*host
+	inOrder  []*host
+	nextLook float64
+}
+
+type host struct {
+	id, addr string
+	active   bool
+	idle     []*hostConn // the last used last
+	waiting  []*delivery // for a connection
+	dialing  int
+}
+
+// delivery is one on its way to a host.
+type delivery struct {
+	inv       *invocation
+	in        *choice.Delivery
+	host      *host
+	conn      *hostConn
+	sent, due float64
+	at        int // in the loop's heap; -1: not there
+	outcome   choice.Outcome
+}
+
+// hostConn is a connection, with one goroutine that writes and one that reads and closes it.
+type hostConn struct {
+	hosts *Hosts
+	host  *host
+	addr  string
+	tcp   net.Conn
+	work  chan *Buffer // a request to be written; always room for the one there can be
+	done  chan struct{}
+
+	on        *delivery // loop's
+	idleSince float64   // loop's
+
+	mu      sync.Mutex
+	written bool // a request has been written whole and not yet been answered
+	dead    bool // nothing more is to be written
+
+	outcome choice.Outcome // of the delivery, set before told to the loop
+	reply   *Buffer
+	reuse   bool
+	told    func() // c.ended, made once
+}
+
+func NewHosts(ctx context.Context, group *errgroup.Group, loop *Loop, buffers *Buffers, most int,
+	connect, idle float64) *Hosts {
+	if connect <= 0 {
+		connect = 1
+	}
+	if idle <= 0 {
+		idle = 10
+	}
+	return &Hosts{ctx: ctx, group: group, loop: loop, buffers: buffers, most: most, byID: map[string]*host{},
+		dialer: net.Dialer{Timeout: time.Duration(connect * float64(time.Second)), KeepAlive: -1}, idleFor: 0.6 * idle}
+}
+
+// List takes over what discovery told of a host: where it is, and whether it takes new work.
+func (hs *Hosts) List(id, addr string, active bool) {
+	h := hs.byID[id]
+	if h == nil {
+		h = &host{id: id}
+		hs.byID[id] = h
+		hs.inOrder = append(hs.inOrder, h)
+	}
+	moved := h.addr != addr
+	if h.addr, h.active = addr, active; active && !moved {
+		return
+	}
+	for _, c := range h.idle {
+		c.abandon()
+	}
+	h.idle = nil
+	for len(h.waiting) > 0 { // nothing new goes to a host that leaves
+		hs.withdraw(h.waiting[0], choice.TimedOut)
+	}
+}
+
+// Only keeps the hosts of a whole list active.
+func (hs *Hosts) Only(listed map[string]bool) {
+	for _, h := range hs.inOrder {
+		if h.active && !listed[h.id] {
+			hs.List(h.id, h.addr, false)
+		}
+	}
+}
+
+// send hands a delivery to an idle connection, or lets it wait for a new one.
+func (hs *Hosts) send(d *delivery, id string) {
+	h := hs.byID[id]
+	if d.host = h; h == nil || !h.active {
+		hs.end(d, choice.NoConnection)
+		return
+	}
+	if n := len(h.idle); n > 0 {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		hs.hand(c, d)
+		return
+	}
+	if h.dialing <= len(h.waiting) {
+		if hs.open >= hs.most && !hs.closeOne() {
+			hs.end(d, choice.NoConnection)
+			return
+		}
+		hs.dial(h)
+	}
+	h.waiting = append(h.waiting, d)
+}
+
+func (hs *Hosts) hand(c *hostConn, d *delivery) {
+	c.on, d.conn = d, c
+	b := hs.buffers.Take()
+	b.Bytes = http1.AppendRequest(b.Bytes[:0], &d.inv.request.Message, d.due-hs.loop.now)
+	c.work <- b
+}
+
+// end tells the loop, after the present call of the module, how a delivery ended that no connection answers for.
+func (hs *Hosts) end(d *delivery, how choice.Outcome) {
+	if d.at < 0 { // it has ended before
+		return
+	}
+	heap.Remove(&hs.loop.due, d.at)
+	d.outcome = how
+	hs.loop.ended = append(hs.loop.ended, d)
+}
+
+// withdraw gives a delivery up. One still waiting for its connection never ran; else the connection is ended.
+func (hs *Hosts) withdraw(d *delivery, how choice.Outcome) {
+	if d.conn != nil {
+		d.conn.on = nil
+		d.conn.abandon()
+		hs.end(d, how)
+		return
+	}
+	for i, x := range d.host.waiting {
+		if x == d {
+			d.host.waiting = append(d.host.waiting[:i], d.host.waiting[i+1:]...)
+			break
+		}
+	}
+	hs.end(d, choice.NoConnection)
+}
+
+// closeOne makes room for a new connection by closing the one idle for longest.
+func (hs *Hosts) closeOne() bool {
+	var from *host
+	for _, h := range hs.inOrder {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].idleSince < from.idle[0].idleSince) {
+			from = h
+		}
+	}
+	if from == nil {
+		return false
+	}
+	from.idle[0].abandon()
+	from.idle = from.idle[1:]
+	return true
+}
+
+// sweep closes connections that have been idle for long.
+func (hs *Hosts) sweep() {
+	now := hs.loop.now
+	if now < hs.nextLook {
+		return
+	}
+	hs.nextLook = now + 0.5
+	for _, h := range hs.inOrder {
+		for len(h.idle) > 0 && now-h.idle[0].idleSince > hs.idleFor {
+			h.idle[0].abandon()
+			h.idle = h.idle[1:]
+		}
+	}
+}
+
+func (hs *Hosts) dial(h *host) {
+	h.dialing++
+	hs.open++
+	addr := h.addr
+	hs.group.Go(func() error {
+		tcp, err := hs.dialer.DialContext(hs.ctx, "tcp", addr)
+		if err != nil {
+			hs.loop.tell(hs.ctx, func() { hs.failed(h) })
+			return nil
+		}
+		c := &hostConn{hosts: hs, host: h, addr: addr, tcp: tcp, work: make(chan *Buffer, 1), done: make(chan struct{})}
+		c.told = c.ended
+		hs.group.Go(func() error { c.write(); return nil })
+		hs.loop.tell(hs.ctx, func() { hs.up(c) })
+		c.read()
+		return nil
+	})
+}
+
+func (hs *Hosts) failed(h *host) {
+	h.dialing--
+	hs.open--
+	if len(h.waiting) > h.dialing {
+		hs.withdraw(h.waiting[0], choice.NoConnection)
+		hs.loop.settle()
+	}
+}
+
+func (hs *Hosts) up(c *hostConn) {
+	c.host.dialing--
+	hs.free(c)
+}
+
+// free gives a connection its next delivery, or lets it idle.
+func (hs *Hosts) free(c *hostConn) {
+	h := c.host
+	switch {
+	case !h.active || c.addr != h.addr:
+		c.abandon()
+	case len(h.waiting) > 0:
+		d := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		hs.hand(c, d)
+	default:
+		c.idleSince = hs.loop.now
+		h.idle = append(h.idle, c)
+	}
+}
+
+// ended runs on the loop: a delivery was answered, or its connection broke.
+func (c *hostConn) ended() {
+	hs, d, reply := c.hosts, c.on, c.reply
+	c.on, c.reply = nil, nil
+	if c.reuse {
+		hs.free(c)
+	}
+	if d == nil { // given up on meanwhile: what still comes changes nothing
+		hs.buffers.Give(reply)
+		return
+	}
+	heap.Remove(&hs.loop.due, d.at)
+	if c.outcome != choice.Succeeded {
+		hs.buffers.Give(reply)
+		reply = nil
+	}
+	hs.loop.after(d, c.outcome, reply)
+}
+
+// closed runs on the loop when the connection is no more.
+func (c *hostConn) closed() {
+	c.hosts.open--
+	for i, x := range c.host.idle {
+		if x == c {
+			c.host.idle = append(c.host.idle[:i], c.host.idle[i+1:]...)
+			break
+		}
+	}
+	if c.on != nil { // handed over just as it broke: nothing was written
+		c.outcome, c.reuse = choice.NoConnection, false
+		c.ended()
+	}
+	c.host.settleWaiting(c.hosts)
+}
+
+// settleWaiting dials anew for deliveries that wait while no connection is on its way.
+func (h *host) settleWaiting(hs *Hosts) {
+	for h.active && h.dialing < len(h.waiting) && hs.open < hs.most {
+		hs.dial(h)
+	}
+}
+
+// abandon ends the sending at once; the reading goroutine then closes the connection.
+func (c *hostConn) abandon() {
+	if t, ok := c.tcp.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.tcp.SetDeadline(time.Unix(1, 0))
+}
+
+func (c *hostConn) write() {
+	for {
+		var b *Buffer
+		select {
+		case b = <-c.work:
+		case <-c.done:
+			return
+		}
+		c.mu.Lock()
+		var err error
+		broken := c.dead
+		if !broken {
+			_, err = c.tcp.Write(b.Bytes)
+			c.written, c.dead = err == nil, err != nil
+		}
+		c.mu.Unlock()
+		b.Bytes = b.Bytes[:http1.Room]
+		c.hosts.buffers.Give(b)
+		if err != nil {
+			c.tcp.SetDeadline(time.Unix(1, 0))
+		}
+		if broken || err != nil {
+			return // closed tells the loop that the delivery never left
+		}
+	}
+}
+
+// read reads answers until the connection ends, and closes it: the one place where that is done.
+func (c *hostConn) read() {
+	stop := context.AfterFunc(c.hosts.ctx, func() { c.tcp.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	b := c.hosts.buffers.Take()
+	for {
+		b.Begin(b.Bytes, true)
+		how, reuse := c.answer(b)
+		c.mu.Lock()
+		was := c.written
+		c.written, c.dead = false, c.dead || !reuse || !was
+		c.mu.Unlock()
+		if !was { // broken, or bytes that nobody asked for
+			break
+		}
+		c.outcome, c.reply, c.reuse = how, b, reuse
+		b = nil
+		c.hosts.loop.tell(c.hosts.ctx, c.told)
+		if !reuse {
+			break
+		}
+		b = c.hosts.buffers.Take()
+	}
+	c.hosts.buffers.Give(b)
+	close(c.done)
+	c.tcp.Close()
+	c.hosts.loop.tell(c.hosts.ctx, c.closed)
+}
+
+// answer reads one answer and says what it means, and whether the connection can be used again.
+func (c *hostConn) answer(b *Buffer) (how choice.Outcome, reuse bool) {
+	for {
+		n, err := c.tcp.Read(b.Space())
+		if n > 0 {
+			whole, bad := b.Got(n)
+			if bad != nil {
+				return choice.Failed, false
+			}
+			if whole && b.Status < 200 {
+				rest := len(b.Rest())
+				copy(b.Bytes, b.Rest())
+				b.Begin(b.Bytes, true)
+				if rest == 0 {
+					continue
+				}
+				if whole, bad = b.Got(rest); bad != nil {
+					return choice.Failed, false
+				}
+			}
+			if whole {
+				return meaning(b), !b.Close && len(b.Rest()) == 0
+			}
+		}
+		if err != nil {
+			if b.Ended() {
+				return meaning(b), false
+			}
+			return choice.Reset, false
+		}
+	}
+}
+
+func meaning(b *Buffer) choice.Outcome {
+	switch {
+	case b.Status == 200:
+		return choice.Succeeded
+	case http1.Declined(&b.Message):
+		return choice.TurnedAway
+	}
+	return choice.Failed
+}
--- /dev/null
+++ b/gateway/loop.go
@@ -0,0 +1,253 @@
+package gateway
+
+// This file owns the deciding module, the invocations in hand and the one timer, all on one goroutine. Sockets
+// reach it by its queue only. It must never wait for a socket, decide anything itself, or be entered from elsewhere.
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"otterseam/choice"
+	"otterseam/http1"
+)
+
+// early is how long before a client gives up the last delivery is ended, so that the answer still reaches it.
+const early = 0.008
+
+type Loop struct {
+	queue   chan func()
+	log     zerolog.Logger
+	module  *choice.Gateway
+	hosts   *Hosts
+	counter *Counter
+	peers   *Peers
+	inHand  map[*choice.Invocation]*invocation
+	due     deliveries  // by the time at which they are given up
+	ended   []*delivery // given up within a call of the module, to be told after it
+	now     float64
+	base    float64 // clock time at start
+	start   time.Time
+}
+
+// invocation is one taken from a client, until its final answer is handed to the client's connection.
+type invocation struct {
+	http1.Call
+	from    *client
+	request *Buffer
+	in      *choice.Invocation
+	giveUp  float64
+	out     *delivery // the delivery that is out
+	timeout bool      // the last one ended without an answer in time
+}
+
+func NewLoop(log zerolog.Logger) *Loop {
+	now := time.Now()
+	return &Loop{queue: make(chan func(), 1024), log: log, inHand: map[*choice.Invocation]*invocation{},
+		base: float64(now.UnixNano()) / 1e9, start: now}
+}
+
+// clock is the wall clock at start and the monotonic one since.
+func (l *Loop) clock() float64 { return l.base + time.Since(l.start).Seconds() }
+
+// tell puts one thing on the queue; it waits for room unless the api gateway is ending.
+func (l *Loop) tell(ctx context.Context, what func()) {
+	select {
+	case l.queue <- what:
+	case <-ctx.Done():
+	}
+}
+
+// Run turns what the queue brings into calls of the module, and its answers into work for the sockets.
+func (l *Loop) Run(ctx context.Context, module *choice.Gateway, hosts *Hosts, counter *Counter, peers *Peers) error {
+	defer func() {
+		if r := recover(); r != nil { // not swallowed: an api gateway that decides wrongly must not go on
+			l.log.Error().Str("stack", string(debug.Stack())).Msg(fmt.Sprint("panic: ", r))
+			panic(r)
+		}
+	}()
+	l.module, l.hosts, l.counter, l.peers = module, hosts, counter, peers
+	timer, set := time.NewTimer(time.Hour), 0.0
+	tick := 0.0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case what := <-l.queue:
+			l.now = l.clock()
+			what()
+			for n := len(l.queue); n > 0; n-- {
+				(<-l.queue)()
+			}
+		case <-timer.C:
+			l.now, set = l.clock(), 0
+		}
+		l.expire()
+		if tick > 0 && l.now >= tick {
+			l.module.Tick(l.now)
+			tick = 0
+			l.hosts.sweep()
+		}
+		l.turns()
+		if next := l.now + l.module.Wait(l.now); tick == 0 || next < tick {
+			tick = next
+		}
+		next := tick
+		if len(l.due) > 0 {
+			next = min(next, l.due[0].due)
+		}
+		next = min(next, l.counter.next())
+		if set == 0 || next < set || next > set+0.01 {
+			set = next
+			timer.Reset(time.Duration(max(0, next-l.now) * 1e9))
+		}
+	}
+}
+
+// expire ends what has waited long enough: deliveries, and calls to the counter.
+func (l *Loop) expire() {
+	for len(l.due) > 0 && l.due[0].due <= l.now {
+		l.hosts.withdraw(l.due[0], choice.TimedOut)
+	}
+	l.counter.expire()
+	l.settle()
+}
+
+// settle tells the module of deliveries that were given up within its own calls or here.
+func (l *Loop) settle() {
+	for len(l.ended) > 0 {
+		d := l.ended[0]
+		l.ended = l.ended[1:]
+		l.after(d, d.outcome, nil)
+	}
+	l.ended = l.ended[:0]
+}
+
+func (l *Loop) turns() {
+	for in := l.module.Turn(l.now); in != nil; in = l.module.Turn(l.now) {
+		inv := l.inHand[in]
+		l.act(inv, l.module.Where(l.now, in))
+		l.counter.refused()
+		l.settle()
+	}
+	l.counter.refused()
+	l.settle()
+}
+
+// take brings in an invocation whose last byte has been read.
+func (l *Loop) take(inv *invocation) {
+	inv.giveUp = l.now + inv.Limit
+	inv.in = l.module.Take(l.now, choice.Asked{Ref: inv.Ref, Operation: inv.Operation, Customer: inv.Customer,
+		Plan: inv.Plan, Units: inv.Units, GiveUp: inv.giveUp, Width: inv.Width, Repeat: inv.Repeat})
+	l.inHand[inv.in] = inv
+}
+
+// gone: the client has closed its connection; nothing is owed to it any more.
+func (l *Loop) gone(inv *invocation) {
+	if inv.in == nil || l.inHand[inv.in] != inv {
+		return
+	}
+	l.module.Gone(l.now, inv.in)
+	if inv.out != nil {
+		l.hosts.withdraw(inv.out, choice.Withdrawn)
+	}
+	l.finish(inv, 0, 0, nil)
+	l.settle()
+}
+
+func (l *Loop) act(inv *invocation, a choice.Answer) {
+	switch a.Do {
+	case choice.Send:
+		within := inv.giveUp - l.now - early
+		if a.Within > 0 {
+			within = min(within, a.Within)
+		}
+		d := &delivery{inv: inv, in: inv.in.Deliveries[len(inv.in.Deliveries)-1], sent: l.now, due: l.now + within}
+		inv.out, inv.timeout = d, false
+		heap.Push(&l.due, d)
+		l.hosts.send(d, a.Host.Addr)
+	case choice.Throttle:
+		l.finish(inv, 429, a.RetryAfter, nil)
+	case choice.GiveUp:
+		status := 502
+		if inv.timeout {
+			status = 504
+		}
+		l.finish(inv, status, 0, nil)
+	}
+}
+
+// after tells the module how a delivery ended. A good answer is handed on by itself; it ends the invocation.
+func (l *Loop) after(d *delivery, how choice.Outcome, reply *Buffer) {
+	inv := d.inv
+	if inv.out == d {
+		inv.out = nil
+	}
+	inv.timeout = how == choice.TimedOut
+	over := how == choice.Succeeded || l.inHand[inv.in] != inv
+	a := l.module.After(l.now, d.in, choice.Ended{How: how, Over: over, Took: l.now - d.sent})
+	if how == choice.Succeeded {
+		l.finish(inv, 200, 0, reply)
+		return
+	}
+	l.act(inv, a)
+}
+
+// finish hands the one final answer to the client's connection, which always has room for it.
+func (l *Loop) finish(inv *invocation, status int, retryAfter float64, reply *Buffer) {
+	if l.inHand[inv.in] != inv {
+		l.hosts.buffers.Give(reply)
+		return
+	}
+	delete(l.inHand, inv.in)
+	inv.from.answers <- answer{request: inv.request, reply: reply, status: status, retryAfter: retryAfter}
+}
+
+// Count, Cancel, Tell and Log are the module's way out for what belongs to no single invocation.
+func (l *Loop) Count(name uint64, amount, life float64) { l.counter.add(name, amount, life) }
+
+func (l *Loop) Cancel(in *choice.Delivery) {
+	if inv := l.inHand[in.Inv]; inv != nil && inv.out != nil && inv.out.in == in {
+		l.hosts.withdraw(inv.out, choice.Withdrawn)
+	}
+}
+
+func (l *Loop) Tell(text string) { l.peers.send(text) }
+func (l *Loop) Log(text string)  { l.log.Info().Msg(text) }
+
+// deliveries is a heap by due time.
+type deliveries []*delivery
+
+func (q deliveries) Len() int           { return len(q) }
+func (q deliveries) Less(i, j int) bool { return q[i].due < q[j].due }
+func (q deliveries) Swap(i, j int)      { q[i], q[j] = q[j], q[i]; q[i].at, q[j].at = i, j }
+func (q *deliveries) Push(x any)        { d := x.(*delivery); d.at = len(*q); *q = append(*q, d) }
+func (q *deliveries) Pop() any {
+	old := *q
+	d := old[len(old)-1]
+	d.at, *q = -1, old[:len(old)-1]
+	old[len(old)-1] = nil
+	return d
+}
+
+// Quiet waits until no call to the counter is out, so that what the module gives back gets there; not for long.
+func (l *Loop) Quiet(ctx context.Context, limit time.Duration) {
+	until := time.Now().Add(limit)
+	for more := true; more && time.Now().Before(until); {
+		heard := make(chan bool, 1)
+		l.tell(ctx, func() {
+			l.module.Tick(l.now)
+			heard <- len(l.counter.calls) > 0
+		})
+		select {
+		case more = <-heard:
+		case <-ctx.Done():
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,108 @@
+package gateway
+
+// This file owns the datagram socket between api gateways. It must never trust a datagram: one that is too long or
+// comes from an unknown address is dropped, and none may make the loop wait.
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// datagram is the most bytes one may hold.
+const datagram = 256
+
+type Peers struct {
+	loop  *Loop
+	udp   *net.UDPConn
+	to    []netip.AddrPort
+	known map[netip.AddrPort]bool
+	lines chan string
+}
+
+// NewPeers opens the socket; with no address to listen on there are no peers, and nothing is sent.
+func NewPeers(loop *Loop, listen string, me int, peers []string, all string) (*Peers, error) {
+	p := &Peers{loop: loop, known: map[netip.AddrPort]bool{}, lines: make(chan string, 16)}
+	if listen == "" {
+		return p, nil
+	}
+	for i, s := range peers {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, err
+		}
+		if p.known[a] = true; i != me && all == "" {
+			p.to = append(p.to, a)
+		}
+	}
+	if all != "" {
+		a, err := netip.ParseAddrPort(all)
+		if err != nil {
+			return nil, err
+		}
+		p.to = []netip.AddrPort{a}
+	}
+	at, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, err
+	}
+	p.udp, err = net.ListenUDP("udp", at)
+	return p, err
+}
+
+// send hands a message over for all peers; a crowd of them is thinned out here, as the network would.
+func (p *Peers) send(text string) {
+	if p.udp == nil || len(text) > datagram {
+		return
+	}
+	select {
+	case p.lines <- text:
+	default:
+	}
+}
+
+// Write sends what is handed over, and closes the socket at the end.
+func (p *Peers) Write(ctx context.Context) error {
+	if p.udp == nil {
+		return nil
+	}
+	defer p.udp.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case text := <-p.lines:
+			for _, a := range p.to {
+				p.udp.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+				p.udp.WriteToUDPAddrPort([]byte(text), a)
+			}
+		}
+	}
+}
+
+// Read passes on what known peers say.
+func (p *Peers) Read(ctx context.Context) error {
+	if p.udp == nil {
+		return nil
+	}
+	b := make([]byte, datagram+1)
+	for {
+		n, from, err := p.udp.ReadFromUDPAddrPort(b)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil { // an earlier datagram came back as undeliverable
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		if n == 0 || n > datagram || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+			continue
+		}
+		text := string(b[:n])
+		select {
+		case p.loop.queue <- func() { p.loop.module.Told(p.loop.now, text) }:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/wire/start.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"fmt"
+
+	"otterseam/choice"
+)
+
+// Start holds the start-up settings, as the line protocol and the configuration of an api gateway both carry them;
+// unknown keys are skipped.
+type Start struct {
+	Balancers int    `json:"balancers"`
+	Slot      int    `json:"slot_no"`
+	Locality  string `json:"locality"`
+	Caps      struct {
+		Cancel       bool    `json:"cancel"`
+		MayProbe     bool    `json:"may_probe"`
+		PeerMessages bool    `json:"peer_messages"`
+		SecondCopies bool    `json:"second_copies"`
+		TryLimit     int     `json:"try_limit"`
+		Idle         float64 `json:"idle_close"`
+		Connect      float64 `json:"dial_timeout"`
+	} `json:"caps"`
+	Classes []struct {
+		Name     string  `json:"name"`
+		Goal     float64 `json:"goal_time"`
+		Limit    float64 `json:"deadline"`
+		Gain     float64 `json:"gain"`
+		Late     float64 `json:"late_worth"`
+		Effect   string  `json:"effect"`
+		Group    string  `json:"group"`
+		KeyTTL   float64 `json:"key_ttl"`
+		Streamed bool    `json:"streamed"`
+	} `json:"classes"`
+	Contract struct {
+		Start  float64 `json:"start_capacity"`
+		Warm   float64 `json:"warm_up"`
+		Factor float64 `json:"overload_factor"`
+	} `json:"contract"`
+	Extra struct {
+		Counter bool    `json:"counter"`
+		Limit   float64 `json:"count_limit"`
+		Settles bool    `json:"settles"`
+		Most    float64 `json:"most_units"`
+		Mail    float64 `json:"mail_per_s"`
+	} `json:"extra"`
+	Plans []struct {
+		Name      string  `json:"name"`
+		Rate      float64 `json:"rate"`
+		Burst     float64 `json:"burst"`
+		MaxOut    int     `json:"max_out"`
+		NeverOver float64 `json:"never_over_rate"`
+		HardBurst float64 `json:"hard_burst"`
+	} `json:"plans"`
+	Registry string `json:"registry_mode"`
+}
+
+var effects = map[string]choice.Effect{"idempotent": choice.Idempotent, "deduplicated": choice.Tokened,
+	"at_most_once": choice.NonIdempotent}
+
+// Module makes the deciding module as the settings want it.
+func (s *Start) Module(seed uint64, out choice.Out) (*choice.Gateway, error) {
+	var ops []choice.Operation
+	for _, k := range s.Classes {
+		e, ok := effects[k.Effect]
+		if !ok {
+			return nil, fmt.Errorf("settings: unknown effect %q", k.Effect)
+		}
+		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Value: k.Gain, Late: k.Late, Effect: e,
+			Group: k.Group, TokenTime: k.KeyTTL})
+	}
+	var plans []choice.Plan
+	for _, t := range s.Plans {
+		plans = append(plans, choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, MaxOut: t.MaxOut,
+			CeilingRate: t.NeverOver, CeilingBurst: t.HardBurst})
+	}
+	return choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality, Seed: seed}, ops, plans,
+		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
+		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
+		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
+			Peers: s.Caps.PeerMessages, Mail: s.Extra.Mail},
+		out), nil
+}
+
+// Methods gives the method of each operation: one that may run again changes nothing.
+func (s *Start) Methods() map[string]string {
+	methods := map[string]string{}
+	for _, k := range s.Classes {
+		methods[k.Name] = "POST"
+		if effects[k.Effect] == choice.Idempotent {
+			methods[k.Name] = "GET"
+		}
+	}
+	return methods
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -88,52 +88,6 @@
 	Delay float64
 }
 
-// Start holds the start-up settings that the adapter passes on; unknown keys are skipped.
-type Start struct {
-	Balancers int    `json:"balancers"`
-	Slot      int    `json:"slot_no"`
-	Locality  string `json:"locality"`
-	Caps      struct {
-		Cancel       bool `json:"cancel"`
-		MayProbe     bool `json:"may_probe"`
-		PeerMessages bool `json:"peer_messages"`
-		SecondCopies bool `json:"second_copies"`
-		TryLimit     int  `json:"try_limit"`
-	} `json:"caps"`
-	Classes []struct {
-		Name     string  `json:"name"`
-		Goal     float64 `json:"goal_time"`
-		Deadline float64 `json:"deadline"`
-		Gain     float64 `json:"gain"`
-		Late     float64 `json:"late_worth"`
-		Effect   string  `json:"effect"`
-		Group    string  `json:"group"`
-		KeyTTL   float64 `json:"key_ttl"`
-		Streamed bool    `json:"streamed"`
-	} `json:"classes"`
-	Contract struct {
-		Start  float64 `json:"start_capacity"`
-		Warm   float64 `json:"warm_up"`
-		Factor float64 `json:"overload_factor"`
-	} `json:"contract"`
-	Extra struct {
-		Counter bool    `json:"counter"`
-		Limit   float64 `json:"count_limit"`
-		Settles bool    `json:"settles"`
-		Most    float64 `json:"most_units"`
-		Mail    float64 `json:"mail_per_s"`
-	} `json:"extra"`
-	Plans []struct {
-		Name      string  `json:"name"`
-		Rate      float64 `json:"rate"`
-		Burst     float64 `json:"burst"`
-		MaxOut    int     `json:"max_out"`
-		NeverOver float64 `json:"never_over_rate"`
-		HardBurst float64 `json:"hard_burst"`
-	} `json:"plans"`
-	Registry string `json:"registry_mode"`
-}
-
 // ReadBatch decodes one line.
 func ReadBatch(line []byte) (Batch, error) {
 	var raw struct {
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -122,30 +122,10 @@
 }
 
 func (in *instance) create(c *wire.Create) error {
-	s := c.Start
-	effects := map[string]choice.Effect{"idempotent": choice.Idempotent, "deduplicated": choice.Tokened,
-		"at_most_once": choice.NonIdempotent}
-	var ops []choice.Operation
-	for _, k := range s.Classes {
-		e, ok := effects[k.Effect]
-		if !ok {
-			return fmt.Errorf("CREATE: unknown effect %q", k.Effect)
-		}
-		ops = append(ops, choice.Operation{Name: k.Name, Objective: k.Goal, Value: k.Gain, Late: k.Late, Effect: e,
-			Group: k.Group, TokenTime: k.KeyTTL})
-	}
-	var plans []choice.Plan
-	for _, t := range s.Plans {
-		plans = append(plans, choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, MaxOut: t.MaxOut,
-			CeilingRate: t.NeverOver, CeilingBurst: t.HardBurst})
+	s, err := c.Start, error(nil)
+	if in.gw, err = s.Module(c.Seed, in); err != nil {
+		return err
 	}
-	in.gw = choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality, Seed: c.Seed},
-		ops, plans,
-		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
-		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
-		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
-			Peers: s.Caps.PeerMessages, Mail: s.Extra.Mail},
-		in)
 	if s.Registry == "on_request" {
 		in.reply.Put("TRACK", true)
 	}
