--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -133,11 +133,11 @@
 		address = ""
 	}
 	counter.Run(ctx, group, address)
-	group.Go(clients.Accept)
-	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	group.Go(clients.Accept)
+	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/cmd/otterseam/main_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const settings = `{"balancers":1,"classes":[{"name":"look","goal_time":0.5,"deadline":1,"effect":"idempotent"}]}`
+
+func configure(t *testing.T, text string) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("EDGE_CONFIG", path)
+}
+
+func TestStartsThatCannotBe(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for text, want := range map[string]string{
+		`{`:                               "configuration",
+		`{"listen":"127.0.0.1:0"}`:        "missing",
+		`{"listen":5}`:                    "configuration",
+		whole("127.0.0.1:0", "x"):         "seed",
+		whole(taken.Addr().String(), "1"): "address already in use",
+		strings.Replace(whole("127.0.0.1:0", "1"), "idempotent", "unheard of", 1): "unknown effect",
+	} {
+		configure(t, text)
+		if err := run(zerolog.Nop()); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: want an error that names %s, got %v", text, want, err)
+		}
+	}
+	t.Setenv("EDGE_CONFIG", "")
+	if err := run(zerolog.Nop()); err == nil {
+		t.Error("started without a configuration")
+	}
+}
+
+func whole(listen, seed string) string {
+	return fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","seed":%q,"settings":%s}`, listen, seed, settings)
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) has(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), part)
+}
+
+// With neither counter nor discovery to be had the api gateway comes up all the same, and SIGTERM ends it well.
+func TestEndsWellOnSIGTERM(t *testing.T) {
+	configure(t, whole("127.0.0.1:0", "1"))
+	log := &lines{}
+	done := make(chan error, 1)
+	go func() { done <- run(zerolog.New(log)) }()
+	for until := time.Now().Add(5 * time.Second); !log.has(`"up"`) && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-done:
+		if err != nil || !log.has("terminated") {
+			t.Fatalf("ended with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("did not end")
+	}
+}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	slowest   = 5 * time.Second        // a request begun must be whole after this
+	slowest   = 5 * time.Second        // a request begun must be whole after this, an answer written
 	lateEntry = 400 * time.Millisecond // after the call to end, new connections still come for this long
 )
 
@@ -33,6 +33,7 @@
 	operations map[string]string // the method of each
 	ready      func() bool
 	most       int
+	slowest    time.Duration
 	ending     atomic.Bool
 
 	mu   sync.Mutex
@@ -72,7 +73,8 @@
 		return nil, err
 	}
 	return &Clients{ctx: ctx, group: group, loop: loop, log: log, buffers: buffers, listener: l,
-		operations: operations, ready: ready, most: most, open: map[*client]bool{}}, nil
+		operations: operations, ready: ready, most: most, slowest: slowest,
+		open: map[*client]bool{}}, nil
 }
 
 // Accept takes connections until the listener is closed. Out of descriptors, or at its limit, it makes room by
@@ -175,7 +177,7 @@
 		n = copy(next.Space(), b.Rest())
 		if status > 0 {
 			last := status != 200 || b.Close || cs.ending.Load()
-			c.tcp.SetWriteDeadline(time.Now().Add(slowest))
+			c.tcp.SetWriteDeadline(time.Now().Add(cs.slowest))
 			c.tcp.Write(http1.AppendOwn(b.Bytes[:0], status, 0, last))
 			cs.buffers.Give(b)
 			if b = next; last {
@@ -279,7 +281,7 @@
 	for timed := false; !whole && err == nil; {
 		if !b.Empty() && !timed { // a request begun must come to its end
 			timed = true
-			c.tcp.SetReadDeadline(time.Now().Add(slowest))
+			c.tcp.SetReadDeadline(time.Now().Add(c.clients.slowest))
 		}
 		var bad error
 		if n, bad = c.tcp.Read(b.Space()); n > 0 {
@@ -339,7 +341,7 @@
 			out = http1.AppendOwn(out, a.status, a.retryAfter, last)
 		}
 		if len(out) > 0 {
-			c.tcp.SetWriteDeadline(time.Now().Add(slowest))
+			c.tcp.SetWriteDeadline(time.Now().Add(cs.slowest))
 			if _, err := c.tcp.Write(out); err != nil {
 				last = true
 			}
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -326,11 +326,12 @@
 	return k.order[0]
 }
 
-// stuck says that a call is out though nothing has come for a whole second: the connection may be dead.
+// stuck says that the oldest call has waited far too long: nothing may come on this connection any more, and a new one
+// would be noticed to work once the counter is back.
 func (k *counterConn) stuck() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.order) > 0
+	return len(k.order) > 0 && k.counter.loop.clock()-k.order[0].made > 0.5
 }
 
 // read takes over what the counter answered; false: it made no sense, and the call may have been counted.
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,387 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"otterseam/http1"
+)
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok("body of " + string(m.Method)) })
+	w := start(t, room, h)
+	tcp := w.dial()
+	for _, x := range []struct{ operation, body, seen, answer string }{
+		{"look", "", "GET /look/1?x=2 ", "body of GET"}, {"pay", "amount", "POST /pay/1?x=2 amount", "body of POST"}} {
+		if status, body := ask(tcp, invoke(x.operation, 900, x.body)); status != 200 || body != x.answer {
+			t.Fatalf("%s: %d %q", x.operation, status, body)
+		}
+		if got := h.next(t); got != x.seen {
+			t.Fatalf("the host got %q", got)
+		}
+	}
+	if status, _ := ask(tcp, "GET /_health HTTP/1.1\r\n\r\n"); status != 200 {
+		t.Fatalf("health: %d", status)
+	}
+}
+
+func TestBadRequestsAreAnsweredAndNothingIsSent(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok("") })
+	w := start(t, room, h)
+	good := invoke("pay", 900, "x")
+	for text, want := range map[string]int{
+		"nonsense\r\n\r\n": 400,
+		strings.Replace(good, "Content-Length: 1", "Content-Length: x", 1):                               400,
+		strings.Replace(good, "Content-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: chunked", 1): 400,
+		strings.Replace(good, "Content-Length: 1", "Transfer-Encoding: chunked", 1) + "\r\n":             400,
+		strings.Replace(good, "Host: app", "A: "+strings.Repeat("x", 9000), 1):                           431,
+		strings.Replace(good, "Content-Length: 1", "Content-Length: 70000", 1):                           413,
+		strings.ReplaceAll(good, "pay", "steal"):                                                         400,
+		strings.Replace(good, "POST", "GET", 1):                                                          400,
+		strings.Replace(good, "Req-Id: 0123456789abcdef\r\n", "", 1):                                     400,
+		strings.Replace(good, "Req-Deadline-Ms: 900", "Req-Deadline-Ms: soon", 1):                        400,
+		strings.Replace(good, "units=1", "units=-1", 1):                                                  400,
+	} {
+		tcp := w.dial()
+		if status, _ := ask(tcp, text); status != want || !closed(tcp) {
+			t.Errorf("%.60q: %d, want %d and the connection closed", text, status, want)
+		}
+	}
+	h.none(t)
+}
+
+func TestHalfARequestIsNotWaitedForWithoutEnd(t *testing.T) {
+	w := start(t, room)
+	tcp := w.dial()
+	if status, _ := ask(tcp, "POST /pay HTTP/1.1\r\nReq-"); status != 0 {
+		t.Fatalf("answered %d", status)
+	}
+}
+
+func TestSecondRequestWaitsForTheFirst(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok(fmt.Sprint(n)) })
+	w := start(t, room, h)
+	tcp := w.dial()
+	var got []string
+	tcp.Write([]byte(invoke("pay", 900, "a") + invoke("pay", 900, "b")))
+	messages(tcp, true, func(m *http1.Message) bool {
+		got = append(got, string(m.Body))
+		return len(got) < 2
+	})
+	if strings.Join(got, " ") != "1 2" {
+		t.Fatalf("got %q", got)
+	}
+	if a, b := h.next(t), h.next(t); a != "POST /pay/1?x=2 a" || b != "POST /pay/1?x=2 b" {
+		t.Fatalf("the host got %q, %q", a, b)
+	}
+}
+
+func TestUnknownPlanAndSetAreServed(t *testing.T) {
+	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	text := strings.NewReplacer("team", "nobody's", "spread=1,first=0", "spread=99,first=77").Replace(invoke("look", 900, ""))
+	if status, _ := ask(w.dial(), text); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+}
+
+// A host's odd answers may have run: a non-idempotent invocation is errored, not throttled, and not sent again.
+func TestOddAnswersOfHosts(t *testing.T) {
+	for text, want := range map[string]int{
+		"garbage garbage\r\n\r\n!":                           502,
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 9000): 502,
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n":   502,
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab!":    502, // cut short
+		"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n":       502,
+		"HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n":       502, // without the sign that it never ran
+		"!":                                     502, // ended unanswered
+		"":                                      504,
+		"HTTP/1.1 100 Go on\r\n\r\n" + ok("x"):  200,
+		"HTTP/1.1 200 OK\r\n\r\nuntil the end!": 200,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe end!": 200,
+	} {
+		h := newStandIn(t, func(m *http1.Message, n int) string { return text })
+		w := start(t, room, h)
+		begun := time.Now()
+		if status, _ := ask(w.dial(), invoke("pay", 400, "x")); status != want || time.Since(begun) > 400*time.Millisecond {
+			t.Errorf("%.50q: %d after %v, want %d in time", text, status, time.Since(begun), want)
+		}
+		h.next(t)
+		if h.none(t); text != ok("x") && !strings.Contains(text, "Length: 0") && !strings.Contains(text, "100 Go") {
+			<-h.ended // a connection that held nonsense is not used again
+		}
+	}
+}
+
+func TestWhatNeverRanIsSentElsewhere(t *testing.T) {
+	declined := newStandIn(t, func(m *http1.Message, n int) string {
+		return "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+	})
+	refusing := newStandIn(t, nil)
+	refusing.Close()
+	good := newStandIn(t, func(m *http1.Message, n int) string { return ok("served") })
+	w := start(t, room, refusing, declined, good)
+	for i := range 6 {
+		if status, body := ask(w.dial(), invoke("pay", 900, "x")); status != 200 || body != "served" {
+			t.Fatalf("invocation %d: %d %q", i, status, body)
+		}
+	}
+}
+
+// A host closes an idle connection, or sends bytes that nobody asked for: neither may meet the next delivery, which
+// could not be sent again.
+func TestEndedIdleConnectionIsNotUsed(t *testing.T) {
+	for _, after := range []string{"!", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n?"} {
+		h := newStandIn(t, func(m *http1.Message, n int) string { return ok("x") + after })
+		w := start(t, room, h)
+		tcp := w.dial()
+		for i := range 3 {
+			if status, _ := ask(tcp, invoke("pay", 900, "x")); status != 200 {
+				t.Fatalf("invocation %d after %.9q: %d", i, after, status)
+			}
+			<-h.ended
+			w.wait(func() bool { return len(w.hosts.byID["h0"].idle) == 0 })
+		}
+	}
+}
+
+// wait until something is so on the loop.
+func (w *world) wait(so func() bool) {
+	w.t.Helper()
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		got := make(chan bool)
+		w.loop.queue <- func() { got <- so() }
+		if <-got {
+			return
+		}
+	}
+	w.t.Fatal("it never came to be so")
+}
+
+func TestClientGoneEndsItsDelivery(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return "" })
+	w := start(t, room, h)
+	tcp := w.dial()
+	tcp.Write([]byte(invoke("pay", 900, "x")))
+	h.next(t)
+	tcp.Close()
+	<-h.ended
+	w.wait(func() bool { return len(w.loop.inHand) == 0 && len(w.loop.due) == 0 })
+}
+
+func TestDeliveryWaitingForAConnectionIsWithdrawnFromADrainingHost(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok("x") })
+	w := start(t, room, h)
+	w.wait(func() bool {
+		x := w.hosts.byID["h0"]
+		in := &invocation{}
+		d := &delivery{inv: in, host: x, at: 0}
+		w.loop.due, x.waiting = deliveries{d}, []*delivery{d}
+		w.hosts.List("h0", x.addr, false)
+		good := len(x.waiting) == 0 && len(w.loop.ended) == 1 && d.outcome == 'C'
+		w.loop.ended, w.loop.due = nil, nil
+		return good
+	})
+	if status, _ := ask(w.dial(), invoke("look", 300, "")); status != 429 {
+		t.Fatalf("no host is active, got %d", status)
+	}
+	h.none(t)
+}
+
+// Hosts are told apart by their ids; one that is at a new address is not sent to at the old one.
+func TestBadLinesOfTheWatchAreDropped(t *testing.T) {
+	old := newStandIn(t, func(m *http1.Message, n int) string { return ok("old") })
+	new := newStandIn(t, func(m *http1.Message, n int) string { return ok("new") })
+	w := start(t, room, old)
+	w.watch <- "no json"
+	w.watch <- `{"version":2,"full":false,"servers":[` + entry("h1", "nowhere", "Ready") + "," +
+		entry("h0", old.Addr().String(), "Confused") + `]}`
+	w.watch <- `{"version":3,"full":false,"servers":[` + entry("h0", new.Addr().String(), "Ready") + `]}`
+	w.wait(func() bool { return w.hosts.byID["h0"].addr == new.Addr().String() })
+	if status, body := ask(w.dial(), invoke("look", 900, "")); status != 200 || body != "new" {
+		t.Fatalf("%d %q", status, body)
+	}
+	if !w.log.has("line of the watch dropped") || !w.log.has("nowhere") || !w.log.has("Confused") {
+		t.Fatal("what was dropped is not in the log")
+	}
+}
+
+// A counter that answers nonsense, refuses, is silent or absent: the invocation is decided by share, in time.
+func TestOddAnswersOfTheCounter(t *testing.T) {
+	for name, counter := range map[string]func(m *http1.Message, n int) string{
+		"no number": func(m *http1.Message, n int) string { return ok("many") },
+		"infinite":  func(m *http1.Message, n int) string { return ok("Inf") },
+		"odd":       func(m *http1.Message, n int) string { return "HTTP/1.1 302 Go\r\nContent-Length: 0\r\n\r\n" },
+		"garbage":   func(m *http1.Message, n int) string { return "what?\r\n\r\n" },
+		"turned":    func(m *http1.Message, n int) string { return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" },
+		"ended":     func(m *http1.Message, n int) string { return "!" },
+		"silent":    func(m *http1.Message, n int) string { return "" },
+		"absent":    nil,
+	} {
+		w := start(t, counter, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+		if status, _ := ask(w.dial(), invoke("pay", 400, "x")); status != 200 {
+			t.Errorf("%s: %d", name, status)
+		}
+		w.wait(func() bool { return len(w.loop.counter.names) == 0 })
+	}
+}
+
+func TestOverTheQuotaIsThrottled(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok("x") })
+	w := start(t, func(m *http1.Message, n int) string { return ok("1e6") }, h)
+	tcp := w.dial()
+	tcp.Write([]byte(invoke("pay", 900, "x")))
+	retry := ""
+	messages(tcp, true, func(m *http1.Message) bool {
+		for _, f := range m.Fields {
+			if string(f.Name) == "Retry-After" {
+				retry = string(f.Value)
+			}
+		}
+		return m.Status == 429 && false
+	})
+	if retry == "" {
+		t.Fatal("no time to come back")
+	}
+	h.none(t)
+}
+
+// A late call keeps its place in the order of its connection: its answer must not be taken for the next call's.
+func TestLateAnswerOfTheCounterChangesNothing(t *testing.T) {
+	held := make(chan bool)
+	w := start(t, func(m *http1.Message, n int) string {
+		if n == 1 {
+			<-held
+			return ok("1e6") // over any quota, but nobody waits for it any more
+		}
+		return ok("1")
+	}, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	tcp := w.dial()
+	if status, _ := ask(tcp, invoke("pay", 900, "x")); status != 200 {
+		t.Fatalf("decided by share: %d", status)
+	}
+	close(held)
+	w.wait(func() bool {
+		for _, k := range w.loop.counter.conns {
+			k.mu.Lock()
+			n := len(k.order)
+			k.mu.Unlock()
+			if n > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	if status, _ := ask(tcp, invoke("pay", 900, "x")); status != 200 {
+		t.Fatalf("the next one: %d", status)
+	}
+}
+
+func TestCallsOnOneNameStayOnOneConnection(t *testing.T) {
+	w := start(t, func(m *http1.Message, n int) string { return "" })
+	w.wait(func() bool {
+		c := w.loop.counter
+		for i := range 9 {
+			c.add(uint64(i%3), 1, 1)
+		}
+		orders := map[uint64]int{}
+		for at, k := range c.conns {
+			for _, x := range k.order {
+				orders[x.name] |= 1 << at
+			}
+		}
+		good := len(c.calls) == 9 && orders[0] != 0
+		for _, on := range orders {
+			good = good && on&(on-1) == 0
+		}
+		return good
+	})
+}
+
+func TestDatagramsAreNotTrusted(t *testing.T) {
+	friend, _ := net.ListenPacket("udp", "127.0.0.1:0")
+	stranger, _ := net.ListenPacket("udp", "127.0.0.1:0")
+	defer friend.Close()
+	defer stranger.Close()
+	p, err := NewPeers(nil, "127.0.0.1:0", 0, []string{"127.0.0.1:1", friend.LocalAddr().String()}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := make(chan string, 10)
+	p.heard = func(text string) { heard <- text }
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go p.Write(ctx)
+	go p.Read(ctx)
+	at := p.udp.LocalAddr()
+	stranger.WriteTo([]byte("=team 1"), at)
+	friend.WriteTo([]byte(strings.Repeat("x", 257)), at)
+	friend.WriteTo([]byte("\x00\xff nonsense"), at)
+	friend.WriteTo([]byte("+h0"), at)
+	if a, b := <-heard, <-heard; a != "\x00\xff nonsense" || b != "+h0" {
+		t.Fatalf("heard %q, %q", a, b)
+	}
+	p.send("-h0")
+	b := make([]byte, 300)
+	friend.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if n, _, _ := friend.ReadFrom(b); string(b[:n]) != "-h0" {
+		t.Fatalf("the peer got %q", b[:n])
+	}
+}
+
+func TestConnectionsAtTheirLimitMakeRoom(t *testing.T) {
+	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	for i := range 3 * w.clients.most {
+		if status, _ := ask(w.dial(), invoke("look", 900, "")); status != 200 {
+			t.Fatalf("connection %d: %d", i, status)
+		}
+	}
+	if n := w.clients.count(); n > w.clients.most {
+		t.Fatalf("%d connections are open", n)
+	}
+}
+
+// The end: what is in hand is answered, connections between requests are closed, new ones still get one answer.
+func TestNothingTakenIsLostAtTheEnd(t *testing.T) {
+	go1 := make(chan bool)
+	h := newStandIn(t, func(m *http1.Message, n int) string {
+		if n == 1 {
+			<-go1
+		}
+		return ok("x")
+	})
+	w := start(t, room, h)
+	busy, idle := w.dial(), w.dial()
+	busy.Write([]byte(invoke("pay", 3000, "x")))
+	h.next(t)
+	done := make(chan bool)
+	go func() { w.clients.End(3 * time.Second); close(done) }()
+	w.wait(func() bool { return w.clients.ending.Load() })
+	if !closed(idle) {
+		t.Fatal("an idle connection stays")
+	}
+	late := w.dial()
+	close(go1)
+	if status, _ := ask(late, invoke("pay", 900, "y")); status != 200 || !closed(late) {
+		t.Fatalf("a late one: %d", status)
+	}
+	if status, _ := ask(busy, ""); status != 200 || !closed(busy) {
+		t.Fatalf("the one in hand: %d", status)
+	}
+	<-done
+}
+
+func TestBufferGivenBackTwiceIsNoticed(t *testing.T) {
+	p := NewBuffers(1)
+	b := p.Take()
+	p.Give(b)
+	defer func() {
+		if recover() == nil {
+			t.Fatal("not noticed")
+		}
+	}()
+	p.Give(b)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -19,11 +19,13 @@
 	to    []netip.AddrPort
 	known map[netip.AddrPort]bool
 	lines chan string
+	heard func(text string)
 }
 
 // NewPeers opens the socket; with no address to listen on there are no peers, and nothing is sent.
 func NewPeers(loop *Loop, listen string, me int, peers []string, all string) (*Peers, error) {
 	p := &Peers{loop: loop, known: map[netip.AddrPort]bool{}, lines: make(chan string, 16)}
+	p.heard = p.toLoop
 	if listen == "" {
 		return p, nil
 	}
@@ -32,7 +34,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if p.known[a] = true; i != me && all == "" {
+		if i == me {
+			continue
+		}
+		if p.known[a] = true; all == "" {
 			p.to = append(p.to, a)
 		}
 	}
@@ -99,10 +104,14 @@
 		if n == 0 || n > datagram || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
 			continue
 		}
-		text := string(b[:n])
-		select {
-		case p.loop.queue <- func() { p.loop.module.Told(p.loop.now, text) }:
-		default:
-		}
+		p.heard(string(b[:n]))
+	}
+}
+
+// toLoop passes a message on unless the loop is behind: the crowd of them must not hold up what matters more.
+func (p *Peers) toLoop(text string) {
+	select {
+	case p.loop.queue <- func() { p.loop.module.Told(p.loop.now, text) }:
+	default:
 	}
 }
--- /dev/null
+++ b/gateway/standin_test.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/http1"
+	"otterseam/wire"
+)
+
+// settings are a start with one operation of each kind that can be told apart on sockets.
+const settings = `{"balancers":1,"locality":"z","caps":{"try_limit":3,"cancel":true,"dial_timeout":0.25,"idle_close":10},
+"classes":[{"name":"look","goal_time":0.5,"deadline":1,"gain":1,"effect":"idempotent"},
+{"name":"pay","goal_time":0.5,"deadline":1,"gain":1,"late_worth":0.5,"effect":"at_most_once"}],
+"contract":{"start_capacity":0.2,"warm_up":5,"overload_factor":3},"plans":[{"name":"team","rate":50,"burst":1000}],
+"extra":{"counter":true,"count_limit":0.05,"most_units":8}}`
+
+// standIn is a stand-in for a host or the counter: it answers each request with the bytes say gives for it.
+// "" leaves it unanswered; a text that ends in "!" is sent without that sign and the connection closed.
+type standIn struct {
+	net.Listener
+	seen  chan string // heads and bodies as they came
+	ended chan bool   // one for each connection that has ended
+}
+
+func newStandIn(t *testing.T, say func(m *http1.Message, n int) string) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{Listener: l, seen: make(chan string, 100), ended: make(chan bool, 100)}
+	t.Cleanup(func() { l.Close() })
+	var mu sync.Mutex
+	n := 0
+	go func() {
+		for {
+			tcp, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { tcp.Close() })
+			go func() {
+				defer func() {
+					tcp.Close()
+					select {
+					case s.ended <- true:
+					default:
+					}
+				}()
+				messages(tcp, false, func(m *http1.Message) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					select {
+					case s.seen <- string(m.Method) + " " + string(m.Target) + " " + string(m.Body):
+					default: // nobody looks
+					}
+					n++
+					text := say(m, n)
+					io.WriteString(tcp, strings.TrimSuffix(text, "!"))
+					return !strings.HasSuffix(text, "!")
+				})
+			}()
+		}
+	}()
+	return s
+}
+
+// messages reads one message after another until what comes makes no sense or is not wanted.
+func messages(tcp net.Conn, response bool, each func(m *http1.Message) bool) {
+	m, rest := &http1.Message{}, []byte(nil)
+	for {
+		m.Begin(make([]byte, http1.Room), response)
+		n := copy(m.Space(), rest)
+		whole, err := false, error(nil)
+		if n > 0 {
+			whole, err = m.Got(n)
+		}
+		for !whole && err == nil {
+			if n, err = tcp.Read(m.Space()); n > 0 {
+				whole, err = m.Got(n)
+			}
+		}
+		if !whole || !each(m) {
+			return
+		}
+		rest = m.Rest()
+	}
+}
+
+func (s *standIn) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case x := <-s.seen:
+		return x
+	case <-time.After(3 * time.Second):
+		t.Fatal("nothing came")
+		return ""
+	}
+}
+
+func (s *standIn) none(t *testing.T) {
+	t.Helper()
+	select {
+	case x := <-s.seen:
+		t.Fatalf("got %q", x)
+	default:
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// room is a counter that never gets anywhere near a quota.
+func room(m *http1.Message, n int) string { return ok("1") }
+
+// world is an api gateway with stand-ins round it.
+type world struct {
+	t       *testing.T
+	addr    string
+	loop    *Loop
+	clients *Clients
+	hosts   *Hosts
+	watch   chan string // lines for the watch
+	log     *lines
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) has(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), part)
+}
+
+func entry(id, addr, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","state":%q,"weight":1,"started_ms":0}`, id, addr, state)
+}
+
+func start(t *testing.T, counter func(m *http1.Message, n int) string, hosts ...*standIn) *world {
+	t.Helper()
+	var s wire.Start
+	if err := json.Unmarshal([]byte(settings), &s); err != nil {
+		t.Fatal(err)
+	}
+	root, stop := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(root)
+	w := &world{t: t, watch: make(chan string, 10), log: &lines{}}
+	log := zerolog.New(w.log)
+	buffers := NewBuffers(8)
+	w.loop = NewLoop(log)
+	module, err := s.Module(1, w.loop)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.hosts = NewHosts(ctx, group, w.loop, buffers, 50, s.Caps.Connect, s.Caps.Idle)
+	peers, err := NewPeers(w.loop, "127.0.0.1:0", 0, nil, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewCounter(w.loop, s.Extra.Limit)
+	if w.clients, err = NewClients(ctx, group, w.loop, log, buffers, "127.0.0.1:0", s.Methods(), 50,
+		func() bool { return true }); err != nil {
+		t.Fatal(err)
+	}
+	w.clients.slowest = 200 * time.Millisecond
+	w.addr = w.clients.listener.Addr().String()
+	d := NewDiscovery(w.loop, log)
+	group.Go(func() error { return w.loop.Run(ctx, module, w.hosts, c, peers) })
+	group.Go(func() error { return peers.Read(ctx) })
+	group.Go(func() error { return peers.Write(ctx) })
+	var first Roster
+	first.Full = true
+	for i, h := range hosts {
+		first.Servers = append(first.Servers, RosterEntry{ID: fmt.Sprint("h", i), Addr: h.Addr().String(), Zone: "z",
+			State: "Ready", Weight: 1})
+	}
+	d.Use(ctx, first)
+	w.loop.tell(ctx, func() {}) // the list stands before the watch begins
+	group.Go(func() error { return d.Run(ctx, w.agent(ctx)) })
+	if counter != nil {
+		c.Run(ctx, group, newStandIn(t, counter).Addr().String())
+		for until := time.Now().Add(3 * time.Second); !c.ready() && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	group.Go(w.clients.Accept)
+	t.Cleanup(func() {
+		stop()
+		w.clients.Close()
+		group.Wait()
+	})
+	return w
+}
+
+// agent stands in for discovery: one watch, a line for each that the test gives.
+func (w *world) agent(ctx context.Context) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { l.Close() })
+	go func() {
+		tcp, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer tcp.Close()
+		messages(tcp, false, func(m *http1.Message) bool { return false })
+		io.WriteString(tcp, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case line := <-w.watch:
+				fmt.Fprintf(tcp, "%x\r\n%s\n\r\n", len(line)+1, line)
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ready: every connection stands.
+func (c *Counter) ready() bool {
+	for _, k := range c.conns {
+		k.mu.Lock()
+		up := k.up
+		k.mu.Unlock()
+		if !up {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) dial() net.Conn {
+	w.t.Helper()
+	tcp, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { tcp.Close() })
+	tcp.SetDeadline(time.Now().Add(5 * time.Second))
+	return tcp
+}
+
+// ask sends text on a connection and gives the answer's status and body; status 0: the connection ended without.
+func ask(tcp net.Conn, text string) (status int, body string) {
+	io.WriteString(tcp, text)
+	messages(tcp, true, func(m *http1.Message) bool {
+		status, body = m.Status, string(m.Body)
+		return false
+	})
+	return status, body
+}
+
+// closed says that the api gateway has ended the connection.
+func closed(tcp net.Conn) bool {
+	n, err := tcp.Read(make([]byte, 1))
+	ne, ok := err.(net.Error)
+	return n == 0 && err != nil && !(ok && ne.Timeout())
+}
+
+// call is a client's request for an operation, waited for so long.
+func invoke(operation string, ms int, body string) string {
+	method := map[string]string{"look": "GET", "pay": "POST"}[operation]
+	text := fmt.Sprintf("%s /%s/1?x=2 HTTP/1.1\r\nHost: app\r\nReq-Id: 0123456789abcdef\r\nReq-Kind: %s\r\nX-Tier: team\r\n"+
+		"Cookie: key=00000000b4d65521\r\nReq-Deadline-Ms: %d\r\nX-Call-Terms: units=1,spread=1,first=0\r\n",
+		method, operation, operation, ms)
+	if method == "POST" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
