A request on the way to a connection that is closed to make room is no longer lost

At fault: Clients.makeRoom, which chose a connection just taken when all others were busy, its first request still on the way; and client.request, which on being called to end did not look again, so that bytes already here were closed unread.

A new connection is kept for a second, and there is one more look of 2 ms before a connection between requests is closed; an answer given then says that the connection ends.

--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -44,7 +44,7 @@
 }
 
 func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("api_gateway", os.Getenv("EDGE_NAME")).Logger()
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	if err := run(log); err != nil {
 		log.Error().Err(err).Msg("ended")
@@ -65,6 +65,9 @@
 	if err = json.Unmarshal(text, &f); err != nil {
 		return f, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if f.Name == "" {
+		f.Name = os.Getenv("EDGE_NAME")
+	}
 	if f.Listen == "" {
 		f.Listen = os.Getenv("EDGE_LISTEN")
 	}
@@ -87,6 +90,9 @@
 		return fmt.Errorf("configuration: seed: %w", err)
 	}
 	memory, sockets := f.Limits.Memory, f.Limits.Sockets
+	if f.Name != "" {
+		log = log.With().Str("api_gateway", f.Name).Logger()
+	}
 	if memory <= 0 {
 		memory = 192
 	}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -21,6 +21,8 @@
 const (
 	slowest   = 5 * time.Second        // a request begun must be whole after this, an answer written
 	lateEntry = 400 * time.Millisecond // after the call to end, new connections still come for this long
+	lastLook  = 2 * time.Millisecond   // before a connection between requests is closed
+	patience  = time.Second            // a new connection is not closed to make room before this
 )
 
 type Clients struct {
@@ -53,7 +55,7 @@
 
 	mu    sync.Mutex
 	begun bool      // bytes of a request have come
-	since time.Time // when it came to rest between requests
+	since time.Time // when it came to rest between requests; later than now: a new one, not yet to be closed
 	last  bool      // its last answer is written
 }
 
@@ -92,7 +94,7 @@
 			continue
 		}
 		c := &client{clients: cs, tcp: tcp, answers: make(chan answer, 1), free: make(chan struct{}, 1),
-			done: make(chan struct{}), since: time.Now()}
+			done: make(chan struct{}), since: time.Now().Add(patience)}
 		c.arrived = func() { cs.loop.take(c.inv) }
 		c.left = func() { cs.loop.gone(c.inv) }
 		c.free <- struct{}{}
@@ -120,10 +122,11 @@
 func (cs *Clients) makeRoom() bool {
 	var oldest *client
 	var least time.Time
+	now := time.Now()
 	cs.mu.Lock()
 	for c := range cs.open {
 		c.mu.Lock()
-		if !c.since.IsZero() && (oldest == nil || c.since.Before(least)) {
+		if !c.since.IsZero() && c.since.Before(now) && (oldest == nil || c.since.Before(least)) {
 			oldest, least = c, c.since
 		}
 		c.mu.Unlock()
@@ -263,7 +266,7 @@
 func (c *client) poke() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.begun || c.since.IsZero() {
+	if c.begun || c.since.IsZero() || time.Now().Before(c.since) {
 		return false
 	}
 	c.since = time.Time{}
@@ -278,7 +281,7 @@
 	if n > 0 {
 		whole, err = b.Got(n)
 	}
-	for timed := false; !whole && err == nil; {
+	for timed, asked := false, false; !whole && err == nil; {
 		if !b.Empty() && !timed { // a request begun must come to its end
 			timed = true
 			c.tcp.SetReadDeadline(time.Now().Add(c.clients.slowest))
@@ -291,12 +294,19 @@
 			if whole, err = b.Got(n); whole && timed {
 				c.tcp.SetReadDeadline(time.Time{})
 			}
+			b.Close = b.Close || asked
 		} else if bad != nil {
 			var ne net.Error
-			if errors.As(bad, &ne) && ne.Timeout() {
-				c.settled() // called to end, or too slow: but not before what is owed has been written
+			if !errors.As(bad, &ne) || !ne.Timeout() {
+				return -1, call
 			}
-			return -1, call
+			// Called to end, or too slow: but not before what is owed has been written. A request may have come as the
+			// call did; closed unread, it would be lost, so there is one more look.
+			if !c.settled() || asked || timed {
+				return -1, call
+			}
+			asked = true
+			c.tcp.SetReadDeadline(time.Now().Add(lastLook))
 		}
 	}
 	switch {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -385,3 +385,29 @@
 	}()
 	p.Give(b)
 }
+
+// At the limit with every other connection busy, the one just taken was closed with its first request on the way.
+func TestNewConnectionIsNotClosedToMakeRoom(t *testing.T) {
+	release := make(chan bool)
+	h := newStandIn(t, func(m *http1.Message, n int) string {
+		if string(m.Body) == "held" {
+			<-release
+		}
+		return ok("x")
+	})
+	w := start(t, room, h)
+	w.clients.most = 2
+	busy := w.dial()
+	busy.Write([]byte(invoke("pay", 900, "held")))
+	h.next(t)
+	late := w.dial()
+	w.wait(func() bool { return w.clients.count() == 2 })
+	time.Sleep(20 * time.Millisecond) // as long as the first request may be on its way
+	late.Write([]byte(invoke("pay", 900, "x")))
+	close(release)
+	for _, tcp := range []net.Conn{late, busy} {
+		if status, _ := ask(tcp, ""); status != 200 {
+			t.Fatalf("got %d", status)
+		}
+	}
+}
