--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -413,3 +414,32 @@
 		}
 	}
 }
+
+// tired is a listener that has no descriptor left for its first calls.
+type tired struct {
+	net.Listener
+	fails int
+}
+
+func (l *tired) Accept() (net.Conn, error) {
+	if l.fails > 0 {
+		l.fails--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func TestAcceptGoesOnAfterDescriptorsRanOut(t *testing.T) {
+	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cs := w.clients.again(&tired{l, 2})
+	go cs.Accept()
+	t.Cleanup(cs.Close)
+	w.addr = l.Addr().String()
+	if status, _ := ask(w.dial(), invoke("look", 900, "")); status != 200 || !w.log.has("accept pauses") {
+		t.Fatalf("got %d", status)
+	}
+}
