A connection's next outcome can't be taken for the one before; ends always have room

Seen: the race detector in TestNewConnectionIsNotClosedToMakeRoom, one run of three. At fault: hostConn.ended gave the connection its next delivery and read the outcome of the last one after that; a host answering at once could have overwritten it. The connection is now freed last of all.

Also: the sign that a connection has ended has room beside the work there can be, so the loop can't be made to wait.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -46,7 +46,7 @@
 type client struct {
 	clients *Clients
 	tcp     net.Conn
-	answers chan answer   // room for the one that can be owed
+	answers chan answer   // room for the one that can be owed, and for the end
 	free    chan struct{} // holds a token while no answer is owed
 	inv     *invocation   // the last one taken
 	arrived func()        // brings it to the loop
@@ -93,7 +93,7 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		c := &client{clients: cs, tcp: tcp, answers: make(chan answer, 1), free: make(chan struct{}, 1),
+		c := &client{clients: cs, tcp: tcp, answers: make(chan answer, 2), free: make(chan struct{}, 1),
 			since: time.Now().Add(patience)}
 		c.arrived = func() { cs.loop.take(c.inv) }
 		c.left = func() { cs.loop.gone(c.inv) }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -56,7 +56,7 @@
 	host  *host
 	addr  string
 	tcp   net.Conn
-	work  chan *Buffer // a request to be written; always room for the one there can be; nil: the end
+	work  chan *Buffer // requests to be written, nil: the end; always room for one and the end
 
 	on        *delivery // loop's
 	idleSince float64   // loop's
@@ -211,7 +211,7 @@
 			hs.loop.tell(hs.ctx, func() { hs.failed(h) })
 			return nil
 		}
-		c := &hostConn{hosts: hs, host: h, addr: addr, tcp: tcp, work: make(chan *Buffer, 1)}
+		c := &hostConn{hosts: hs, host: h, addr: addr, tcp: tcp, work: make(chan *Buffer, 2)}
 		c.told = c.ended
 		hs.group.Go(func() error { c.write(); return nil })
 		hs.loop.tell(hs.ctx, func() { hs.up(c) })
@@ -254,19 +254,19 @@
 func (c *hostConn) ended() {
 	hs, d, reply := c.hosts, c.on, c.reply
 	c.on, c.reply = nil, nil
-	if c.reuse {
-		hs.free(c)
-	}
-	if d == nil { // given up on meanwhile: what still comes changes nothing
-		hs.buffers.Give(reply)
-		return
-	}
-	heap.Remove(&hs.loop.due, d.at)
-	if c.outcome != choice.Succeeded {
+	if d == nil || c.outcome != choice.Succeeded { // d is nil if given up on meanwhile: what still comes changes nothing
 		hs.buffers.Give(reply)
 		reply = nil
 	}
-	hs.loop.after(d, c.outcome, reply)
+	if d != nil {
+		heap.Remove(&hs.loop.due, d.at)
+		hs.loop.after(d, c.outcome, reply)
+	}
+	// Last of all: with its next delivery the connection may at once be given that one's outcome, which must not be
+	// taken for this one's.
+	if c.reuse {
+		hs.free(c)
+	}
 }
 
 // closed runs on the loop when the connection is no more.
@@ -349,10 +349,7 @@
 		b = c.hosts.buffers.Take()
 	}
 	c.hosts.buffers.Give(b)
-	select {
-	case c.work <- nil:
-	default: // there is work, which tells the writer as well
-	}
+	c.work <- nil
 	c.tcp.Close()
 	c.hosts.loop.tell(c.hosts.ctx, c.closed)
 }
