Clean-up after re-reading the socket code: one step for what follows a message, dead state gone

No change meant in behaviour. Message.Next serves the counter's answers and a host's words in between, which each did it again; what is left to tell the module is settled once a batch, before the turns, instead of at every place that gives a delivery up; the sign that the first list stands could not be false when asked; Message.whole, the outcome of a call that was not made and a check for an invocation never taken could be derived. A deadline in the past has a name. Tests: the log of the main program is waited for line by line instead of a copied writer; the listener without descriptors goes through NewClients.

--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -14,7 +14,6 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -121,9 +120,8 @@
 	hosts := gateway.NewHosts(ctx, group, loop, buffers, hostsMost, f.Settings.Caps.Connect, f.Settings.Caps.Idle)
 	counter := gateway.NewCounter(loop, f.Settings.Extra.Limit)
 	discovery := gateway.NewDiscovery(loop, log)
-	var listed atomic.Bool
 	clients, err := gateway.NewClients(ctx, group, loop, log, buffers, f.Listen, f.Settings.Methods(), clientsMost,
-		func() bool { return listed.Load() && counter.Known() })
+		counter.Known)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -131,8 +129,7 @@
 	group.Go(func() error { return loop.Run(ctx, module, hosts, counter, peers) })
 	group.Go(func() error { return peers.Read(ctx) })
 	group.Go(func() error { return peers.Write(ctx) })
-	discovery.Use(ctx, f.Known)
-	listed.Store(true)
+	discovery.Use(ctx, f.Known) // before any client is taken
 	group.Go(func() error { return discovery.Run(ctx, f.Discovery) })
 	address := f.Counter
 	if !f.Settings.Extra.Counter {
--- a/cmd/otterseam/main_test.go
+++ b/cmd/otterseam/main_test.go
@@ -1,13 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -54,40 +52,45 @@
 	return fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","seed":%q,"settings":%s}`, listen, seed, settings)
 }
 
-type lines struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
+// lines is a log that is read line by line.
+type lines chan string
 
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
 }
 
-func (l *lines) has(part string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.b.String(), part)
+// until waits for a line with a part in it.
+func (l lines) until(t *testing.T, part string) {
+	t.Helper()
+	for late := time.After(5 * time.Second); ; {
+		select {
+		case line := <-l:
+			if strings.Contains(line, part) {
+				return
+			}
+		case <-late:
+			t.Fatalf("no line with %s came", part)
+		}
+	}
 }
 
 // With neither counter nor discovery to be had the api gateway comes up all the same, and SIGTERM ends it well.
 func TestEndsWellOnSIGTERM(t *testing.T) {
 	configure(t, whole("127.0.0.1:0", "1"))
-	log := &lines{}
+	log := make(lines, 100)
 	done := make(chan error, 1)
 	go func() { done <- run(zerolog.New(log)) }()
-	for until := time.Now().Add(5 * time.Second); !log.has(`"up"`) && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
-	}
+	log.until(t, `"up"`)
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	select {
 	case err := <-done:
-		if err != nil || !log.has("terminated") {
+		if err != nil {
 			t.Fatalf("ended with %v", err)
 		}
+		log.until(t, "terminated")
 	case <-time.After(5 * time.Second):
 		t.Fatal("did not end")
 	}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -160,7 +160,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.open {
-		c.tcp.SetDeadline(time.Unix(1, 0))
+		c.tcp.SetDeadline(past)
 	}
 }
 
@@ -270,7 +270,7 @@
 		return false
 	}
 	c.since = time.Time{}
-	c.tcp.SetReadDeadline(time.Unix(1, 0))
+	c.tcp.SetReadDeadline(past)
 	return true
 }
 
@@ -360,7 +360,7 @@
 			c.mu.Lock()
 			c.last = true
 			c.mu.Unlock()
-			c.tcp.SetReadDeadline(time.Unix(1, 0)) // the reader closes
+			c.tcp.SetReadDeadline(past) // the reader closes
 		}
 		c.rest()
 		c.free <- struct{}{}
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -97,7 +97,6 @@
 	}
 	at.n++
 	if at.conn == nil || !at.conn.put(k, amount, life) {
-		k.how = choice.NoConnection
 		c.none = append(c.none, k)
 		return
 	}
@@ -163,7 +162,7 @@
 	for len(c.none) > 0 {
 		k := c.none[0]
 		c.none = c.none[1:]
-		c.tellOf(k, k.how, 0)
+		c.tellOf(k, choice.NoConnection, 0)
 		c.drop(k)
 	}
 }
@@ -236,7 +235,7 @@
 	writer.Go(func() { k.write(ctx, tcp, done) })
 	answered = k.read(ctx, tcp)
 	close(done)
-	tcp.SetDeadline(time.Unix(1, 0))
+	tcp.SetDeadline(past)
 	writer.Wait()
 	tcp.Close()
 	k.mu.Lock()
@@ -261,7 +260,7 @@
 		case <-done:
 			return
 		case <-ctx.Done():
-			tcp.SetDeadline(time.Unix(1, 0))
+			tcp.SetDeadline(past)
 			return
 		case <-k.wake:
 		}
@@ -276,7 +275,7 @@
 		k.written += int64(n)
 		k.mu.Unlock()
 		if err != nil {
-			tcp.SetDeadline(time.Unix(1, 0))
+			tcp.SetDeadline(past)
 			return
 		}
 	}
@@ -303,8 +302,7 @@
 			answered = true
 			k.counter.loop.tell(ctx, x.answer)
 			last := b.Close
-			n = copy(b.Bytes, b.Rest())
-			if b.Begin(b.Bytes, true); last {
+			if n = b.Next(); last {
 				return answered
 			}
 		}
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -75,7 +75,6 @@
 		l.hosts.Only(listed)
 	}
 	l.module.Hosts(l.now, list, whole)
-	l.settle()
 }
 
 // Run watches until the end, anew from the version held whenever the watch breaks or falls silent.
@@ -107,7 +106,7 @@
 
 // watch reads one watch to its end; heard: it brought at least one line.
 func (d *Discovery) watch(ctx context.Context, tcp net.Conn) (heard bool, err error) {
-	stop := context.AfterFunc(ctx, func() { tcp.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { tcp.SetDeadline(past) })
 	defer stop()
 	if _, err = tcp.Write(http1.AppendWatch(nil, d.version)); err != nil {
 		return false, err
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -431,14 +431,15 @@
 
 func TestAcceptGoesOnAfterDescriptorsRanOut(t *testing.T) {
 	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	cs, err := NewClients(w.clients.ctx, w.clients.group, w.loop, w.clients.log, w.clients.buffers, "127.0.0.1:0",
+		w.clients.operations, 50, w.clients.ready)
 	if err != nil {
 		t.Fatal(err)
 	}
-	cs := w.clients.again(&tired{l, 2})
+	w.addr = cs.listener.Addr().String()
+	cs.listener = &tired{cs.listener, 2}
 	go cs.Accept()
 	t.Cleanup(cs.Close)
-	w.addr = l.Addr().String()
 	if status, _ := ask(w.dial(), invoke("look", 900, "")); status != 200 || !w.log.has("accept pauses") {
 		t.Fatalf("got %d", status)
 	}
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -225,7 +225,6 @@
 	hs.open--
 	if len(h.waiting) > h.dialing {
 		hs.withdraw(h.waiting[0], choice.NoConnection)
-		hs.loop.settle()
 	}
 }
 
@@ -297,7 +296,7 @@
 	if t, ok := c.tcp.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	c.tcp.SetDeadline(time.Unix(1, 0))
+	c.tcp.SetDeadline(past)
 }
 
 func (c *hostConn) write() {
@@ -317,7 +316,7 @@
 		b.Bytes = b.Bytes[:http1.Room]
 		c.hosts.buffers.Give(b)
 		if err != nil {
-			c.tcp.SetDeadline(time.Unix(1, 0))
+			c.tcp.SetDeadline(past)
 		}
 		if broken || err != nil {
 			return // closed tells the loop that the delivery never left
@@ -327,7 +326,7 @@
 
 // read reads answers until the connection ends, and closes it: the one place where that is done.
 func (c *hostConn) read() {
-	stop := context.AfterFunc(c.hosts.ctx, func() { c.tcp.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(c.hosts.ctx, func() { c.tcp.SetDeadline(past) })
 	defer stop()
 	b := c.hosts.buffers.Take()
 	for {
@@ -358,25 +357,18 @@
 func (c *hostConn) answer(b *Buffer) (how choice.Outcome, reuse bool) {
 	for {
 		n, err := c.tcp.Read(b.Space())
-		if n > 0 {
+		for n > 0 {
 			whole, bad := b.Got(n)
 			if bad != nil {
 				return choice.Failed, false
 			}
-			if whole && b.Status < 200 {
-				rest := len(b.Rest())
-				copy(b.Bytes, b.Rest())
-				b.Begin(b.Bytes, true)
-				if rest == 0 {
-					continue
-				}
-				if whole, bad = b.Got(rest); bad != nil {
-					return choice.Failed, false
-				}
+			if !whole {
+				break
 			}
-			if whole {
+			if b.Status >= 200 {
 				return meaning(b), !b.Close && len(b.Rest()) == 0
 			}
+			n = b.Next() // only a word in between
 		}
 		if err != nil {
 			if b.Ended() {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -19,6 +19,9 @@
 // early is how long before a client gives up the last delivery is ended, so that the answer still reaches it.
 const early = 0.008
 
+// past is a deadline that ends whatever waits on a connection.
+var past = time.Unix(1, 0)
+
 type Loop struct {
 	queue   chan func()
 	log     zerolog.Logger
@@ -122,25 +125,24 @@
 	l.settle()
 }
 
-// settle tells the module of deliveries that were given up within its own calls or here.
+// settle tells the module of deliveries that were given up within its own calls, by what the queue brought, or here.
 func (l *Loop) settle() {
 	for len(l.ended) > 0 {
 		d := l.ended[0]
 		l.ended = l.ended[1:]
 		l.after(d, d.outcome, nil)
 	}
-	l.ended = l.ended[:0]
 }
 
 func (l *Loop) turns() {
+	l.counter.refused() // calls of the tick and of what the queue brought
+	l.settle()
 	for in := l.module.Turn(l.now); in != nil; in = l.module.Turn(l.now) {
 		inv := l.inHand[in]
 		l.act(inv, l.module.Where(l.now, in))
 		l.counter.refused()
 		l.settle()
 	}
-	l.counter.refused()
-	l.settle()
 }
 
 // take brings in an invocation whose last byte has been read.
@@ -153,7 +155,7 @@
 
 // gone: the client has closed its connection; nothing is owed to it any more.
 func (l *Loop) gone(inv *invocation) {
-	if inv.in == nil || l.inHand[inv.in] != inv {
+	if l.inHand[inv.in] != inv {
 		return
 	}
 	l.module.Gone(l.now, inv.in)
@@ -161,7 +163,6 @@
 		l.hosts.withdraw(inv.out, choice.Withdrawn)
 	}
 	l.finish(inv, 0, 0, nil)
-	l.settle()
 }
 
 func (l *Loop) act(inv *invocation, a choice.Answer) {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -292,9 +292,3 @@
 	}
 	return text + "\r\n" + body
 }
-
-// again is the same part on another listener.
-func (cs *Clients) again(l net.Listener) *Clients {
-	return &Clients{ctx: cs.ctx, group: cs.group, loop: cs.loop, log: cs.log, buffers: cs.buffers, listener: l,
-		operations: cs.operations, ready: cs.ready, most: cs.most, slowest: cs.slowest, open: map[*client]bool{}}
-}
--- a/http1/fields.go
+++ b/http1/fields.go
@@ -22,7 +22,7 @@
 
 // ReadCall reads a client's request; ok is false where a field is missing or malformed.
 func ReadCall(m *Message) (c Call, ok bool) {
-	var kind, terms, limit []byte
+	var kind, terms, limit, key []byte
 	for _, f := range m.Fields {
 		switch {
 		case equal(f.Name, "req-id"):
@@ -32,8 +32,8 @@
 		case equal(f.Name, "x-tier"):
 			c.Plan = string(f.Value)
 		case equal(f.Name, "cookie"):
-			if key := cookie(f.Value); key != nil {
-				c.Customer = string(key)
+			if v := cookie(f.Value); v != nil {
+				key = v
 			}
 		case equal(f.Name, "req-deadline-ms"):
 			limit = f.Value
@@ -46,10 +46,10 @@
 	path, _, _ := bytes.Cut(m.Target, []byte("?"))
 	first, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
 	ms, good := digits(limit)
-	key, whole := hex([]byte(c.Customer))
-	c.Operation, c.Limit = string(kind), float64(ms)/1000
+	number, whole := hex(key)
+	c.Operation, c.Customer, c.Limit = string(kind), string(key), float64(ms)/1000
 	ok = len(c.Ref) > 0 && len(c.Ref) <= 64 && len(kind) > 0 && bytes.Equal(first, kind) && c.Plan != "" && good &&
-		ms > 0 && ms <= 3600_000 && whole && len(c.Customer) == 16 && key < 1<<33 && c.terms(terms)
+		ms > 0 && ms <= 3600_000 && whole && len(key) == 16 && number < 1<<33 && c.terms(terms)
 	return c, ok
 }
 
--- a/http1/message.go
+++ b/http1/message.go
@@ -42,7 +42,6 @@
 	body     int // where the body begins; 0: the head is not whole
 	need     int // length of the body; -1: chunked; -2: until the sender ends
 	chunks   chunks
-	whole    bool
 	rest     int // where what follows the message begins
 }
 
@@ -60,6 +59,13 @@
 // Rest is what came after the end of a whole message.
 func (m *Message) Rest() []byte { return m.room[m.rest:m.end] }
 
+// Next makes m ready for the message that follows a whole one in the same room, and says how many bytes of it are there.
+func (m *Message) Next() int {
+	n := copy(m.room, m.Rest())
+	m.Begin(m.room, m.response)
+	return n
+}
+
 // Got tells that n more bytes stand in Space, and says whether the message is whole.
 func (m *Message) Got(n int) (bool, error) {
 	m.end += n
@@ -81,15 +87,12 @@
 		return false, nil
 	}
 	m.rest = m.body + m.need
-	m.Body, m.whole = m.room[m.body:m.rest:m.rest], true
+	m.Body = m.room[m.body:m.rest:m.rest]
 	return true, nil
 }
 
-// Ended tells that the sender has ended its sending, and says whether that makes the message whole.
-func (m *Message) Ended() bool {
-	m.whole = m.whole || m.body > 0 && m.need == -2
-	return m.whole
-}
+// Ended tells that the sender has ended its sending before the message was whole, and says whether that makes it so.
+func (m *Message) Ended() bool { return m.body > 0 && m.need == -2 }
 
 func (m *Message) head() (bool, error) {
 	if m.scanned == 0 { // empty lines before a message are passed over
@@ -214,7 +217,7 @@
 		return false, ErrBodyTooLong
 	}
 	m.end = from + w + copy(m.room[from+w:], m.room[from+r:m.end])
-	m.rest, m.whole = from+w, done
+	m.rest = from + w
 	if !done && m.end == len(m.room) {
 		return false, ErrBodyTooLong
 	}
