A host connection that was given up is no longer taken back for the next delivery

Found by re-reading: a delivery is given up (its connection ended) while its answer already waits on the loop's queue; hostConn.ended then freed the ended connection for the next delivery, which ended as never sent. No rule broken by it, since nothing could be written any more, but a host was blamed for it. The loop now notes what it has abandoned; the story fails on the code before (the connection idles again).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -444,3 +444,25 @@
 		t.Fatalf("got %d", status)
 	}
 }
+
+// An answer may be on the queue when its delivery is given up: the connection, already ended, was used again.
+func TestConnectionGivenUpIsNotUsedAgain(t *testing.T) {
+	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	if status, _ := ask(w.dial(), invoke("look", 900, "")); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+	w.wait(func() bool {
+		h := w.hosts.byID["h0"]
+		if len(h.idle) != 1 {
+			return false
+		}
+		c := h.idle[0]
+		h.idle = nil
+		c.abandon() // as withdraw does, before the loop hears of the answer
+		c.ended()
+		if len(h.idle) > 0 {
+			t.Error("it idles again")
+		}
+		return true
+	})
+}
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -59,6 +59,7 @@
 	work  chan *Buffer // requests to be written, nil: the end; always room for one and the end
 
 	on        *delivery // loop's
+	over      bool      // loop's: it has been abandoned
 	idleSince float64   // loop's
 
 	mu      sync.Mutex
@@ -263,7 +264,7 @@
 	}
 	// Last of all: with its next delivery the connection may at once be given that one's outcome, which must not be
 	// taken for this one's.
-	if c.reuse {
+	if c.reuse && !c.over {
 		hs.free(c)
 	}
 }
@@ -293,6 +294,7 @@
 
 // abandon ends the sending at once; the reading goroutine then closes the connection.
 func (c *hostConn) abandon() {
+	c.over = true
 	if t, ok := c.tcp.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
