SIGHUP takes up new addresses of discovery and counter; it ended the process

Checked: the exit code is SIGHUP's own; ruled out a panic (no stack in the log) and memory (2 of 64 MB). At fault: cmd/otterseam/main.go took SIGTERM and Interrupt only, and neither discovery nor counter could move.

Now: the file is read and checked whole; discovery is watched at the new address at once, the old watch being heard until the new one has spoken; the counter's new connections take calls as soon as one stands, old ones end when nothing is out on them, so that a name keeps its order. Pauses between dials of discovery are at most 0.25 s.

--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -9,11 +9,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -104,6 +106,10 @@
 	// Of the descriptors a rest is kept for the counter, discovery, peers and the runtime.
 	clientsMost, hostsMost := max(8, (sockets-40)*55/100), max(8, (sockets-40)*40/100)
 
+	// From here on no signal ends the process by itself; SIGHUP did, before the configuration could be replaced.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	root, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(root)
@@ -118,40 +124,45 @@
 		return fmt.Errorf("peers: %w", err)
 	}
 	hosts := gateway.NewHosts(ctx, group, loop, buffers, hostsMost, f.Settings.Caps.Connect, f.Settings.Caps.Idle)
-	counter := gateway.NewCounter(loop, f.Settings.Extra.Limit)
-	discovery := gateway.NewDiscovery(loop, log)
+	counter := gateway.NewCounter(ctx, group, loop, f.Settings.Extra.Limit)
+	discovery := gateway.NewDiscovery(ctx, group, loop, log)
 	clients, err := gateway.NewClients(ctx, group, loop, log, buffers, f.Listen, f.Settings.Methods(), clientsMost,
-		counter.Known)
+		func() bool { return f.counter() == "" || counter.Known() })
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 
+	counter.Use(f.counter())
 	group.Go(func() error { return loop.Run(ctx, module, hosts, counter, peers) })
 	group.Go(func() error { return peers.Read(ctx) })
 	group.Go(func() error { return peers.Write(ctx) })
 	discovery.Use(ctx, f.Known) // before any client is taken
-	group.Go(func() error { return discovery.Run(ctx, f.Discovery) })
-	address := f.Counter
-	if !f.Settings.Extra.Counter {
-		address = ""
-	}
-	counter.Run(ctx, group, address)
-
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	discovery.Watch(f.Discovery)
 	group.Go(clients.Accept)
 	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case s := <-signals:
-			log.Info().Str("signal", s.String()).Msg("ending")
+	end := sync.OnceFunc(func() {
+		group.Go(func() error {
 			clients.End(longest(f.Settings) + 200*time.Millisecond)
 			loop.Quiet(ctx, 100*time.Millisecond)
+			stop()
+			return nil
+		})
+	})
+	group.Go(func() error {
+		defer clients.Close()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					reload(ctx, log, loop, discovery)
+					continue
+				}
+				log.Info().Str("signal", s.String()).Msg("ending")
+				end()
+			}
 		}
-		stop()
-		clients.Close()
-		return nil
 	})
 	err = group.Wait()
 	if err == nil {
@@ -160,6 +171,31 @@
 	return err
 }
 
+// counter is the address of the counter; "": there is none.
+func (f *file) counter() string {
+	if !f.Settings.Extra.Counter {
+		return ""
+	}
+	return f.Counter
+}
+
+// reload takes up the addresses of a configuration that was replaced. One that can't be used changes nothing.
+func reload(ctx context.Context, log zerolog.Logger, loop *gateway.Loop, discovery *gateway.Discovery) {
+	f, err := read()
+	if err == nil {
+		_, err = netip.ParseAddrPort(f.Discovery)
+	}
+	if err == nil && f.counter() != "" {
+		_, err = netip.ParseAddrPort(f.Counter)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("new configuration not used")
+		return
+	}
+	log.Info().Str("discovery", f.Discovery).Str("counter", f.counter()).Msg("new configuration")
+	loop.Move(ctx, discovery, f.Discovery, f.counter())
+}
+
 // longest is for how long a client may still wait for an answer.
 func longest(s wire.Start) time.Duration {
 	most := 1.0
--- a/cmd/otterseam/main_test.go
+++ b/cmd/otterseam/main_test.go
@@ -95,3 +95,44 @@
 		t.Fatal("did not end")
 	}
 }
+
+// SIGHUP ended the process. The file replaced names other addresses, which are taken up; one that can't be used is not.
+func TestTakesUpAReplacedConfiguration(t *testing.T) {
+	text := strings.Replace(whole("127.0.0.1:0", "1"), `"balancers":1`, `"balancers":1,"extra":{"counter":true}`, 1)
+	configure(t, text)
+	log := make(lines, 100)
+	done := make(chan error, 1)
+	go func() { done <- run(zerolog.New(log)) }()
+	log.until(t, `"up"`)
+	replace := func(text string) {
+		if err := os.WriteFile(os.Getenv("EDGE_CONFIG"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	}
+	for _, bad := range []string{"{", strings.Replace(text, "127.0.0.1:1", "nowhere", 1)} {
+		replace(bad)
+		log.until(t, "not used")
+	}
+	var at []net.Listener
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		at = append(at, l)
+	}
+	replace(strings.Replace(strings.Replace(text, "127.0.0.1:1", at[0].Addr().String(), 1), `"seed"`,
+		fmt.Sprintf(`"counter":%q,"seed"`, at[1].Addr()), 1))
+	for _, l := range at {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(3 * time.Second))
+		if _, err := l.Accept(); err != nil {
+			t.Fatal("a new address is not used: ", err)
+		}
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Fatalf("ended with %v", err)
+	}
+}
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -8,6 +8,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +25,13 @@
 )
 
 type Counter struct {
+	ctx   context.Context
+	group *errgroup.Group
 	loop  *Loop
 	limit float64 // a call is late after this
+	addr  string
 	conns []*counterConn
+	old   []*counterConn // to an address that is left: they finish what is out on them
 	names map[uint64]*nameCalls
 	calls []*call      // in the order of their making; the late and the answered leave from the front
 	none  []*call      // could not be made; told after the present call of the module
@@ -54,36 +59,65 @@
 
 type counterConn struct {
 	counter *Counter
+	ctx     context.Context
+	stop    context.CancelFunc
 	wake    chan struct{} // something is to be written; always room for one
 
 	mu      sync.Mutex
 	up      bool
+	left    bool // not to be made anew
 	pending []byte
 	added   int64
 	written int64
 	order   []*call
 }
 
-func NewCounter(loop *Loop, limit float64) *Counter {
-	c := &Counter{loop: loop, limit: limit, names: map[uint64]*nameCalls{}}
-	for range counterConns {
-		c.conns = append(c.conns, &counterConn{counter: c, wake: make(chan struct{}, 1)})
-	}
-	return c
+func NewCounter(ctx context.Context, group *errgroup.Group, loop *Loop, limit float64) *Counter {
+	return &Counter{ctx: ctx, group: group, loop: loop, limit: limit, names: map[uint64]*nameCalls{}}
 }
 
 // Known says whether it is known of each connection if it can be had.
-func (c *Counter) Known() bool { return int(c.tried.Load()) >= len(c.conns) }
+func (c *Counter) Known() bool { return int(c.tried.Load()) >= counterConns }
 
-// Run keeps the connections up until the end; without an address there is no counter.
-func (c *Counter) Run(ctx context.Context, group *errgroup.Group, addr string) {
-	if addr == "" {
-		c.tried.Store(counterConns)
+// Use has the counter at an address from now on; without one there is no counter. Connections to the address before
+// take calls until one to the new address stands, and end when nothing is out on them.
+func (c *Counter) Use(addr string) {
+	if addr == c.addr {
 		return
 	}
 	for _, k := range c.conns {
-		group.Go(func() error { return k.run(ctx, addr) })
+		k.mu.Lock()
+		k.left = true
+		if !k.up {
+			k.stop()
+		}
+		k.mu.Unlock()
+	}
+	c.addr, c.old, c.conns = addr, append(c.old, c.conns...), nil
+	for range counterConns {
+		k := &counterConn{counter: c, wake: make(chan struct{}, 1)}
+		k.ctx, k.stop = context.WithCancel(c.ctx)
+		c.conns = append(c.conns, k)
+		c.group.Go(func() error { return k.run(addr) })
+	}
+}
+
+// leave ends the connections to an address that is left once they have nothing out and others stand.
+func (c *Counter) leave() {
+	if len(c.old) == 0 {
+		return
 	}
+	_, standing := least(c.conns)
+	c.old = slices.DeleteFunc(c.old, func(k *counterConn) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.up && (!standing || len(k.order) > 0) {
+			return false
+		}
+		k.up = false
+		k.stop()
+		return true
+	})
 }
 
 // add makes a call. One that finds no connection, or no room, was not made.
@@ -92,7 +126,7 @@
 	k.name, k.made = name, c.loop.now
 	at := c.names[name]
 	if at == nil {
-		at = &nameCalls{conn: c.least()}
+		at = &nameCalls{conn: c.place()}
 		c.names[name] = at
 	}
 	at.n++
@@ -123,18 +157,27 @@
 	return k
 }
 
-// least is the connection with the fewest calls in its order, late ones counted.
-func (c *Counter) least() (best *counterConn) {
-	least := math.MaxInt
-	for _, k := range c.conns {
+// place is the connection for a name that has no call out.
+func (c *Counter) place() *counterConn {
+	best, ok := least(c.conns)
+	if !ok {
+		best, _ = least(c.old)
+	}
+	return best
+}
+
+// least is the connection with the fewest calls in its order, late ones counted; false: none is up.
+func least(conns []*counterConn) (best *counterConn, ok bool) {
+	fewest := math.MaxInt
+	for _, k := range conns {
 		k.mu.Lock()
 		n, up := len(k.order), k.up
 		k.mu.Unlock()
-		if up && n < least {
-			best, least = k, n
+		if up && n < fewest {
+			best, fewest = k, n
 		}
 	}
-	return best
+	return best, best != nil
 }
 
 // next is when the oldest call that is out becomes late.
@@ -203,10 +246,11 @@
 }
 
 // run has one connection after another, with a pause that grows while they fail.
-func (k *counterConn) run(ctx context.Context, addr string) error {
+func (k *counterConn) run(addr string) error {
+	ctx := k.ctx
 	dialer := net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: -1}
 	pause, first := 10*time.Millisecond, true
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !k.gone() {
 		tcp, err := dialer.DialContext(ctx, "tcp", addr)
 		if first {
 			k.counter.tried.Add(1)
@@ -225,6 +269,12 @@
 	return nil
 }
 
+func (k *counterConn) gone() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.left
+}
+
 // live uses one connection until it ends, and closes it; it says whether any call was answered.
 func (k *counterConn) live(ctx context.Context, tcp net.Conn) (answered bool) {
 	k.mu.Lock()
@@ -248,7 +298,7 @@
 		if x.until <= written { // it may have been added
 			x.how = choice.TimedOut
 		}
-		k.counter.loop.tell(ctx, x.answer)
+		k.counter.loop.tell(k.counter.ctx, x.answer)
 	}
 	return answered
 }
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -1,8 +1,8 @@
 package gateway
 
-// This file owns the watch on discovery and the list of hosts as last held. What can't be read is dropped and
-// logged, and the list goes on as it was. It must never make the loop wait or take a silent discovery for an empty
-// list.
+// This file owns the watch on discovery, its move to another address, and the list of hosts as last held. What can't
+// be read is dropped and logged, and the list goes on as it was. It must never make the loop wait, take a silent
+// discovery for an empty list, or hear two watches at once.
 
 import (
 	"bytes"
@@ -11,18 +11,33 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"otterseam/choice"
 	"otterseam/http1"
 )
 
 type Discovery struct {
-	loop    *Loop
-	log     zerolog.Logger
+	ctx   context.Context
+	group *errgroup.Group
+	loop  *Loop
+	log   zerolog.Logger
+
+	mu      sync.Mutex
 	version int64
+	inForce *watching // the one that is heard
+	next    *watching // not yet heard, from a newer configuration
+}
+
+// watching is a watch at one address, made anew there whenever it breaks.
+type watching struct {
+	addr string
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // Roster is the list of hosts, or a change of it, as discovery writes it.
@@ -44,11 +59,57 @@
 
 var states = map[string]string{"Ready": "active", "Terminating": "leaving", "Gone": "left"}
 
-func NewDiscovery(loop *Loop, log zerolog.Logger) *Discovery { return &Discovery{loop: loop, log: log} }
+func NewDiscovery(ctx context.Context, group *errgroup.Group, loop *Loop, log zerolog.Logger) *Discovery {
+	return &Discovery{ctx: ctx, group: group, loop: loop, log: log}
+}
+
+// Watch watches at an address until the end. A new address is watched at once, and the old one is heard until the new
+// one has spoken: what either tells counts as told.
+func (d *Discovery) Watch(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	newest := d.inForce
+	if d.next != nil {
+		newest = d.next
+	}
+	if newest != nil && newest.addr == addr {
+		return
+	}
+	if d.next != nil {
+		d.next.stop()
+	}
+	w := &watching{addr: addr}
+	w.ctx, w.stop = context.WithCancel(d.ctx)
+	if d.inForce == nil {
+		d.inForce = w
+	} else {
+		d.next = w
+	}
+	d.group.Go(func() error { return d.run(w) })
+}
+
+// heard says whether what a watch brings counts; the new one takes over with its first line.
+func (d *Discovery) heard(w *watching) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w == d.next {
+		d.inForce.stop()
+		d.inForce, d.next = w, nil
+	}
+	return w == d.inForce
+}
+
+func (d *Discovery) held() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
 
 // Use hands a list to the loop, entries that make no sense left out.
 func (d *Discovery) Use(ctx context.Context, r Roster) {
+	d.mu.Lock()
 	d.version = r.Version
+	d.mu.Unlock()
 	var list []choice.Listed
 	var addrs []string
 	for _, e := range r.Servers {
@@ -77,15 +138,16 @@
 	l.module.Hosts(l.now, list, whole)
 }
 
-// Run watches until the end, anew from the version held whenever the watch breaks or falls silent.
-func (d *Discovery) Run(ctx context.Context, addr string) error {
+// run watches at one address, anew from the version held whenever the watch breaks or falls silent.
+func (d *Discovery) run(w *watching) error {
+	ctx := w.ctx
 	dialer := net.Dialer{Timeout: time.Second, KeepAlive: -1}
 	pause := 50 * time.Millisecond
 	for ctx.Err() == nil {
-		tcp, err := dialer.DialContext(ctx, "tcp", addr)
+		tcp, err := dialer.DialContext(ctx, "tcp", w.addr)
 		if err == nil {
 			var heard bool
-			if heard, err = d.watch(ctx, tcp); heard {
+			if heard, err = d.watch(w, tcp); heard {
 				pause = 50 * time.Millisecond
 			}
 			tcp.Close()
@@ -97,7 +159,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause):
 		}
-		pause = min(2*pause, time.Second)
+		pause = min(2*pause, 250*time.Millisecond) // the agent is on this machine
 	}
 	return nil
 }
@@ -105,10 +167,11 @@
 var errNoWatch = errors.New("not a watch")
 
 // watch reads one watch to its end; heard: it brought at least one line.
-func (d *Discovery) watch(ctx context.Context, tcp net.Conn) (heard bool, err error) {
+func (d *Discovery) watch(w *watching, tcp net.Conn) (heard bool, err error) {
+	ctx := w.ctx
 	stop := context.AfterFunc(ctx, func() { tcp.SetDeadline(past) })
 	defer stop()
-	if _, err = tcp.Write(http1.AppendWatch(nil, d.version)); err != nil {
+	if _, err = tcp.Write(http1.AppendWatch(nil, d.held())); err != nil {
 		return false, err
 	}
 	raw, n := make([]byte, 2*http1.Room), 0
@@ -116,7 +179,7 @@
 	var lines http1.Lines
 	data := make([]byte, 0, 512<<10) // a line of a thousand hosts
 	for ctx.Err() == nil {
-		tcp.SetReadDeadline(time.Now().Add(5 * time.Second)) // an empty line comes every 2 s
+		tcp.SetReadDeadline(time.Now().Add(3 * time.Second)) // an empty line comes every 2 s
 		m, err := tcp.Read(raw[n:])
 		if n += m; m == 0 && err != nil {
 			return heard, err
@@ -142,7 +205,9 @@
 			if !ok {
 				break
 			}
-			heard = true
+			if heard = true; !d.heard(w) {
+				return heard, errNoWatch
+			}
 			d.line(ctx, line)
 			data = data[:copy(data, rest)]
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -466,3 +466,31 @@
 		return true
 	})
 }
+
+// New addresses of discovery and the counter: the old ones are heard until the new ones stand, and a call that is out
+// there is answered there.
+func TestNewAddressesTakeOverWithoutAGap(t *testing.T) {
+	held := make(chan bool)
+	w := start(t, func(m *http1.Message, n int) string {
+		<-held
+		return ok("1")
+	}, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	first := w.watch
+	w.wait(func() bool { w.counter.add(7, 1, 1); return true })
+	after := newStandIn(t, room)
+	w.watch = make(chan string, 10)
+	w.loop.Move(w.clients.ctx, w.finder, w.agent(w.clients.ctx), after.Addr().String())
+	first <- `{"version":2,"servers":[` + entry("late", "127.0.0.1:9", "Ready") + `]}`
+	w.wait(func() bool { return w.hosts.byID["late"] != nil })
+	w.watch <- `{"version":3,"servers":[` + entry("new", "127.0.0.1:9", "Ready") + `]}`
+	w.wait(func() bool { return w.hosts.byID["new"] != nil })
+	w.wait(func() bool { return w.counter.ready() })
+	w.wait(func() bool { w.counter.add(8, 1, 1); return true })
+	if got := after.next(t); !strings.Contains(got, "/counters/8?") {
+		t.Fatalf("the new counter got %s", got)
+	}
+	w.wait(func() bool { w.counter.leave(); return len(w.counter.old) == 1 }) // where the call is out
+	close(held)
+	w.wait(func() bool { w.counter.leave(); return len(w.counter.old) == 0 && len(w.counter.names) == 0 })
+	after.none(t)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -99,6 +99,7 @@
 			l.module.Tick(l.now)
 			tick = 0
 			l.hosts.sweep()
+			l.counter.leave()
 		}
 		l.turns()
 		if next := l.now + l.module.Wait(l.now); tick == 0 || next < tick {
@@ -213,6 +214,12 @@
 	inv.from.answers <- answer{request: inv.request, reply: reply, status: status, retryAfter: retryAfter}
 }
 
+// Move takes up other addresses of discovery and the counter, while all goes on.
+func (l *Loop) Move(ctx context.Context, discovery *Discovery, watch, counter string) {
+	discovery.Watch(watch)
+	l.tell(ctx, func() { l.counter.Use(counter) })
+}
+
 // Count, Cancel, Tell and Log are the module's way out for what belongs to no single invocation.
 func (l *Loop) Count(name uint64, amount, life float64) { l.counter.add(name, amount, life) }
 
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -132,6 +132,8 @@
 	loop    *Loop
 	clients *Clients
 	hosts   *Hosts
+	counter *Counter
+	finder  *Discovery
 	watch   chan string // lines for the watch
 	log     *lines
 }
@@ -178,14 +180,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := NewCounter(w.loop, s.Extra.Limit)
+	c := NewCounter(ctx, group, w.loop, s.Extra.Limit)
 	if w.clients, err = NewClients(ctx, group, w.loop, log, buffers, "127.0.0.1:0", s.Methods(), 50,
 		func() bool { return true }); err != nil {
 		t.Fatal(err)
 	}
 	w.clients.slowest = 200 * time.Millisecond
 	w.addr = w.clients.listener.Addr().String()
-	d := NewDiscovery(w.loop, log)
+	d := NewDiscovery(ctx, group, w.loop, log)
+	if counter != nil {
+		c.Use(newStandIn(t, counter).Addr().String())
+	}
 	group.Go(func() error { return w.loop.Run(ctx, module, w.hosts, c, peers) })
 	group.Go(func() error { return peers.Read(ctx) })
 	group.Go(func() error { return peers.Write(ctx) })
@@ -197,13 +202,13 @@
 	}
 	d.Use(ctx, first)
 	w.loop.tell(ctx, func() {}) // the list stands before the watch begins
-	group.Go(func() error { return d.Run(ctx, w.agent(ctx)) })
+	d.Watch(w.agent(ctx))
 	if counter != nil {
-		c.Run(ctx, group, newStandIn(t, counter).Addr().String())
 		for until := time.Now().Add(3 * time.Second); !c.ready() && time.Now().Before(until); {
 			time.Sleep(time.Millisecond)
 		}
 	}
+	w.counter, w.finder = c, d
 	group.Go(w.clients.Accept)
 	t.Cleanup(func() {
 		stop()
@@ -220,6 +225,7 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { l.Close() })
+	watch := w.watch
 	go func() {
 		tcp, err := l.Accept()
 		if err != nil {
@@ -232,7 +238,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case line := <-w.watch:
+			case line := <-watch:
 				fmt.Fprintf(tcp, "%x\r\n%s\n\r\n", len(line)+1, line)
 			}
 		}
