Memory no longer grows: small buffers, what has left is forgotten, rested connections end

Checked: descriptors stay level (46 to 142), so not leaked sockets; CPU 1.1 s, so the collector was not pressed: with its setting of 400 it does not run before 16 MB. Ruled out: the pool (64 at most). At fault: SetGCPercent(400) in main.go; a buffer of 80 KiB for each connection at rest (clients.go serve, hosts.go read); customers, inOrder, hosts and byAddr of the module, byID and inOrder of hosts.go, which never shrank. Hosts that had gone also counted as set aside in setAside: once they were half of all, no host could be set aside any more.

Now: buffers of 4 KiB, a large room lent while a message needs it and bounded in number; a customer is forgotten when its burst is full and nothing is out; a host when it has left with nothing out; client connections end after 5 s between requests, 2.2 s if nothing ever came. The buffers of one size are given up in the open: 340 connections of 80 KiB are 27 MB, more than a machine of 32 MB has.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,10 +1,7 @@
 // Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
-//
-// How to call it. New makes an instance; Hosts, Counted, Told, Gone and Tick tell it what was seen; Take
-// brings an invocation in. Three calls decide: while Turn names an invocation, Where says where to send it
-// (or not yet, or never); After says what to do once a delivery has ended; Wait says how long until the next
-// Tick. Counter calls, cancels, messages and log lines leave through Out.
-//
+// How to call it. New makes an instance; Hosts, Counted, Told, Gone and Tick tell it what was seen. Take
+// brings an invocation in. While Turn names one, Where says where to send it (or not yet, or never); After
+// says what to do once a delivery has ended; Wait how long until the next Tick. The rest leaves through Out.
 // The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
 // throttled if the total passes the limit (the estimate taken off again), and the true cost is settled.
 // Beside it stand:
@@ -20,6 +17,7 @@
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -38,18 +36,17 @@
 const fresh, asking, refused, waiting, sent, finished stage = 0, 1, 2, 3, 4, 5
 
 type Invocation struct {
-	Ref                  string
-	Deliveries           []*Delivery
-	op                   *operation
-	cust                 *customer
-	size, units          float64 // as it says, and as the quota on the rate counts it
-	born, wanted, giveUp float64 // it came, its latency objective ends, its client gives up
-	comeBack             float64
-	stage                stage
-	repeat, charged      bool      // it is marked as a client's repeat; it holds units and an open place
-	out                  int       // deliveries out
-	mayRun               *Delivery // the first delivery not proved not run
-	toHost               *Host     // chosen by Turn
+	Ref                   string
+	Deliveries            []*Delivery
+	op                    *operation
+	cust                  *customer
+	size, units, comeBack float64 // as it says, as the quota on the rate counts it; when to come back
+	born, wanted, giveUp  float64 // it came, its latency objective ends, its client gives up
+	stage                 stage
+	repeat, charged       bool      // it is marked as a client's repeat; it holds units and an open place
+	out                   int       // deliveries out
+	mayRun                *Delivery // the first delivery not proved not run
+	toHost                *Host     // chosen by Turn
 }
 
 func (inv *Invocation) Finished() bool { return inv.stage == finished && inv.out == 0 }
@@ -60,12 +57,11 @@
 	listed, aside, asked bool // active in the list; set aside here; by a peer that asks for word of it
 	out                  []*Delivery
 	since, coldNext      float64 // its last start; while cold nothing new before it has grown so far
-	places               float64 // how many deliveries this instance may have out there
+	places, restAt       float64 // how many deliveries this instance may have out there; nothing new before
 	slow, best           float64 // time of its answers over their operation's base; the least of it
 	pace, odd            float64 // mean gap between good answers times deliveries out; how odd its silence is
 	sign                 float64 // last good answer, or when it was given work after none
 	trialAt, trialGap    float64 // set aside: next trial, and how far apart
-	restAt               float64 // nothing new before
 }
 
 type operation struct {
@@ -91,12 +87,11 @@
 }
 
 type call struct {
-	cust   *customer
-	inv    *Invocation
-	window int64
-	units  float64 // added, est of them the estimate
-	est    float64
-	open   int
+	cust       *customer
+	inv        *Invocation
+	window     int64
+	units, est float64 // added, est of them the estimate
+	open       int
 }
 
 type Gateway struct {
@@ -114,12 +109,12 @@
 	names              map[uint64][]*call
 	callRate, deniedAt float64 // counter calls a second that may be made; when one was last wanted and not made
 	callRoom, callAt   float64 // how many may be made now, as of callAt
+	lateAt, drawn      float64 // when the rate was last cut; chances drawn so far
 	tellAt, shut       float64 // no message to the peers before; share of deliveries of late with no connection
 	crowded            bool    // one was denied of late
 	ready, line        []*Invocation
 	abroad, most       float64 // deliveries out; how many there may be a host, from all api gateways
 	wait, mean, luck   float64 // of late: answer times over objectives, answer times; a chance
-	drawn              uint64  // chances drawn so far
 	all, own           float64 // api gateways; what part of a host or customer one can judge by itself
 }
 
@@ -207,13 +202,24 @@
 
 func (g *Gateway) Tick(now float64) {
 	g.watch(now)
-	for _, c := range g.inOrder {
+	g.inOrder = slices.DeleteFunc(g.inOrder, func(c *customer) bool {
 		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear
 		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall(now) {
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
-	}
+		if c.quiet(now) {
+			delete(g.customers, c.key)
+		}
+		return g.customers[c.key] != c
+	})
+}
+
+// quiet: to forget it changes no decision. Guards against memory that grows with all who ever came.
+func (c *customer) quiet(now float64) bool {
+	idle, rate := now-c.at, c.plan.Rate // a ceiling starts empty, and so is remembered for longer
+	return c.out == 0 && c.standing == 0 && c.asking == 0 && c.room+rate*idle >= c.plan.Burst &&
+		c.partNow(now) == 1 && idle > c.plan.windowLength() && (idle > 60 || c.plan.CeilingRate == 0)
 }
 
 // end gives the final answer. A throttling needs proof that nothing ran, or an operation that may run again.
@@ -248,9 +254,8 @@
 
 func (p *Plan) limited() bool { return p.Rate > 0 || p.MaxOut > 0 }
 
-// roll brings a customer's room up to now and, at a window's edge, to the new name. Room is what the window's
-// allowance leaves above the last total; it grows at the plan's rate. What passes one burst is lost once a
-// total has told what the others used, so that an edge carries over at most one burst.
+// roll brings a customer's room up to now and, at a window's edge, to the new name. Room is what the
+// last total leaves. What passes one burst is lost once a total has come: an edge carries over one at most.
 func (g *Gateway) roll(now float64, c *customer) {
 	p := c.plan
 	c.room += p.Rate * (now - c.at)
@@ -355,8 +360,8 @@
 	g.ready = append(g.ready, inv)
 }
 
-// crowd guards against a counter that is slow, silent, refusing or too small: calls a second fall with a
-// failed one and grow a bit with a good one, so that all share what there is. The few still made are trials.
+// crowd guards against a counter that is slow, silent, refusing or too small: calls a second follow the time
+// of its answers, and fall once for a jam, so that all share what there is. The few still made are trials.
 func (g *Gateway) crowd(now float64, how Outcome, took float64) {
 	if how != Succeeded {
 		g.callRate *= 0.8
@@ -378,8 +383,7 @@
 	}
 	others := units - k.units - c.seen
 	if others < -(4*g.counter.Most + p.Burst/4) {
-		// Guards against a forgotten count: no take-offs of others explain so low a total. The room stays as it is,
-		// so what was used stays used and later settlements open none.
+		// Guards against a forgotten count: no take-offs explain so low a total. What was used stays used.
 		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
 		others = max(0, units-k.units)
 	}
@@ -416,7 +420,7 @@
 	}
 }
 
-// partNow is the part of a customer's tries let in without a call, as it has grown back since it was cut.
+// partNow is the part of its tries let in without a call, grown back since it was cut.
 func (c *customer) partNow(now float64) float64 { return min(1, c.part*math.Exp(0.05*(now-c.overAt))) }
 
 // over: a customer's total left no room, here or by a peer's word; less of it is let in without a call.
@@ -437,9 +441,8 @@
 	}
 }
 
-// bridge decides without a call, by this instance's share of the quota, however fresh the last total: others
-// do so too. The counter is told later. Where it sees little of a customer itself, it lends freely to one far
-// from its quota, and lets in a part of the tries, which totals over the quota cut (see over).
+// bridge decides without a call, by this instance's share of the quota; the counter is told later. Where it
+// sees little of a customer, it lends to one far from its quota, and lets in a part of the tries (see over).
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
 	if c.lentAt == 0 {
@@ -513,9 +516,8 @@
 		max(inv.born, min(inv.wanted-1.3*inv.op.mean, inv.born+0.5*inv.op.Objective)))
 }
 
-// fromLine gives the invocation that the next free place should take, or one that has waited too long. It
-// goes by billed value for unpressed time; a repeat, which often comes too late, counts less. Among equals
-// the oldest goes first, in a long line the newest: the oldest would be late anyway.
+// fromLine gives the invocation that the next free place should take, or one that has waited too long: by
+// billed value for unpressed time, a repeat counting less; of equals the oldest, in a long line the newest.
 func (g *Gateway) fromLine(now float64) *Invocation {
 	if len(g.line) == 0 {
 		return nil
@@ -570,15 +572,14 @@
 	return (now - h.since) * (g.cold.Share + (1-g.cold.Share)*g.warmth(now, h)/2)
 }
 
-// coldGap is the cold budget: how much a host just started grows between deliveries from here, if all
-// together keep to what two cores can do. The first waits for a part of it by chance: one each is too much.
+// coldGap is the cold budget: how much a host grows between deliveries from here; the first waits by chance.
 func (g *Gateway) coldGap() float64 {
 	return 0.5 * g.mean * g.all / min(1, g.cold.Factor/2)
 }
 
 func (g *Gateway) chance() float64 {
 	g.drawn++
-	return float64(2654435761*crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d", g.at.Seed, g.drawn))) / (1 << 32)
+	return float64(2654435761*crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %.0f", g.at.Seed, g.drawn))) / (1 << 32)
 }
 
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
@@ -589,8 +590,7 @@
 			continue
 		}
 		slow := max(h.slow, 1/max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h)))
-		// Guards against all choosing the same host: the less one knows of a host by itself, the more it goes by
-		// chance, in proportion to what hosts can do.
+		// Guards against all choosing the same host: the less one knows of hosts, the more it goes by chance.
 		cost := math.Pow(slow, 2-g.own) * (1 + 0.5*float64(len(h.out))) * math.Pow(-math.Log(1-g.chance()), 1-g.own)
 		if h.pace == 0 { // guards against hosts that hold all the connections they take: stay where one is in
 			cost *= 1 + 100*g.shut
@@ -698,6 +698,9 @@
 		}
 		h.zone, h.cell, h.listed = l.Zone, l.Cell, l.State == "active"
 	}
+	left := func(h *Host) bool { return !h.listed && len(h.out) == 0 } // it is forgotten
+	g.hosts = slices.DeleteFunc(g.hosts, left)
+	maps.DeleteFunc(g.byAddr, func(_ string, h *Host) bool { return left(h) })
 	slices.SortFunc(g.hosts, func(a, b *Host) int { return strings.Compare(a.Addr, b.Addr) })
 }
 
@@ -737,8 +740,7 @@
 		}
 		g.comeBack(h, fmt.Sprintf("answered in %.3f s", e.Took))
 	case TimedOut, TurnedAway, Failed, NoConnection, Reset: // time-outs in a row are silence too
-		// Guards against hosts that end work fast and badly and so draw it all: one is judged by good answers, and
-		// many, too many to set aside, rest longer with each bad ending.
+		// Guards against hosts that end work fast and badly and so draw it all: each bad ending rests longer.
 		h.fails++
 		h.restAt = max(h.restAt, now+min(1, 0.02*math.Exp2(float64(h.fails))))
 		if e.How == TimedOut {
@@ -803,8 +805,7 @@
 	}
 }
 
-// Told brings a peer's message: "=plan customer" has no room left, "-host" asks for word of a host set aside,
-// "+host" reports a good answer. One that fails again after peers' word comes back by trial alone.
+// Told brings a peer's message: "=plan customer" has no room, "-host" asks for word of it, "+host" answers.
 func (g *Gateway) Told(now float64, text string) {
 	if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
 		g.over(now, g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways}), 0.6)
@@ -813,7 +814,7 @@
 	h := g.byAddr[strings.TrimLeft(text, "+-")]
 	if h != nil && text[0] == '-' {
 		h.asked = true
-	} else if h != nil && text[0] == '+' && h.listed && h.trialGap <= 1 {
+	} else if h != nil && text[0] == '+' && h.listed && h.trialGap <= 1 { // a second time: by trial alone
 		g.comeBack(h, "a peer reports good answers")
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -660,3 +660,31 @@
 		}
 	}
 }
+
+// Customers and hosts that came once were kept for good; the hosts gone also counted as set aside, so that after some
+// time none could be.
+func TestWhoHasLeftIsForgotten(t *testing.T) {
+	f := newFake(t, ten)
+	inv := f.take(4, 2)
+	f.total(4)
+	f.ends(inv, Succeeded)
+	for range 30 {
+		f.wait(1)
+		f.noTotals()
+	}
+	if len(f.g.customers)+len(f.g.inOrder) > 0 {
+		t.Fatalf("%d customers are kept, a full burst and nothing out", len(f.g.customers))
+	}
+	inv = f.take(4, 2)
+	f.total(4)
+	d := inv.Deliveries[0]
+	f.g.Hosts(f.now, []Listed{{Addr: "c", Zone: "z", State: "active"}}, true)
+	if len(f.g.hosts) != 2 || f.g.byAddr[d.Host.Addr] != d.Host {
+		t.Fatalf("%d hosts: want the new one and the one with a delivery out", len(f.g.hosts))
+	}
+	f.ends(inv, Succeeded)
+	f.g.Hosts(f.now, []Listed{{Addr: "c", Zone: "z", State: "active"}}, false)
+	if len(f.g.hosts) != 1 || len(f.g.byAddr) != 1 {
+		t.Fatalf("%d hosts are kept", len(f.g.hosts))
+	}
+}
--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"otterseam/gateway"
+	"otterseam/http1"
 	"otterseam/wire"
 )
 
@@ -101,7 +102,7 @@
 		sockets = 1024
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100) // at 400 the heap grew to 16 MB before the collector first ran
 	debug.SetMemoryLimit(int64(0.7 * memory * (1 << 20)))
 	// Of the descriptors a rest is kept for the counter, discovery, peers and the runtime.
 	clientsMost, hostsMost := max(8, (sockets-40)*55/100), max(8, (sockets-40)*40/100)
@@ -113,7 +114,7 @@
 	root, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(root)
-	buffers := gateway.NewBuffers(64)
+	buffers := gateway.NewBuffers(64, max(16, int(memory*(1<<20)/4/http1.Room)))
 	loop := gateway.NewLoop(log)
 	module, err := f.Settings.Module(seed, loop)
 	if err != nil {
@@ -139,6 +140,7 @@
 	discovery.Use(ctx, f.Known) // before any client is taken
 	discovery.Watch(f.Discovery)
 	group.Go(clients.Accept)
+	group.Go(clients.Sweep)
 	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
 	end := sync.OnceFunc(func() {
 		group.Go(func() error {
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -19,10 +19,13 @@
 )
 
 const (
-	slowest   = 5 * time.Second        // a request begun must be whole after this, an answer written
-	lateEntry = 400 * time.Millisecond // after the call to end, new connections still come for this long
-	lastLook  = 2 * time.Millisecond   // before a connection between requests is closed
-	patience  = time.Second            // a new connection is not closed to make room before this
+	slowest   = 5 * time.Second         // a request begun must be whole after this, an answer written
+	lateEntry = 400 * time.Millisecond  // after the call to end, new connections still come for this long
+	lastLook  = 2 * time.Millisecond    // before a connection between requests is closed
+	patience  = time.Second             // a new connection is not closed to make room before this
+	silent    = 2200 * time.Millisecond // one on which nothing has come yet is closed after this
+	resting   = 5 * time.Second         // one between requests
+	look      = 250 * time.Millisecond  // how often they are looked through
 )
 
 type Clients struct {
@@ -55,6 +58,7 @@
 	mu    sync.Mutex
 	begun bool      // bytes of a request have come
 	since time.Time // when it came to rest between requests; later than now: a new one, not yet to be closed
+	used  bool      // bytes have come on it
 	last  bool      // its last answer is written
 }
 
@@ -135,6 +139,36 @@
 	return oldest != nil && oldest.poke()
 }
 
+// Sweep ends connections that have rested for long. Guards against clients that ask once, or never, and stay: they
+// would hold descriptors and memory for good.
+func (cs *Clients) Sweep() error {
+	for tick := time.NewTicker(look); ; {
+		select {
+		case <-cs.ctx.Done():
+			tick.Stop()
+			return nil
+		case now := <-tick.C:
+			cs.mu.Lock()
+			for c := range cs.open {
+				if c.rested(now) {
+					c.poke()
+				}
+			}
+			cs.mu.Unlock()
+		}
+	}
+}
+
+func (c *client) rested(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := resting
+	if !c.used {
+		limit = silent - patience
+	}
+	return !c.since.IsZero() && now.Sub(c.since) > limit
+}
+
 // End answers all that has been taken and closes every connection between requests. New connections are still taken
 // for a while, as the front sends them, each for one request.
 func (cs *Clients) End(limit time.Duration) {
@@ -168,16 +202,17 @@
 // where that is done.
 func (c *client) serve() {
 	cs := c.clients
-	b, n := cs.buffers.Take(), 0
-	b.Begin(b.Bytes, false)
+	b, n := cs.buffers.Take(false), 0
 	for {
 		status, call := c.request(b, n)
 		if status < 0 || !c.settled() { // at its end, or the answer before this one can't be written any more
 			break
 		}
-		next := cs.buffers.Take()
-		next.Begin(next.Bytes, false)
-		n = copy(next.Space(), b.Rest())
+		next, more := cs.buffers.Follow(b)
+		if n = more; next == nil {
+			status = 503
+			next = cs.buffers.Take(false)
+		}
 		if status > 0 {
 			last := status != 200 || b.Close || cs.ending.Load()
 			c.tcp.SetWriteDeadline(time.Now().Add(cs.slowest))
@@ -258,7 +293,7 @@
 
 func (c *client) begin() {
 	c.mu.Lock()
-	c.begun, c.since = true, time.Time{}
+	c.begun, c.used, c.since = true, true, time.Time{}
 	c.mu.Unlock()
 }
 
@@ -286,6 +321,9 @@
 			timed = true
 			c.tcp.SetReadDeadline(time.Now().Add(c.clients.slowest))
 		}
+		if len(b.Space()) == 0 && !c.clients.buffers.Grow(b, c.clients.buffers.most/2) {
+			return 503, call // guards against a crowd of large bodies: hosts' answers need rooms too
+		}
 		var bad error
 		if n, bad = c.tcp.Read(b.Space()); n > 0 {
 			if b.Empty() {
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -333,17 +333,20 @@
 
 // read reads answers, each for the oldest call in the order, until the connection ends or an answer makes no sense.
 func (k *counterConn) read(ctx context.Context, tcp net.Conn) (answered bool) {
-	b := &Buffer{Bytes: make([]byte, http1.Room)}
-	b.Begin(b.Bytes, true)
+	var b http1.Message
+	b.Begin(make([]byte, http1.Small), true)
 	for {
 		tcp.SetReadDeadline(time.Now().Add(time.Second))
+		if len(b.Space()) == 0 { // no total is that long
+			return answered
+		}
 		n, err := tcp.Read(b.Space())
 		for whole, bad := b.Got(n); whole || bad != nil; whole, bad = b.Got(n) {
 			if bad != nil {
 				return answered
 			}
 			x := k.oldest()
-			if x == nil || !x.read(&b.Message) {
+			if x == nil || !x.read(&b) {
 				return answered
 			}
 			k.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -376,8 +376,8 @@
 }
 
 func TestBufferGivenBackTwiceIsNoticed(t *testing.T) {
-	p := NewBuffers(1)
-	b := p.Take()
+	p := NewBuffers(1, 1)
+	b := p.Take(false)
 	p.Give(b)
 	defer func() {
 		if recover() == nil {
@@ -494,3 +494,49 @@
 	w.wait(func() bool { w.counter.leave(); return len(w.counter.old) == 0 && len(w.counter.names) == 0 })
 	after.none(t)
 }
+
+// Connections at rest held a large room each, and stayed for good.
+func TestConnectionsAtRestHoldLittleAndEnd(t *testing.T) {
+	h := newStandIn(t, func(m *http1.Message, n int) string { return ok(string(m.Body)) })
+	w := start(t, room, h)
+	long := strings.Repeat("y", 60<<10)
+	tcp, silent := w.dial(), w.dial()
+	for range 3 {
+		if status, body := ask(tcp, invoke("pay", 900, long)); status != 200 || body != long {
+			t.Fatalf("%d with %d bytes", status, len(body))
+		}
+	}
+	w.wait(func() bool { return w.clients.buffers.out.Load() == 0 })
+	w.clients.mu.Lock()
+	for c := range w.clients.open {
+		c.mu.Lock()
+		c.since = time.Now().Add(-resting) // as if it had rested for so long
+		c.mu.Unlock()
+	}
+	w.clients.mu.Unlock()
+	if !closed(tcp) || !closed(silent) {
+		t.Fatal("they stay")
+	}
+}
+
+func TestLargeRoomsAreBounded(t *testing.T) {
+	p := NewBuffers(4, 1)
+	a, b := p.Take(false), p.Take(false)
+	if !p.Grow(a, 1) || p.Grow(b, 1) {
+		t.Fatal("one large room, and no more, was to be had")
+	}
+	p.Give(a)
+	if !p.Grow(b, 1) {
+		t.Fatal("the room given back is not lent again")
+	}
+}
+
+func TestHostsThatLeftAreForgotten(t *testing.T) {
+	w := start(t, room, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	ask(w.dial(), invoke("look", 900, ""))
+	for i := range 50 {
+		w.watch <- fmt.Sprintf(`{"version":%d,"servers":[%s,%s]}`, i, entry(fmt.Sprint("h", i), "127.0.0.1:9", "Gone"),
+			entry(fmt.Sprint("h", i+1), "127.0.0.1:9", "Ready"))
+	}
+	w.wait(func() bool { return w.hosts.byID["h50"] != nil && len(w.hosts.byID) == 1 && len(w.hosts.inOrder) == 1 })
+}
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,10 +85,14 @@
 		dialer: net.Dialer{Timeout: time.Duration(connect * float64(time.Second)), KeepAlive: -1}, idleFor: 0.6 * idle}
 }
 
-// List takes over what discovery told of a host: where it is, and whether it takes new work.
+// List takes over what discovery told of a host: where it is, and whether it takes new work. Its connections know their
+// host and its address themselves, so that one listed under another id at the same address is another host.
 func (hs *Hosts) List(id, addr string, active bool) {
 	h := hs.byID[id]
 	if h == nil {
+		if !active {
+			return
+		}
 		h = &host{id: id}
 		hs.byID[id] = h
 		hs.inOrder = append(hs.inOrder, h)
@@ -103,12 +108,16 @@
 	for len(h.waiting) > 0 { // nothing new goes to a host that leaves
 		hs.withdraw(h.waiting[0], choice.TimedOut)
 	}
+	if !active { // one that leaves is forgotten, else the list grows with every host that ever was
+		delete(hs.byID, id)
+		hs.inOrder = slices.DeleteFunc(hs.inOrder, func(x *host) bool { return x == h })
+	}
 }
 
 // Only keeps the hosts of a whole list active.
 func (hs *Hosts) Only(listed map[string]bool) {
-	for _, h := range hs.inOrder {
-		if h.active && !listed[h.id] {
+	for _, h := range slices.Clone(hs.inOrder) {
+		if !listed[h.id] {
 			hs.List(h.id, h.addr, false)
 		}
 	}
@@ -139,7 +148,7 @@
 
 func (hs *Hosts) hand(c *hostConn, d *delivery) {
 	c.on, d.conn = d, c
-	b := hs.buffers.Take()
+	b := hs.buffers.Take(false)
 	b.Bytes = http1.AppendRequest(b.Bytes[:0], &d.inv.request.Message, d.due-hs.loop.now)
 	c.work <- b
 }
@@ -315,7 +324,6 @@
 			c.written, c.dead = err == nil, err != nil
 		}
 		c.mu.Unlock()
-		b.Bytes = b.Bytes[:http1.Room]
 		c.hosts.buffers.Give(b)
 		if err != nil {
 			c.tcp.SetDeadline(past)
@@ -330,9 +338,8 @@
 func (c *hostConn) read() {
 	stop := context.AfterFunc(c.hosts.ctx, func() { c.tcp.SetDeadline(past) })
 	defer stop()
-	b := c.hosts.buffers.Take()
+	b := c.hosts.buffers.Take(true)
 	for {
-		b.Begin(b.Bytes, true)
 		how, reuse := c.answer(b)
 		c.mu.Lock()
 		was := c.written
@@ -347,7 +354,7 @@
 		if !reuse {
 			break
 		}
-		b = c.hosts.buffers.Take()
+		b = c.hosts.buffers.Take(true)
 	}
 	c.hosts.buffers.Give(b)
 	c.work <- nil
@@ -358,6 +365,9 @@
 // answer reads one answer and says what it means, and whether the connection can be used again.
 func (c *hostConn) answer(b *Buffer) (how choice.Outcome, reuse bool) {
 	for {
+		if len(b.Space()) == 0 && !c.hosts.buffers.Grow(b, c.hosts.buffers.most) {
+			return choice.Failed, false
+		}
 		n, err := c.tcp.Read(b.Space())
 		for n > 0 {
 			whole, bad := b.Got(n)
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -169,7 +169,7 @@
 	group, ctx := errgroup.WithContext(root)
 	w := &world{t: t, watch: make(chan string, 10), log: &lines{}}
 	log := zerolog.New(w.log)
-	buffers := NewBuffers(8)
+	buffers := NewBuffers(8, 100)
 	w.loop = NewLoop(log)
 	module, err := s.Module(1, w.loop)
 	if err != nil {
@@ -210,6 +210,7 @@
 	}
 	w.counter, w.finder = c, d
 	group.Go(w.clients.Accept)
+	group.Go(w.clients.Sweep)
 	t.Cleanup(func() {
 		stop()
 		w.clients.Close()
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -9,11 +9,17 @@
 // feed gives m the text in pieces of so many bytes.
 func feed(text string, response bool, piece int) (*Message, bool, error) {
 	m := &Message{}
-	m.Begin(make([]byte, Room), response)
+	m.Begin(make([]byte, 512), response)
 	for len(text) > 0 {
+		if len(m.Space()) == 0 {
+			m.Move(make([]byte, Room))
+		}
 		n := copy(m.Space(), text[:min(piece, len(text))])
 		text = text[n:]
 		if whole, err := m.Got(n); whole || err != nil {
+			if len(m.Space()) < len(text) {
+				m.Move(make([]byte, Room+len(text)))
+			}
 			copy(m.Space(), text)
 			m.end += len(text)
 			return m, whole, err
--- a/http1/message.go
+++ b/http1/message.go
@@ -10,11 +10,13 @@
 	"errors"
 )
 
-// HeadLimit and BodyLimit are the most a message may hold; Room holds both, and a head written anew.
+// HeadLimit and BodyLimit are the most a message may hold; Room holds both, and a head written anew. Small holds most
+// messages.
 const (
 	HeadLimit = 8 << 10
 	BodyLimit = 64 << 10
 	Room      = 80 << 10
+	Small     = 4 << 10
 )
 
 var (
@@ -50,12 +52,26 @@
 	*m = Message{room: room, response: response, Fields: m.Fields[:0]}
 }
 
-// Space is where the next bytes are to be read into; it is never empty while the message is not whole.
+// Space is where the next bytes are to be read into. Where it is empty before the message is whole, the message is to be
+// moved to a larger room.
 func (m *Message) Space() []byte { return m.room[m.end:] }
 
 // Empty says that nothing of the message has come.
 func (m *Message) Empty() bool { return m.end == 0 }
 
+// Move takes what has come to a larger room.
+func (m *Message) Move(room []byte) {
+	old := *m
+	m.Begin(room, old.response)
+	m.end = copy(room, old.room[:old.end])
+	if m.scanned = old.scanned; old.body == 0 {
+		return
+	}
+	m.scanned = 0
+	m.head() // it was good before, and points into the new room now
+	m.chunks, m.Body = old.chunks, room[m.body:m.body+len(old.Body)]
+}
+
 // Rest is what came after the end of a whole message.
 func (m *Message) Rest() []byte { return m.room[m.rest:m.end] }
 
@@ -218,7 +234,7 @@
 	}
 	m.end = from + w + copy(m.room[from+w:], m.room[from+r:m.end])
 	m.rest = from + w
-	if !done && m.end == len(m.room) {
+	if !done && m.end >= Room {
 		return false, ErrBodyTooLong
 	}
 	return done, nil
