A spoilt answer of the counter counts as added and does not slow the calls to it

Checked: the log shows calls held back from the first second on; 79 spoilt answers, each taking a fifth off the rate and all calls behind it on its connection with it. Ruled out: CPU (0.06 s in the worst second), descriptors (211 of 384). At fault: read and live of counter.go told a spoilt answer as one that timed out, and missed in choice.go then added its amount a second time; crowd in choice.go took a broken connection for a counter pressed; three connections only.

Now: it is told as failed, the amount stands, calls behind it as reset; neither cuts the rate; eight connections.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -286,9 +286,7 @@
 		inv.comeBack = short / c.plan.Rate
 		return g.end(now, inv)
 	}
-	inv.charged = true
-	c.out++
-	c.room -= inv.units
+	inv.charged, c.out, c.room = true, c.out+1, c.room-inv.units
 	if !g.mayCall(now) || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 	} else {
@@ -298,7 +296,6 @@
 	return Answer{}
 }
 
-// mayCall paces the calls, so that all api gateways together ask no more than the counter takes.
 func (g *Gateway) mayCall(now float64) bool {
 	g.callRoom = min(max(1, g.callRate/8), g.callRoom+g.callRate*(now-g.callAt))
 	if g.callAt = now; g.callRoom < 1 {
@@ -337,7 +334,7 @@
 	g.roll(now, c)
 	g.crowd(now, how, took)
 	if c.asking -= k.est; how != Succeeded {
-		g.missed(now, k)
+		g.missed(now, k, how)
 		return
 	}
 	if c.lentAt = 0; k.window == c.window {
@@ -363,7 +360,8 @@
 // crowd guards against a counter that is slow, silent, refusing or too small: calls a second follow the time
 // of its answers, and fall once for a jam, so that all share what there is. The few still made are trials.
 func (g *Gateway) crowd(now float64, how Outcome, took float64) {
-	if how != Succeeded && now-g.lateAt > g.counter.Limit { // one step for a jam, however many calls are in it
+	lost := strings.ContainsRune("FTC", rune(how)) // not for a broken connection
+	if lost && now-g.lateAt > g.counter.Limit {    // one step for a jam, however many calls are in it
 		g.callRate, g.lateAt = 0.8*g.callRate, now
 	} else if how == Succeeded && (took > 0.4*g.counter.Limit || g.callRoom < g.callRate/10) {
 		g.callRate += 0.05 + 0.03*g.callRate*(0.4-took/g.counter.Limit)
@@ -387,7 +385,6 @@
 		g.out.Log(fmt.Sprintf("a count was forgotten: %.0f after %.0f", units-k.units, c.seen))
 		others = max(0, units-k.units)
 	}
-	// What the others would have used since the last total; after a long gap, what they did use.
 	blind := now - c.sawAt
 	if age := math.Mod(now, p.windowLength()); p.Rate > 0 && others > 0 && blind > age {
 		// No total of this window yet: before it they used as much as in it.
@@ -420,7 +417,6 @@
 	}
 }
 
-// partNow is the part of its tries let in without a call, grown back since it was cut.
 func (c *customer) partNow(now float64) float64 { return min(1, c.part*math.Exp(0.05*(now-c.overAt))) }
 
 // over: a customer's total left no room, here or by a peer's word; less of it is let in without a call.
@@ -431,12 +427,17 @@
 }
 
 // missed handles a call without a total, as if nothing was added: in doubt a count is too high, not too low.
-func (g *Gateway) missed(now float64, k *call) {
-	k.cust.owed += k.units - k.est
-	if k.window == k.cust.window {
-		k.cust.standing -= k.open
+func (g *Gateway) missed(now float64, k *call, how Outcome) {
+	bridged := k.inv != nil && k.inv.stage == asking
+	if how != Failed {
+		k.cust.owed += k.units - k.est
+		if k.window == k.cust.window {
+			k.cust.standing -= k.open
+		}
+	} else if bridged { // answered by what can't be read: added all the same, and bridge would add it again
+		k.cust.owed -= k.est
 	}
-	if k.inv != nil && k.inv.stage == asking {
+	if bridged {
 		g.bridge(now, k.inv)
 	}
 }
@@ -522,10 +523,9 @@
 	if len(g.line) == 0 {
 		return nil
 	}
-	listed := slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !h.listed })
 	var free []*Host
-	if g.abroad < math.Floor(max(1, g.most*float64(len(listed))/g.all)+g.luck) {
-		free = slices.DeleteFunc(listed, func(h *Host) bool { return !g.free(now, h) })
+	if g.abroad < math.Floor(max(1, g.most*float64(len(g.hosts))/g.all)+g.luck) {
+		free = slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !g.free(now, h) })
 	}
 	best, most := (*Invocation)(nil), 0.0
 	for _, inv := range g.line {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -719,3 +719,27 @@
 		t.Fatalf("%d hosts are kept", len(f.g.hosts))
 	}
 }
+
+// The counter's answer can't be read: the estimate was added all the same and is not owed again, and the calls go on.
+func TestAnAnswerOfTheCounterThatCantBeReadWasAdded(t *testing.T) {
+	f := newFake(t, ten)
+	before := f.g.callRate
+	inv := f.take(1, 1)
+	f.wantCall(1)
+	f.counted(Failed, 0)
+	f.wantSent(inv, 1)
+	f.ends(inv, Succeeded)
+	f.take(2, 1)
+	f.wantCall(2)
+	f.total(9)
+	f.wait(0.1)
+	if f.g.callRate < before {
+		t.Fatalf("%.1f calls a second, %.1f before", f.g.callRate, before)
+	}
+	inv = f.take(8, 1) // over its room, and what was added is taken off
+	f.counted(Failed, 0)
+	if f.last[inv].Do != Throttle {
+		t.Fatalf("got %+v", f.last[inv])
+	}
+	f.wantCall(-8)
+}
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	counterConns = 3
-	mostCalls    = 256 // out on one connection
+	counterConns = 8  // few calls out on each: one that breaks takes all behind it with it
+	mostCalls    = 64 // out on one connection
 )
 
 type Counter struct {
@@ -51,7 +51,8 @@
 	made    float64
 	until   int64 // where it ends in what is written to its connection
 	told    bool
-	held    int // by how many lists: used again when by none
+	spoilt  bool // its answer made no sense: added, but the total is not known
+	held    int  // by how many lists: used again when by none
 	how     choice.Outcome
 	sum     float64
 	answer  func() // c.answered, made once
@@ -149,7 +150,7 @@
 	if n := len(c.spare); n > 0 {
 		k := c.spare[n-1]
 		c.spare = c.spare[:n-1]
-		k.told, k.held = false, 0
+		k.told, k.spoilt, k.held = false, false, 0
 		return k
 	}
 	k := &call{counter: c}
@@ -294,9 +295,10 @@
 	written := k.written
 	k.mu.Unlock()
 	for _, x := range lost {
-		x.how = choice.NoConnection
-		if x.until <= written { // it may have been added
-			x.how = choice.TimedOut
+		if x.spoilt {
+			x.how = choice.Failed
+		} else if x.how = choice.NoConnection; x.until <= written { // it may have been added
+			x.how = choice.Reset
 		}
 		k.counter.loop.tell(k.counter.ctx, x.answer)
 	}
@@ -338,17 +340,21 @@
 	for {
 		tcp.SetReadDeadline(time.Now().Add(time.Second))
 		if len(b.Space()) == 0 { // no total is that long
-			return answered
+			if x := k.oldest(); x != nil {
+				x.spoilt = true
+			}
+			return true
 		}
 		n, err := tcp.Read(b.Space())
 		for whole, bad := b.Got(n); whole || bad != nil; whole, bad = b.Got(n) {
-			if bad != nil {
-				return answered
-			}
 			x := k.oldest()
-			if x == nil || !x.read(&b) {
+			if x == nil {
 				return answered
 			}
+			if bad != nil || !x.read(&b) {
+				x.spoilt = true
+				return true
+			}
 			k.mu.Lock()
 			k.order = k.order[1:]
 			k.mu.Unlock()
@@ -385,7 +391,7 @@
 	return len(k.order) > 0 && k.counter.loop.clock()-k.order[0].made > 0.5
 }
 
-// read takes over what the counter answered; false: it made no sense, and the call may have been counted.
+// read takes over what the counter answered; false: it made no sense, but the call was counted.
 func (x *call) read(m *http1.Message) bool {
 	switch m.Status {
 	case 200:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -540,3 +540,26 @@
 	}
 	w.wait(func() bool { return w.hosts.byID["h50"] != nil && len(w.hosts.byID) == 1 && len(w.hosts.inOrder) == 1 })
 }
+
+// Each answer of the counter that can't be read added its amount: it is not added again, and other calls go on.
+func TestSpoiltAnswersOfTheCounterAreAddedOnce(t *testing.T) {
+	adds := make(chan string, 100)
+	w := start(t, func(m *http1.Message, n int) string {
+		adds <- string(m.Target)
+		return []string{"junk\r\n\r\n", ok("many"), ok("1")}[n%3]
+	}, newStandIn(t, func(m *http1.Message, n int) string { return ok("x") }))
+	for i := range 9 {
+		if status, _ := ask(w.dial(), invoke("pay", 900, "x")); status != 200 {
+			t.Fatalf("invocation %d: %d", i, status)
+		}
+		w.wait(func() bool { return len(w.counter.names) == 0 })
+	}
+	if len(adds) == 0 {
+		t.Fatal("nothing was added")
+	}
+	for len(adds) > 0 {
+		if got := <-adds; !strings.Contains(got, "by=1&") {
+			t.Fatalf("added %s", got)
+		}
+	}
+}
