A late call's open place counts as added, and is not added a second time

At fault: missed in choice.go took a call that timed out as not added, for places as for units. Units stay so: a silent counter comes back without them.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -743,3 +743,15 @@
 	}
 	f.wantCall(-8)
 }
+
+// A call whose answer is late has most often been added: its open place, added again, was one that nobody held.
+func TestAnOpenPlaceOfALateCallIsNotAddedAgain(t *testing.T) {
+	p := Plan{Name: "p", MaxOut: 2}
+	f := newFake(t, p)
+	inv := f.take(1, 2)
+	f.wantCall(p.pack())
+	f.counted(TimedOut, 0)
+	f.wantSent(inv, 1)
+	f.ends(inv, Succeeded)
+	f.wantCall(-p.pack())
+}
