--- a/choice/choice.go
+++ b/choice/choice.go
@@ -208,10 +208,11 @@
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
-		if c.quiet(now) {
+		quiet := c.quiet(now)
+		if quiet {
 			delete(g.customers, c.key)
 		}
-		return g.customers[c.key] != c
+		return quiet
 	})
 }
 
@@ -360,8 +361,7 @@
 // crowd guards against a counter that is slow, silent, refusing or too small: calls a second follow the time
 // of its answers, and fall once for a jam, so that all share what there is. The few still made are trials.
 func (g *Gateway) crowd(now float64, how Outcome, took float64) {
-	lost := strings.ContainsRune("FTC", rune(how)) // not for a broken connection
-	if lost && now-g.lateAt > g.counter.Limit {    // one step for a jam, however many calls are in it
+	if lost := strings.ContainsRune("FTC", rune(how)); lost && now-g.lateAt > g.counter.Limit { // once a jam
 		g.callRate, g.lateAt = 0.8*g.callRate, now
 	} else if how == Succeeded && (took > 0.4*g.counter.Limit || g.callRoom < g.callRate/10) {
 		g.callRate += 0.05 + 0.03*g.callRate*(0.4-took/g.counter.Limit)
--- a/http1/fields.go
+++ b/http1/fields.go
@@ -57,7 +57,8 @@
 	ms, good := digits(limit)
 	number, whole := hex(key)
 	c.Operation, c.Customer, c.Limit = string(kind), strings.ToLower(string(key)), float64(ms)/1000
-	ok = once && m.Target[0] == '/' && len(c.Ref) > 0 && len(c.Ref) <= 64 && len(kind) > 0 && bytes.Equal(first, kind) && c.Plan != "" && good &&
+	ok = once && m.Target[0] == '/' && len(c.Ref) > 0 && len(c.Ref) <= 64 && len(kind) > 0 &&
+		bytes.Equal(first, kind) && c.Plan != "" && good &&
 		ms > 0 && ms <= 3600_000 && whole && len(key) == 16 && number < 1<<33 && c.terms(terms)
 	return c, ok
 }
@@ -175,8 +176,9 @@
 	return append(ending(b, len(m.Body), last), m.Body...)
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
-	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 409: "Conflict", 413: "Content Too Large",
+	429: "Too Many Requests", 431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
+	504: "Gateway Timeout"}
 
 // AppendOwn writes an answer of the api gateway's own; retryAfter, in seconds, is left out where it is 0.
 func AppendOwn(b []byte, status int, retryAfter float64, last bool) []byte {
