A customer whose open places are full here is refused without a counter call

Cause: a try of a plan with an open cap asks the counter though this api gateway itself holds all the places: the call can only end in a refusal, a second one takes it off, and in between it counts against the other api gateways (admit).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,17 +274,17 @@
 }
 
 func (g *Gateway) admit(now float64, inv *Invocation) Answer {
-	c := inv.cust
+	c, p := inv.cust, inv.cust.plan
 	if now >= inv.giveUp-0.7*inv.op.mean || !g.underCeiling(now, inv) { // too late for any answer, or too much
 		return g.end(now, inv)
 	}
-	if g.roll(now, c); !c.plan.limited() {
+	if g.roll(now, c); !p.limited() {
 		g.join(inv)
 		return Answer{}
 	}
-	recent := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 1
-	if short := inv.units - c.room; short > 0 && recent { // a total just seen leaves no room
-		inv.comeBack = short / c.plan.Rate
+	recent, full := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 1, p.MaxOut > 0 && c.out >= p.MaxOut
+	if short := inv.units - c.room; short > 0 && recent || full { // by a total just seen, or by what is out here
+		inv.comeBack = max(inv.op.mean, short/max(p.Rate, 0.001))
 		return g.end(now, inv)
 	}
 	inv.charged, c.out, c.room = true, c.out+1, c.room-inv.units
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -803,3 +803,25 @@
 		f.wantSent(f.take(1, 2), want)
 	}
 }
+
+// With its open places full by what is out here, a customer's next try can only be refused: the call that adds it and the
+// one that takes it off again would be spent for nothing, and meanwhile its place counts against other api gateways.
+func TestAnOpenCapFullHereCostsNoCall(t *testing.T) {
+	f := newFake(t, Plan{Name: "p", MaxOut: 2})
+	first, second := f.take(1, 3), f.take(1, 3)
+	f.total(1)
+	f.total(2)
+	f.wantSent(first, 1)
+	f.wantSent(second, 1)
+	calls := len(f.calls)
+	third := f.take(1, 3)
+	if a := f.last[third]; a.Do != Throttle || a.RetryAfter <= 0 || len(f.calls) != calls {
+		t.Fatalf("got %+v after %d further calls", a, len(f.calls)-calls)
+	}
+	f.now += 0.02
+	f.ends(first, Succeeded)
+	f.total(1) // the place given back
+	again := f.take(1, 3)
+	f.total(2)
+	f.wantSent(again, 1)
+}
