One silent delivery alone no longer sets its host aside: one more tries it beside

A probe in the log of setAside: each of them had one delivery out, all of it mute, and one place here. With its place held by the stuck one the host got no further work, so nothing could speak for it (watch, free); invocations lapsed in line, up to 220 in 5 s at one api gateway, with 5 of 10 hosts at work. Ruled out: quota and open caps (fewer refusals than lapses), the counter (nearly all denied calls were let in by share). Now: one silent delivery weighs a third; from six gaps on its host gets one more, which may run again, on another connection.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -234,7 +234,7 @@
 }
 
 func (g *Gateway) Gone(now float64, inv *Invocation) {
-	g.leaveLine(inv)
+	g.line = slices.DeleteFunc(g.line, func(x *Invocation) bool { return x == inv })
 	if inv.stage = finished; inv.out == 0 {
 		g.release(now, inv)
 	}
@@ -505,10 +505,6 @@
 	g.line = append(g.line, inv)
 }
 
-func (g *Gateway) leaveLine(inv *Invocation) {
-	g.line = slices.DeleteFunc(g.line, func(x *Invocation) bool { return x == inv })
-}
-
 // lapse is when an invocation in line is given up, early, so that its client's next try may still be in time.
 func (g *Gateway) lapse(inv *Invocation) float64 {
 	return min(inv.giveUp-0.7*inv.op.mean,
@@ -544,6 +540,7 @@
 			return inv
 		}
 	}
+	g.line = slices.DeleteFunc(g.line, func(x *Invocation) bool { return x == best })
 	return best
 }
 
@@ -555,9 +552,13 @@
 	if !h.listed || now < h.restAt || w < 1 && g.grown(now, h) < h.coldNext {
 		return false
 	}
-	return float64(len(h.out))+1 <= places && !h.aside || h.aside && now >= h.trialAt && len(h.out) == 0
+	placed := !h.aside && float64(len(h.out))+1 <= places
+	return placed || h.doubtful() || h.aside && now >= h.trialAt && len(h.out) == 0
 }
 
+// doubtful: one delivery alone is silent, as its connection may be: one more, that may run again, will tell.
+func (h *Host) doubtful() bool { return !h.aside && len(h.out) == 1 && h.odd > 2 }
+
 func (g *Gateway) warmth(now float64, h *Host) float64 {
 	if h.since <= 0 {
 		return 1
@@ -583,7 +584,7 @@
 	var best *Host
 	least := math.Inf(1)
 	for _, h := range free {
-		if !g.mayGo(now, inv, h) || (h.aside && inv.op.Effect == NonIdempotent) {
+		if !g.mayGo(now, inv, h) || (h.aside || h.doubtful()) && inv.op.Effect == NonIdempotent {
 			continue
 		}
 		slow := max(h.slow, 1/max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h)))
@@ -620,7 +621,6 @@
 }
 
 func (g *Gateway) send(now float64, inv *Invocation, h *Host) Answer {
-	g.leaveLine(inv)
 	inv.toHost, inv.stage = nil, sent
 	d := &Delivery{Inv: inv, Host: h, Number: len(inv.Deliveries), sent: now}
 	inv.Deliveries = append(inv.Deliveries, d)
@@ -725,7 +725,7 @@
 			h.pace = op.mean
 		}
 		h.pace += 0.1 * ((now-h.sign)*float64(len(h.out)+1) - h.pace)
-		h.sign, h.fails, h.trialGap = now, 0, 0
+		h.sign, h.fails, h.trialGap, h.odd = now, 0, 0, 0
 		// Forgotten slowly: else a long press would teach that slow is normal, and places would creep up.
 		if h.best = min(h.slow, h.best*1.0005); h.slow > 1.7*h.best { // its queue has grown: work waits better here
 			h.places = max(1, h.places*0.93)
@@ -757,7 +757,7 @@
 		old := func(d *Delivery) bool { return d.sent < h.sign && g.free(now, h) } // guards against one stuck
 		mute := slices.DeleteFunc(slices.Clone(h.out), old)
 		if h.odd = 0; h.listed && !h.aside && len(mute) > 0 && h.pace > 0 {
-			h.odd = (now - max(h.sign, mute[0].sent)) / h.pace * math.Sqrt(float64(len(mute)))
+			h.odd = (now - max(h.sign, mute[0].sent)) / h.pace * math.Pow(float64(len(mute)), 1.5) / 3
 			odd = append(odd, h.odd)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -825,3 +825,33 @@
 	f.total(2)
 	f.wantSent(again, 1)
 }
+
+// A connection that fell silent took its host with it, wherever the host had one place here: the one delivery was all its
+// silence. One more, which may run again, tells the two apart.
+func TestOneSilentDeliveryIsTriedBesideBeforeItsHostIsSetAside(t *testing.T) {
+	for _, good := range []bool{true, false} {
+		f := newFake(t, Plan{Name: "p"})
+		f.warmUp(40)
+		for _, h := range f.g.hosts {
+			h.places, h.pace = 1, 0.02
+		}
+		stuck := f.takeOp("once", 1, 2)
+		h := stuck.Deliveries[0].Host
+		f.wait(0.3)
+		other := f.take(1, 2) // takes the other host's place
+		unsafe := f.takeOp("once", 1, 2)
+		f.wantSent(unsafe, 0)
+		beside := f.take(1, 2)
+		f.wantSent(beside, 1)
+		if beside.Deliveries[0].Host != h || h.aside {
+			t.Fatalf("went to %s, not %s; set aside %v", beside.Deliveries[0].Host.Addr, h.Addr, h.aside)
+		}
+		f.ends(other, Succeeded)
+		if good {
+			f.ends(beside, Succeeded)
+		}
+		if f.wait(0.2); h.aside == good {
+			t.Fatalf("answered %v, set aside %v: %q", good, h.aside, f.logs)
+		}
+	}
+}
