A place given back is told by a call lent, and calls grow sooner when the counter is back

While calls are denied, a place given back is not told (release asks mayCall as any try does), so it stays in the total, and the customer is refused elsewhere for it. Now: release may take up to an eighth of a second's calls in advance for a place on the counter, which later tries wait for; growth has a part that does not shrink with the rate, nought at 0.4 of the call limit as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -204,7 +204,7 @@
 	g.watch(now)
 	g.inOrder = slices.DeleteFunc(g.inOrder, func(c *customer) bool {
 		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear
-		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall(now) {
+		if much && c.plan.limited() && now-c.told > 0.25 && g.mayCall(now, 1) {
 			g.roll(now, c)
 			g.tell(now, c, nil)
 		}
@@ -289,7 +289,7 @@
 		return g.end(now, inv)
 	}
 	inv.charged, c.out, c.room = true, c.out+1, c.room-inv.units
-	if !g.mayCall(now) || inv.giveUp-now < g.counter.Limit+0.01 {
+	if !g.mayCall(now, 1) || inv.giveUp-now < g.counter.Limit+0.01 {
 		g.bridge(now, inv)
 	} else {
 		inv.stage = asking
@@ -298,12 +298,12 @@
 	return Answer{}
 }
 
-func (g *Gateway) mayCall(now float64) bool {
+func (g *Gateway) mayCall(now, least float64) bool {
 	g.callRoom = min(max(1, g.callRate/8), g.callRoom+g.callRate*(now-g.callAt))
-	if g.callAt = now; g.callRoom < 1 {
+	if g.callAt = now; g.callRoom < least {
 		g.deniedAt = now
 	}
-	return g.counter.Present && g.callRoom >= 1
+	return g.counter.Present && g.callRoom >= least
 }
 
 func (g *Gateway) tell(now float64, c *customer, inv *Invocation) {
@@ -365,7 +365,7 @@
 	if lost := strings.ContainsRune("FTC", rune(how)); lost && now-g.lateAt > g.counter.Limit { // once a jam
 		g.callRate, g.lateAt = 0.8*g.callRate, now
 	} else if how == Succeeded && (took > 0.4*g.counter.Limit || g.callRoom < g.callRate/10) {
-		g.callRate += 0.05 + 0.03*g.callRate*(0.4-took/g.counter.Limit)
+		g.callRate += 0.05 + (0.7+0.03*g.callRate)*(0.4-took/g.counter.Limit)
 	}
 	g.callRate = min(2000, max(g.callRate, 0.3+60/g.all))
 	if now-g.deniedAt < 2 != g.crowded {
@@ -480,7 +480,9 @@
 		c.owed -= inv.units
 		c.room += inv.units
 	}
-	if (inv.mayRun == nil && c.owed < 0 || c.standing > c.out) && g.mayCall(now) {
+	// Guards against places given back that stay counted, and so refuse others: told first, by a call lent.
+	least := 1 - g.callRate/8*float64(min(1, max(0, c.standing-c.out)))
+	if (inv.mayRun == nil && c.owed < 0 || c.standing > c.out) && g.mayCall(now, least) {
 		g.tell(now, c, nil)
 	}
 }
@@ -513,11 +515,8 @@
 
 // fromLine gives what the next free place should take, by billed value for unpressed time, or what lapsed.
 func (g *Gateway) fromLine(now float64) *Invocation {
-	if len(g.line) == 0 {
-		return nil
-	}
 	var free []*Host
-	if g.abroad < math.Floor(max(1, g.most*float64(len(g.hosts))/g.all)+g.luck) {
+	if len(g.line) > 0 && g.abroad < math.Floor(max(1, g.most*float64(len(g.hosts))/g.all)+g.luck) {
 		free = slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !g.free(now, h) })
 	}
 	best, most := (*Invocation)(nil), 0.0
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -863,3 +863,38 @@
 		}
 	}
 }
+
+// After the counter's silence few calls are made, and few answers come to let the rate grow again: a few seconds of
+// quick answers must bring back most of what is wanted.
+func TestCallsGrowSoonAfterTheCounterIsBack(t *testing.T) {
+	f := newFakeOf(t, Plan{Name: "p", Rate: 1000, Burst: 10000}, 4)
+	f.g.callRate, f.g.callRoom = 15.3, 1
+	for range 250 {
+		f.take(1, 2)
+		for f.n < len(f.calls) {
+			f.total(f.calls[f.n].amount)
+		}
+		f.wait(0.01)
+		f.answerAll()
+	}
+	if f.g.callRate < 60 {
+		t.Fatalf("%.1f calls a second 2.5 s after the counter is back, 100 are wanted", f.g.callRate)
+	}
+}
+
+// A place given back stays counted until the counter hears of it, and refuses the customer elsewhere: with no call left
+// it is told all the same, by a call lent, and the next invocations wait for it.
+func TestAPlaceGivenBackIsToldByACallLent(t *testing.T) {
+	p := Plan{Name: "p", MaxOut: 2}
+	f := newFake(t, p)
+	inv := f.take(1, 2)
+	f.total(p.pack())
+	f.g.callRoom, f.g.callRate, f.g.callAt = 0, 32, f.now
+	f.ends(inv, Succeeded)
+	f.n = 1
+	f.wantCall(-p.pack())
+	f.total(0)
+	if f.take(1, 2); len(f.calls) != 2 {
+		t.Fatalf("a call was left: %+v", f.calls)
+	}
+}
