--- a/choice/choice.go
+++ b/choice/choice.go
@@ -364,8 +364,8 @@
 func (g *Gateway) crowd(now float64, how Outcome, took float64) {
 	if lost := strings.ContainsRune("FTC", rune(how)); lost && now-g.lateAt > g.counter.Limit { // once a jam
 		g.callRate, g.lateAt = 0.8*g.callRate, now
-	} else if how == Succeeded && (took > 0.7*g.counter.Limit || g.callRoom < g.callRate/10) {
-		g.callRate += 0.05 + (0.7+0.03*g.callRate)*(0.7-took/g.counter.Limit)
+	} else if how == Succeeded && (took > 0.4*g.counter.Limit || g.callRoom < g.callRate/10) {
+		g.callRate += 0.05 + (0.7+0.03*g.callRate)*(0.4-took/g.counter.Limit)
 	}
 	g.callRate = min(2000, max(g.callRate, 0.3+60/g.all))
 	if now-g.deniedAt < 2 != g.crowded {
