Others' open places are taken from what stood here when the call was made

Cause: read takes this api gateway's places on the counter as of now from the total; where calls overlap, a place given back since the call was made is still in the total and then counts as another's (call, tell, read). A trace of one customer shows it: total 2, one standing by then, nobody else there. Ruled out: places left behind by calls without an answer (a window ends each 2 s and the trace has none left). Now: each call keeps what stood with it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -87,11 +87,11 @@
 }
 
 type call struct {
-	cust       *customer
-	inv        *Invocation
-	window     int64
-	units, est float64 // added, est of them the estimate
-	open       int
+	cust        *customer
+	inv         *Invocation
+	window      int64
+	units, est  float64 // added, est of them the estimate
+	open, stood int     // open places added, and held here on the counter with them
 }
 
 type Gateway struct {
@@ -317,7 +317,7 @@
 		k.open = c.out - c.standing
 		amount += float64(k.open) * c.plan.pack()
 	}
-	c.owed, c.told, c.standing = 0, now, c.standing+k.open
+	c.owed, c.told, c.standing, k.stood = 0, now, c.standing+k.open, c.standing+k.open
 	g.callRoom--
 	g.names[c.name] = append(g.names[c.name], k)
 	g.out.Count(c.name, amount, min(60, 2.2*c.plan.windowLength()))
@@ -409,8 +409,8 @@
 	if k.inv == nil {
 		return
 	}
-	c.open += 0.1 * (max(0, open-float64(c.standing)) - c.open)
-	c.held += 0.1 * (max(0, float64(c.standing)-1) - c.held)
+	c.open += 0.1 * (max(0, open-float64(k.stood)) - c.open)
+	c.held += 0.1 * (max(0, float64(k.stood)-1) - c.held)
 	if short := -(c.room + c.asking); p.Rate > 0 && short > 0 {
 		k.inv.comeBack = short / p.Rate
 	} else if p.MaxOut > 0 && open > float64(p.MaxOut) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -909,11 +909,9 @@
 		f.total(p.pack())
 		f.ends(inv, Succeeded)
 		f.total(0)
-		inv.cust.standing = 2
 		for range 30 { // totals: one place held here beside the one that is tried for, and the others'
-			f.g.read(f.now, &call{cust: inv.cust, inv: &Invocation{op: inv.op}, open: 1}, (2+others)*p.pack())
+			f.g.read(f.now, &call{cust: inv.cust, inv: &Invocation{op: inv.op}, open: 1, stood: 2}, (2+others)*p.pack())
 		}
-		inv.cust.standing = 0
 		f.g.callRoom, f.g.callRate, f.g.callAt = -1e6, 0, f.now
 		out, tries := 0, 2000
 		var at []*Invocation
