--- a/choice/choice.go
+++ b/choice/choice.go
@@ -283,7 +283,7 @@
 		return Answer{}
 	}
 	c.busy += 0.1 * (float64(c.out) - c.busy)
-	recent, full := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 0.25, p.MaxOut > 0 && c.out >= p.MaxOut
+	recent, full := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 1, p.MaxOut > 0 && c.out >= p.MaxOut
 	if short := inv.units - c.room; short > 0 && recent || full { // by a total just seen, or by what is out here
 		inv.comeBack = max(inv.op.mean, short/max(p.Rate, 0.001))
 		return g.end(now, inv)
