--- a/choice/choice.go
+++ b/choice/choice.go
@@ -431,7 +431,7 @@
 	bridged := k.inv != nil && k.inv.stage == asking
 	if how != Failed {
 		k.cust.owed += k.units - k.est
-		if k.window == k.cust.window && (how != TimedOut || k.open < 0) { // either way a place more would be lost
+		if k.window == k.cust.window && how != TimedOut { // late, most often: added twice, a place would be lost
 			k.cust.standing -= k.open
 		}
 	} else if bridged { // answered by what can't be read: added all the same, and bridge would add it again
