Silent counter connections are ended once overtaken, and places lost with them are told again

Cause: calls on a name keep to its connection while one is out, so a busy customer stays on a silent connection until its age alone ends it (counter.go add, stuck); and a late call is taken for added for good (choice.go missed). Now: a connection whose oldest call is three limits old is ended if one made a limit later was answered on another; a late call that ends without an answer takes its places back (Lost). One that is answered late stays added, as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -317,8 +317,7 @@
 		k.open = c.out - c.standing
 		amount += float64(k.open) * c.plan.pack()
 	}
-	c.owed, c.told, c.standing, k.stood = 0, now, c.standing+k.open, c.standing+k.open
-	g.callRoom--
+	g.callRoom, c.owed, c.told, c.standing, k.stood = g.callRoom-1, 0, now, c.standing+k.open, c.standing+k.open
 	g.names[c.name] = append(g.names[c.name], k)
 	g.out.Count(c.name, amount, min(60, 2.2*c.plan.windowLength()))
 }
@@ -442,6 +441,14 @@
 	}
 }
 
+// Lost: a late call of so much will never be answered. Its open places were taken for added; now for not.
+func (g *Gateway) Lost(name uint64, amount float64) {
+	i := slices.IndexFunc(g.inOrder, func(c *customer) bool { return c.name == name && c.plan.MaxOut > 0 })
+	if i >= 0 { // guards against places that stay in a total until its window ends
+		g.inOrder[i].standing -= int(math.Round(amount / g.inOrder[i].plan.pack()))
+	}
+}
+
 // bridge decides without a call, by this instance's share of the quota; the counter is told later. Where it
 // sees little of a customer, it lends to one far from its quota, and lets in a part of the tries (see over).
 func (g *Gateway) bridge(now float64, inv *Invocation) {
@@ -478,8 +485,7 @@
 	c := inv.cust
 	inv.charged, c.out = false, c.out-1
 	if g.roll(now, c); inv.mayRun == nil {
-		c.owed -= inv.units
-		c.room += inv.units
+		c.owed, c.room = c.owed-inv.units, c.room+inv.units
 	}
 	// Guards against places given back that stay counted, and so refuse others: told first, by a call lent.
 	least := 1 - g.callRate/8*float64(min(1, max(0, c.standing-c.out)))
@@ -581,8 +587,7 @@
 }
 
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
-	var best *Host
-	least := math.Inf(1)
+	best, least := (*Host)(nil), math.Inf(1)
 	for _, h := range free {
 		if !g.mayGo(now, inv, h) || (h.aside || h.doubtful()) && inv.op.Effect == NonIdempotent {
 			continue
@@ -624,8 +629,7 @@
 	inv.toHost, inv.stage = nil, sent
 	d := &Delivery{Inv: inv, Host: h, Number: len(inv.Deliveries), sent: now}
 	inv.Deliveries = append(inv.Deliveries, d)
-	inv.out++
-	g.abroad++
+	inv.out, g.abroad = inv.out+1, g.abroad+1
 	g.luck, h.coldNext, h.trialAt = g.chance(), g.grown(now, h)+g.coldGap(), now+h.trialGap
 	if inv.mayRun == nil {
 		inv.mayRun = d
@@ -647,16 +651,14 @@
 
 func (g *Gateway) After(now float64, d *Delivery, e Ended) Answer {
 	inv := d.Inv
-	inv.out--
-	g.abroad--
+	inv.out, g.abroad = inv.out-1, g.abroad-1
 	d.Host.out = slices.DeleteFunc(d.Host.out, func(x *Delivery) bool { return x == d })
 	if strings.ContainsRune("FCN", rune(e.How)) && inv.mayRun == d { // proved not run
 		inv.mayRun = nil
 	}
 	g.learn(now, d, e)
 	if c := inv.cust; g.counter.Settles && e.How == Succeeded && e.Units > 0 && inv.charged && inv.units > 0 {
-		c.owed += e.Units - inv.units // the difference rides with the next call
-		c.room -= e.Units - inv.units
+		c.owed, c.room = c.owed+e.Units-inv.units, c.room-e.Units+inv.units // the rest rides with the next call
 	}
 	if inv.stage == finished || e.Over {
 		g.Gone(now, inv)
@@ -717,8 +719,7 @@
 	}
 	switch e.How {
 	case Succeeded:
-		op.mean += 0.05 * (e.Took - op.mean)
-		g.mean += 0.05 * (e.Took - g.mean)
+		op.mean, g.mean = op.mean+0.05*(e.Took-op.mean), g.mean+0.05*(e.Took-g.mean)
 		op.base = min(op.mean, op.base*1.0001)
 		h.slow += 0.2 * (e.Took/op.base - h.slow)
 		if h.pace == 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -928,3 +928,21 @@
 		}
 	}
 }
+
+// A late take-off was taken for added; when it is lost with its connection, its place is told again and not left in the total.
+func TestAPlaceWhoseTakeOffIsLostIsToldAgain(t *testing.T) {
+	p := Plan{Name: "p", MaxOut: 2}
+	f := newFake(t, p)
+	inv := f.take(1, 2)
+	f.total(p.pack())
+	f.ends(inv, Succeeded)
+	f.counted(TimedOut, 0)
+	f.wait(0.3)
+	if len(f.calls) != 2 {
+		t.Fatalf("told again while it may have been added: %+v", f.calls)
+	}
+	f.g.Lost(f.calls[1].name, f.calls[1].amount)
+	f.wait(0.3)
+	f.n = 2
+	f.wantCall(-p.pack())
+}
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -25,18 +25,19 @@
 )
 
 type Counter struct {
-	ctx   context.Context
-	group *errgroup.Group
-	loop  *Loop
-	limit float64 // a call is late after this
-	addr  string
-	conns []*counterConn
-	old   []*counterConn // to an address that is left: they finish what is out on them
-	names map[uint64]*nameCalls
-	calls []*call      // in the order of their making; the late and the answered leave from the front
-	none  []*call      // could not be made; told after the present call of the module
-	spare []*call      // to be used again
-	tried atomic.Int32 // connections whose first attempt is over
+	ctx    context.Context
+	group  *errgroup.Group
+	loop   *Loop
+	limit  float64 // a call is late after this
+	newest float64 // when the newest call was made that has its answer
+	addr   string
+	conns  []*counterConn
+	old    []*counterConn // to an address that is left: they finish what is out on them
+	names  map[uint64]*nameCalls
+	calls  []*call      // in the order of their making; the late and the answered leave from the front
+	none   []*call      // could not be made; told after the present call of the module
+	spare  []*call      // to be used again
+	tried  atomic.Int32 // connections whose first attempt is over
 }
 
 // nameCalls are the calls out on one name: all on one connection, so that their answers keep their order.
@@ -49,6 +50,7 @@
 	counter *Counter
 	name    uint64
 	made    float64
+	amount  float64
 	until   int64 // where it ends in what is written to its connection
 	told    bool
 	spoilt  bool // its answer made no sense: added, but the total is not known
@@ -66,7 +68,9 @@
 
 	mu      sync.Mutex
 	up      bool
-	left    bool // not to be made anew
+	left    bool     // not to be made anew
+	tcp     net.Conn // while it stands
+	mute    bool     // its oldest call was overtaken long ago
 	pending []byte
 	added   int64
 	written int64
@@ -121,10 +125,24 @@
 	})
 }
 
+// sweep ends connections that went silent: their oldest call has been out for three times the limit, and one made well
+// after it was answered on another. Guards against a name whose calls all go to such a connection, as a busy one never has
+// a moment without a call out, and would stay there until the connection is given up for its age alone.
+func (c *Counter) sweep() {
+	for _, k := range c.conns {
+		k.mu.Lock()
+		if k.up && len(k.order) > 0 && c.loop.now-k.order[0].made > 3*c.limit && c.newest > k.order[0].made+c.limit {
+			k.mute = true
+			k.tcp.SetReadDeadline(past)
+		}
+		k.mu.Unlock()
+	}
+}
+
 // add makes a call. One that finds no connection, or no room, was not made.
 func (c *Counter) add(name uint64, amount, life float64) {
 	k := c.take()
-	k.name, k.made = name, c.loop.now
+	k.name, k.made, k.amount = name, c.loop.now, amount
 	at := c.names[name]
 	if at == nil {
 		at = &nameCalls{conn: c.place()}
@@ -222,6 +240,12 @@
 
 // answered runs on the loop, once for each call that was made, late or not.
 func (k *call) answered() {
+	if k.how == choice.Succeeded {
+		k.counter.newest = max(k.counter.newest, k.made)
+	}
+	if k.told && k.how == choice.Reset {
+		k.counter.loop.module.Lost(k.name, k.amount)
+	}
 	if !k.told {
 		k.counter.tellOf(k, k.how, k.sum)
 	}
@@ -280,6 +304,7 @@
 func (k *counterConn) live(ctx context.Context, tcp net.Conn) (answered bool) {
 	k.mu.Lock()
 	k.up, k.pending, k.added, k.written, k.order = true, k.pending[:0], 0, 0, k.order[:0]
+	k.tcp, k.mute = tcp, false
 	k.mu.Unlock()
 	done := make(chan struct{})
 	var writer sync.WaitGroup
@@ -292,6 +317,7 @@
 	k.mu.Lock()
 	lost := append([]*call(nil), k.order...)
 	k.up, k.order = false, k.order[:0]
+	k.tcp = nil
 	written := k.written
 	k.mu.Unlock()
 	for _, x := range lost {
@@ -388,7 +414,7 @@
 func (k *counterConn) stuck() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.order) > 0 && k.counter.loop.clock()-k.order[0].made > 0.5
+	return k.mute || len(k.order) > 0 && k.counter.loop.clock()-k.order[0].made > 0.5
 }
 
 // read takes over what the counter answered; false: it made no sense, but the call was counted.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -103,6 +103,7 @@
 			tick = 0
 			l.hosts.sweep()
 			l.counter.leave()
+			l.counter.sweep()
 			l.forget()
 		}
 		l.turns()
