--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,5 @@
 // Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
-// How to call it. New makes an instance; Hosts, Counted, Told, Gone and Tick tell it what was seen. Take
+// How to call it. New makes an instance; Hosts, Counted, Lost, Told, Gone and Tick tell it what was seen. Take
 // brings an invocation in. While Turn names one, Where says where to send it (or not yet, or never); After
 // says what to do once a delivery has ended; Wait how long until the next Tick. The rest leaves through Out.
 // The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
