--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test race lint fuzz run try
 
 build:
-	go build -o bin/ ./cmd/...
+	@sh -ec "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
 test:
 	go test ./...
@@ -10,7 +10,7 @@
 	go test -race ./...
 
 lint:
-	@bad=$$(gofmt -l choice wire wirehost http1 gateway cmd example); [ -z "$$bad" ] || { echo "gofmt: $$bad"; exit 1; }
+	@bad=$$(gofmt -l $$(go list -f '{{.Dir}}' ./...)); [ -z "$$bad" ] || { echo "gofmt: $$bad"; exit 1; }
 	go vet ./...
 
 fuzz:
