The order in which the module is called is one piece of code for sockets, wire and laboratory

Need: the laboratory is the third place to drive the module; each kept its own turns and timer.

Change: package drive has the turns, the one timer and an instance known by refs. wirehost is now its codec alone, gateway/loop uses the turns and the timer.

--- /dev/null
+++ b/drive/drive.go
@@ -0,0 +1,147 @@
+// Package drive holds the order in which the deciding module is called. The api gateway on sockets, the adapter of
+// the line protocol and the laboratory all go by it. It must never open a socket, read a clock or decide anything.
+package drive
+
+import "otterseam/choice"
+
+// Turns asks the module about each invocation whose turn it is, until there is none.
+func Turns(m *choice.Gateway, now float64, act func(*choice.Invocation, choice.Answer)) {
+	for inv := m.Turn(now); inv != nil; inv = m.Turn(now) {
+		act(inv, m.Where(now, inv))
+	}
+}
+
+// Timer is the one timer of an api gateway: the sooner of what the module asked for.
+type Timer struct {
+	at float64 // clock time in seconds; 0: not set
+}
+
+// Due says whether the module is to look at things now.
+func (t *Timer) Due(now float64) bool { return t.at > 0 && now >= t.at }
+
+// Rang takes the timer back.
+func (t *Timer) Rang() { t.at = 0 }
+
+// Next asks the module how long it can wait. It gives when to ring, in clock seconds, and whether that is news.
+func (t *Timer) Next(m *choice.Gateway, now float64) (at float64, news bool) {
+	next := now + m.Wait(now)
+	if t.at > 0 && t.at <= next {
+		return t.at, false
+	}
+	t.at = next
+	return next, true
+}
+
+// Out is what an Instance asks of whoever carries out its decisions. Refs are those it was given.
+type Out interface {
+	Send(ref, host string, within float64) // within, in seconds, 0: until its client gives up
+	Throttle(ref string, retryAfter float64)
+	GiveUp(ref string)
+	Cancel(ref string, number int)
+	Count(name uint64, amount, life float64)
+	Tell(text string)
+	Log(text string)
+	Wake(nonce uint64, at float64)
+}
+
+// Instance is one api gateway with its invocations in hand and its one timer, known to the outside by refs.
+type Instance struct {
+	out    Out
+	module *choice.Gateway
+	invs   map[string]*choice.Invocation
+	timer  Timer
+	nonce  uint64
+}
+
+// New makes an instance whose module is made by start, with the instance as its way out.
+func New(out Out, start func(choice.Out) (*choice.Gateway, error)) (*Instance, error) {
+	in := &Instance{out: out, invs: map[string]*choice.Invocation{}}
+	var err error
+	in.module, err = start(in)
+	return in, err
+}
+
+// Hosts tells of the list of hosts, or of changes to it.
+func (in *Instance) Hosts(now float64, list []choice.Listed, whole bool) {
+	in.module.Hosts(now, list, whole)
+	in.turns(now)
+}
+
+// Take brings in an invocation.
+func (in *Instance) Take(now float64, a choice.Asked) {
+	in.invs[a.Ref] = in.module.Take(now, a)
+	in.turns(now)
+}
+
+// Ended tells how a delivery ended. A ref or number that is not in hand is passed over.
+func (in *Instance) Ended(now float64, ref string, number int, e choice.Ended) {
+	if inv := in.invs[ref]; inv != nil && number >= 0 && number < len(inv.Deliveries) {
+		in.act(inv, in.module.After(now, inv.Deliveries[number], e))
+	}
+	in.turns(now)
+}
+
+// Gone tells that a client has left, or that its invocation is over in another way.
+func (in *Instance) Gone(now float64, ref string) {
+	if inv := in.invs[ref]; inv != nil {
+		in.module.Gone(now, inv)
+		in.drop(inv)
+	}
+	in.turns(now)
+}
+
+// Ring tells that a timer fell due; one that has been overtaken by a sooner one makes the module look all the same.
+func (in *Instance) Ring(now float64, nonce uint64) {
+	if nonce == in.nonce {
+		in.timer.Rang()
+	}
+	in.module.Tick(now)
+	in.turns(now)
+}
+
+// Told brings a peer's message.
+func (in *Instance) Told(now float64, text string) {
+	in.module.Told(now, text)
+	in.turns(now)
+}
+
+// Counted brings the answer to a call to the counter.
+func (in *Instance) Counted(now float64, name uint64, how choice.Outcome, sum, took float64) {
+	in.module.Counted(now, name, how, sum, took)
+	in.turns(now)
+}
+
+// Settle ends a batch of what was told at one moment: the timer is set anew if it must ring sooner.
+func (in *Instance) Settle(now float64) {
+	if at, news := in.timer.Next(in.module, now); news {
+		in.nonce++
+		in.out.Wake(in.nonce, at)
+	}
+}
+
+func (in *Instance) turns(now float64) { Turns(in.module, now, in.act) }
+
+func (in *Instance) act(inv *choice.Invocation, a choice.Answer) {
+	switch a.Do {
+	case choice.Send:
+		in.out.Send(inv.Ref, a.Host.Addr, a.Within)
+	case choice.Throttle:
+		in.out.Throttle(inv.Ref, a.RetryAfter)
+	case choice.GiveUp:
+		in.out.GiveUp(inv.Ref)
+	}
+	in.drop(inv)
+}
+
+func (in *Instance) drop(inv *choice.Invocation) {
+	if inv.Finished() {
+		delete(in.invs, inv.Ref)
+	}
+}
+
+// What belongs to no single invocation leaves here.
+
+func (in *Instance) Count(name uint64, amount, life float64) { in.out.Count(name, amount, life) }
+func (in *Instance) Cancel(d *choice.Delivery)               { in.out.Cancel(d.Inv.Ref, d.Number) }
+func (in *Instance) Tell(text string)                        { in.out.Tell(text) }
+func (in *Instance) Log(text string)                         { in.out.Log(text) }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"otterseam/choice"
+	"otterseam/drive"
 	"otterseam/http1"
 )
 
@@ -83,7 +84,7 @@
 	}()
 	l.module, l.hosts, l.counter, l.peers = module, hosts, counter, peers
 	timer, set := time.NewTimer(time.Hour), 0.0
-	tick := 0.0
+	var tick drive.Timer
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,19 +99,16 @@
 			l.now, set = l.clock(), 0
 		}
 		l.expire()
-		if tick > 0 && l.now >= tick {
+		if tick.Due(l.now) {
 			l.module.Tick(l.now)
-			tick = 0
+			tick.Rang()
 			l.hosts.sweep()
 			l.counter.leave()
 			l.counter.sweep()
 			l.forget()
 		}
 		l.turns()
-		if next := l.now + l.module.Wait(l.now); tick == 0 || next < tick {
-			tick = next
-		}
-		next := tick
+		next, _ := tick.Next(l.module, l.now)
 		if len(l.due) > 0 {
 			next = min(next, l.due[0].due)
 		}
@@ -143,12 +141,11 @@
 func (l *Loop) turns() {
 	l.counter.refused() // calls of the tick and of what the queue brought
 	l.settle()
-	for in := l.module.Turn(l.now); in != nil; in = l.module.Turn(l.now) {
-		inv := l.inHand[in]
-		l.act(inv, l.module.Where(l.now, in))
+	drive.Turns(l.module, l.now, func(in *choice.Invocation, a choice.Answer) {
+		l.act(l.inHand[in], a)
 		l.counter.refused()
 		l.settle()
-	}
+	})
 }
 
 // take brings in an invocation whose last byte has been read. Guards against another client's id: sent to a host, it
--- /dev/null
+++ b/lab/counter/counter.go
@@ -0,0 +1,189 @@
+// Package counter owns the model of the shared counter: named sums in parts of limited capacity, and what may befall
+// them. It must never know what a name stands for.
+package counter
+
+import (
+	"maps"
+
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/event"
+)
+
+// Outcome is how the counter deals with a call.
+type Outcome int
+
+const (
+	Added Outcome = iota
+	TurnedAway
+	Refused // no connection
+	Nothing // no answer, ever
+)
+
+type sum struct{ value, ends float64 }
+
+type part struct {
+	free float64 // when it has done all that has come
+	sums map[uint64]sum
+}
+
+// Counter is the shared counter, with the copy that a split makes.
+type Counter struct {
+	q        *event.Queue
+	dice     dice.Stream
+	capacity float64 // calls a second of one part
+	most     float64
+	time     float64
+	copies   [2][]part
+	split    int
+	silent   int
+	refuse   int
+	small    []float64
+	drop     []float64
+	old      [][]map[uint64]sum
+	// Calls and Answered count what reached it; Unanswered what it left without an answer.
+	Calls, Answered, Unanswered float64
+}
+
+// New makes the counter of a day.
+func New(q *event.Queue, d *day.Counter, seed uint64) *Counter {
+	n := d.Parts.N()
+	c := &Counter{q: q, dice: dice.New(seed, "counter"), capacity: d.Capacity.V() / float64(n), most: d.Queue.V(), time: d.Time.V()}
+	for i := range c.copies {
+		c.copies[i] = make([]part, n)
+		for j := range c.copies[i] {
+			c.copies[i][j].sums = map[uint64]sum{}
+		}
+	}
+	return c
+}
+
+// Up says whether a connection can be had.
+func (c *Counter) Up() bool { return c.refuse == 0 }
+
+// Call adds an amount to a name once its turn has come; life is for a new name. done hears of it, at that moment, unless
+// the counter says nothing. far: the caller sees the copy, while there is one.
+func (c *Counter) Call(far bool, name uint64, amount, life float64, done func(Outcome, float64)) {
+	c.Calls++
+	if c.refuse > 0 {
+		done(Refused, 0)
+		return
+	}
+	if c.silent > 0 {
+		c.Unanswered++
+		return
+	}
+	side := 0
+	if far && c.split > 0 {
+		side = 1
+	}
+	p := &c.copies[side][name%uint64(len(c.copies[side]))]
+	each := 1 / c.capacity
+	for _, f := range c.small {
+		each /= f
+	}
+	now := c.q.Now()
+	if (p.free-now)/each > c.most {
+		c.Answered++
+		done(TurnedAway, 0)
+		return
+	}
+	p.free = max(now, p.free) + each
+	c.q.At(p.free+c.time, func() {
+		if c.silent > 0 || c.refuse > 0 { // it went away with the call in its line
+			c.Unanswered++
+			return
+		}
+		s, known := p.sums[name]
+		if !known || s.ends <= c.q.Now() {
+			s = sum{0, c.q.Now() + life}
+		}
+		s.value += amount
+		p.sums[name] = s
+		for _, answered := range c.drop {
+			if !c.dice.Chance(answered) {
+				c.Unanswered++
+				return
+			}
+		}
+		c.Answered++
+		done(Added, s.value)
+	})
+}
+
+// Total is what stands under a name, for those who look from outside.
+func (c *Counter) Total(name uint64) float64 {
+	s := c.copies[0][name%uint64(len(c.copies[0]))].sums[name]
+	if s.ends <= c.q.Now() {
+		return 0
+	}
+	return s.value
+}
+
+// Forget drops names whose time is over. The order in which a map is gone through does not show.
+func (c *Counter) Forget() {
+	for i := range c.copies {
+		for j := range c.copies[i] {
+			maps.DeleteFunc(c.copies[i][j].sums, func(_ uint64, s sum) bool { return s.ends <= c.q.Now() })
+		}
+	}
+}
+
+// Keep takes a copy of all counts, for a return with old ones.
+func (c *Counter) Keep() {
+	var all []map[uint64]sum
+	for _, p := range c.copies[0] {
+		all = append(all, maps.Clone(p.sums))
+	}
+	c.old = append(c.old, all)
+}
+
+// Back gives it the counts with which it comes back: "kept", "empty" or "old", those of the last Keep.
+func (c *Counter) Back(how string) {
+	for i := range c.copies[0] {
+		p := &c.copies[0][i]
+		p.free = c.q.Now()
+		switch {
+		case how == "empty":
+			p.sums = map[uint64]sum{}
+		case how == "old" && len(c.old) > 0:
+			p.sums = maps.Clone(c.old[len(c.old)-1][i])
+		}
+	}
+}
+
+// Silent makes it silent, or ends that; Refuse does so for connections.
+func (c *Counter) Silent(begin bool) { c.silent += sign(begin) }
+func (c *Counter) Refuse(begin bool) { c.refuse += sign(begin) }
+
+// Split makes a second copy with the same counts, or drops it: the first one's stand.
+func (c *Counter) Split(begin bool) {
+	if c.split += sign(begin); begin && c.split == 1 {
+		for i := range c.copies[1] {
+			c.copies[1][i] = part{free: c.q.Now(), sums: maps.Clone(c.copies[0][i].sums)}
+		}
+	}
+}
+
+// Small leaves a part of its capacity; Drop lets it answer a part of the calls only.
+func (c *Counter) Small(factor float64, begin bool)  { c.small = change(c.small, factor, begin) }
+func (c *Counter) Drop(answered float64, begin bool) { c.drop = change(c.drop, answered, begin) }
+
+func sign(begin bool) int {
+	if begin {
+		return 1
+	}
+	return -1
+}
+
+func change(list []float64, x float64, begin bool) []float64 {
+	if begin {
+		return append(list, x)
+	}
+	for i := range list {
+		if list[i] == x {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/lab/day/day.go
@@ -0,0 +1,194 @@
+// Package day owns the form of a day of the laboratory: a deployment, its load and its troubles, as they stand in a
+// file. It reads, checks, draws and writes days, and must never play one.
+package day
+
+// Day is a deployment, its load and what happens to it. Where a figure is a range, Draw picks one by seed.
+type Day struct {
+	Format     int         `day:"format" min:"1" max:"1" about:"version of this form; 1"`
+	Name       string      `day:"name" about:"what the day is called in reports"`
+	About      string      `day:"about" def:"" about:"one sentence for whoever reads the list of days"`
+	Length     Span        `day:"length" unit:"s" min:"1s" max:"24h" about:"how long clients come"`
+	Fleet      Fleet       `day:"fleet" about:"sizes"`
+	Network    Network     `day:"network" about:"the way between machines"`
+	Hosts      []HostKind  `day:"host" about:"kinds of hosts"`
+	Cold       Cold        `day:"cold" about:"hosts that have just started"`
+	Operations []Operation `day:"operation" about:"what clients ask for"`
+	Plans      []Plan      `day:"plan" about:"what customers are promised"`
+	Clients    Clients     `day:"clients" about:"how much they ask for, and how they take an answer"`
+	Counter    Counter     `day:"counter" about:"the shared counter"`
+	Discovery  Discovery   `day:"discovery" about:"how the list of hosts gets to api gateways"`
+	Peers      Peers       `day:"peers" about:"mail between api gateways"`
+	Gateway    Gateway     `day:"gateway" about:"each api gateway"`
+	Troubles   []Trouble   `day:"trouble" about:"what goes wrong, and when; they may overlap"`
+}
+
+type Fleet struct {
+	Gateways Span `day:"gateways" unit:"n" min:"1" max:"5000" about:"api gateways"`
+	Hosts    Span `day:"hosts" unit:"n" min:"1" max:"10000" about:"hosts at the start"`
+	Zones    Span `day:"zones" unit:"n" min:"1" max:"16" def:"1" about:"zones; machines stand in them in turn"`
+}
+
+type Network struct {
+	Near   Span `day:"near" unit:"s" min:"0s" max:"1s" def:"300us" about:"one way inside a zone"`
+	Far    Span `day:"far" unit:"s" min:"0s" max:"1s" def:"1ms" about:"one way between zones"`
+	Jitter Span `day:"jitter" unit:"share" min:"0" max:"10" def:"0.3" about:"mean of what comes on top, as a part of the way"`
+	Dial   Span `day:"dial_limit" unit:"s" min:"1ms" max:"30s" def:"250ms" about:"a connection not up by then is given up"`
+	Idle   Span `day:"idle_close" unit:"s" min:"100ms" max:"1h" def:"15s" about:"hosts close a connection at rest for so long"`
+}
+
+type HostKind struct {
+	Name        string `day:"name" about:"of the kind"`
+	Share       Span   `day:"share" unit:"share" min:"0" max:"1" def:"1" about:"of all hosts, beside the other kinds' shares"`
+	Cores       Span   `day:"cores" unit:"n" min:"1" max:"256" about:"pieces of work done at once"`
+	Speed       Span   `day:"speed" unit:"x" min:"0.01" max:"100" def:"1" about:"of a core; drawn for each host"`
+	Queue       Span   `day:"queue" unit:"n" min:"0" max:"100000" def:"64" about:"work that waits; what is more is turned away"`
+	Connections Span   `day:"connections" unit:"n" min:"1" max:"100000" def:"512" about:"that it holds at most"`
+	ConnectWork Span   `day:"connect_work" unit:"s" min:"0s" max:"1s" def:"500us" about:"work that a new connection costs it"`
+}
+
+type Cold struct {
+	Share  Span `day:"share" unit:"share" min:"0.01" max:"1" def:"0.2" about:"of its capacity that a host starts with"`
+	Warm   Span `day:"warm" unit:"s" min:"0s" max:"10m" def:"10s" about:"until it has all of it"`
+	Factor Span `day:"factor" unit:"x" min:"1" max:"100" def:"3" about:"sent so many times its present capacity, it falls over"`
+	Window Span `day:"window" unit:"s" min:"100ms" max:"1m" def:"2s" about:"for so long"`
+}
+
+type Operation struct {
+	Name      string `day:"name" about:"of the operation"`
+	Share     Span   `day:"share" unit:"share" min:"0" max:"1" def:"1" about:"of all invocations, beside the others' shares"`
+	Work      Span   `day:"work" unit:"s" min:"10us" max:"1m" about:"mean work on a core of speed 1"`
+	Spread    string `day:"spread" one:"exponential|even|fixed" def:"exponential" about:"of the work: exponential, even between half and one and a half of the mean, or always the mean"`
+	Objective Span   `day:"objective" unit:"s" min:"1ms" max:"10m" about:"latency objective: the answer is wanted within this"`
+	Timeout   Span   `day:"timeout" unit:"s" min:"1ms" max:"10m" about:"integration timeout: how long a client waits at most, all its tries together"`
+	Value     Span   `day:"value" unit:"x" min:"0" max:"1000" def:"1" about:"billed value"`
+	Late      Span   `day:"late" unit:"share" min:"0" max:"1" def:"0" about:"part of it that an answer after the objective is worth"`
+	Effect    string `day:"effect" one:"idempotent|tokened|non-idempotent" about:"whether it may run again"`
+	Group     string `day:"group" one:"all|zone|cell" def:"all" about:"tokened: the hosts that drop a repeat"`
+	TokenTime Span   `day:"token_time" unit:"s" min:"0s" max:"10m" def:"0s" about:"tokened: for how long"`
+}
+
+type Plan struct {
+	Name         string `day:"name" about:"of the plan"`
+	Share        Span   `day:"share" unit:"share" min:"0" max:"1" def:"1" about:"of the load inside quotas, beside the others' shares"`
+	Rate         Span   `day:"rate" unit:"/s" min:"0/s" max:"1000000/s" def:"0/s" about:"units a second for each customer; 0/s: no such quota"`
+	Burst        Span   `day:"burst" unit:"x" min:"0" max:"10000000" def:"0" about:"units at once"`
+	MaxOut       Span   `day:"max_out" unit:"n" min:"0" max:"100000" def:"0" about:"deliveries out at once; 0: no such quota"`
+	Use          Span   `day:"use" unit:"/s" min:"0/s" max:"1000000/s" def:"0/s" about:"units a second that a customer at its quota asks for; 0/s: the rate"`
+	CeilingRate  Span   `day:"ceiling_rate" unit:"/s" min:"0/s" max:"1000000/s" def:"0/s" about:"hard ceiling; 0/s: none"`
+	CeilingBurst Span   `day:"ceiling_burst" unit:"x" min:"0" max:"10000000" def:"0" about:"units at once under it"`
+	OverCost     Span   `day:"over_cost" unit:"x" min:"0" max:"10" def:"1" about:"part of its value that a send beyond the quota costs"`
+	Price        Span   `day:"price" unit:"x" min:"0" max:"100" def:"1" about:"factor on the billed value"`
+}
+
+type Clients struct {
+	Rate     Span `day:"rate" unit:"/s" min:"0.1/s" max:"1000000/s" about:"first tries a second inside the quotas, from all customers; what the others ask for comes on top"`
+	Units    Span `day:"units" unit:"n" min:"1" max:"1000" def:"1" about:"most units of one invocation; drawn from 1, falling"`
+	Set      Span `day:"set" unit:"n" min:"1" max:"5000" def:"3" about:"api gateways a customer comes in through, at most all"`
+	Uneven   Span `day:"uneven" unit:"share" min:"0" max:"1" def:"0.5" about:"part of a customer's invocations that goes to its present favourite"`
+	Change   Span `day:"change" unit:"s" min:"100ms" max:"24h" def:"8s" about:"how long it stays the favourite"`
+	Near     Span `day:"near" unit:"share" min:"0" max:"1" def:"0.15" about:"customers that use nearly all of their quota"`
+	Over     Span `day:"over" unit:"share" min:"0" max:"1" def:"0.1" about:"customers that ask for more"`
+	OverBy   Span `day:"over_by" unit:"x" min:"1" max:"100" def:"3" about:"how many times their quota"`
+	Heavy    Span `day:"heavy" unit:"x" min:"1.05" max:"100" def:"2.5" about:"power of the tail by which customers far under it differ; smaller: more uneven"`
+	Patience Span `day:"patience" unit:"share" min:"0.05" max:"1" def:"1" about:"part of the integration timeout that the shortest-tempered try is waited for"`
+	Retries  Span `day:"retries" unit:"n" min:"0" max:"20" def:"1" about:"further tries of a client"`
+	Wait     Span `day:"wait" unit:"s" min:"0s" max:"10m" def:"200ms" about:"mean wait before one, where no time to come back was told"`
+	Follow   Span `day:"follow" unit:"share" min:"0" max:"1" def:"0.8" about:"customers that keep to the time to come back"`
+	Marked   bool `day:"marked" def:"true" about:"clients mark their repeats"`
+}
+
+type Counter struct {
+	Present  bool   `day:"present" def:"true" about:"there is one"`
+	Parts    Span   `day:"parts" unit:"n" min:"1" max:"64" def:"1" about:"parts, by name"`
+	Capacity Span   `day:"capacity" unit:"/s" min:"0.1/s" max:"10000000/s" def:"100000/s" about:"calls a second that all parts together take"`
+	Queue    Span   `day:"queue" unit:"n" min:"1" max:"1000000" def:"4096" about:"calls that wait at a part; what is more is turned away"`
+	Time     Span   `day:"time" unit:"s" min:"0s" max:"1s" def:"500us" about:"for a call, beside waiting and the way"`
+	Limit    Span   `day:"limit" unit:"s" min:"1ms" max:"10s" def:"50ms" about:"a call is given up after this"`
+	Settles  bool   `day:"settles" def:"false" about:"units are a guess and the answer brings the true ones"`
+	Zone     string `day:"zone" one:"spread|own" def:"spread" about:"spread: its way is that between zones for two thirds of the api gateways; own: near to all"`
+}
+
+type Discovery struct {
+	Delay Span `day:"delay" unit:"s" min:"0s" max:"10m" def:"500ms" about:"until a change is told; drawn for each change and api gateway from half of it to one and a half"`
+}
+
+type Peers struct {
+	Allowed bool `day:"allowed" def:"false" about:"api gateways may send each other mail"`
+	Mail    Span `day:"mail" unit:"/s" min:"0/s" max:"100000/s" def:"60/s" about:"messages that one takes in"`
+	Delay   Span `day:"delay" unit:"s" min:"0s" max:"10s" def:"5ms" about:"mean time on the way"`
+	Loss    Span `day:"loss" unit:"share" min:"0" max:"1" def:"0.01" about:"messages lost"`
+}
+
+type Gateway struct {
+	Deliveries Span `day:"deliveries" unit:"n" min:"1" max:"100" def:"4" about:"for one invocation at most"`
+	Cancel     bool `day:"cancel" def:"true" about:"a delivery may be withdrawn"`
+	Cost       Span `day:"cost" unit:"s" min:"0s" max:"100ms" def:"20us" about:"CPU time for each thing it hears, on a whole core"`
+	Core       Span `day:"core" unit:"share" min:"0.01" max:"1" def:"0.5" about:"part of a core that it gets"`
+	Grace      Span `day:"grace" unit:"s" min:"0s" max:"1m" def:"250ms" about:"new work to a draining host may go on for so long"`
+	Notice     Span `day:"notice" unit:"s" min:"0s" max:"1m" def:"2s" about:"invocations go on coming to a dead one for so long"`
+}
+
+type Trouble struct {
+	Kind      string `day:"kind" about:"see the kinds"`
+	At        Span   `day:"at" unit:"s" min:"0s" max:"24h" about:"when it begins"`
+	Lasts     Span   `day:"lasts" unit:"s" min:"0s" max:"24h" def:"0s" about:"how long it lasts"`
+	Part      Span   `day:"part" unit:"share" min:"0" max:"1" def:"1" about:"part of the machines or customers that are struck"`
+	Size      Span   `day:"size" unit:"x" min:"0" max:"10000" def:"1" about:"how hard; see the kind"`
+	Operation string `day:"operation" def:"" about:"the one operation that is struck"`
+	Back      string `day:"back" one:"kept|empty|old" def:"kept" about:"with what the counter comes back"`
+}
+
+// Kind tells what a trouble does.
+type Kind struct {
+	Name  string
+	Does  string
+	Part  string // of what; "": part means nothing
+	Size  string // what it says; "": size means nothing
+	Long  bool   // it lasts
+	Needs string // "operation", "peers" or "counter"
+}
+
+// Kinds are the troubles in the order in which the pages list them.
+var Kinds = []Kind{
+	{Name: "slow", Does: "hosts work at a part of their speed", Part: "hosts", Size: "how many times slower", Long: true},
+	{Name: "silent", Does: "hosts answer nothing and run nothing; connections stay open", Part: "hosts", Long: true},
+	{Name: "vanish", Does: "hosts are silent, then back cold", Part: "hosts", Long: true},
+	{Name: "operation-silent", Does: "hosts leave a part of one operation's deliveries unanswered", Part: "hosts", Size: "part of them", Long: true, Needs: "operation"},
+	{Name: "errors", Does: "hosts answer a part of the deliveries with an error, after they ran", Part: "hosts", Size: "part of them", Long: true},
+	{Name: "spoilt", Does: "a part of the answers can't be read; their delivery has run", Part: "hosts", Size: "part of them", Long: true},
+	{Name: "refuse", Does: "hosts hold fewer connections", Part: "hosts", Size: "part of their limit", Long: true},
+	{Name: "replace", Does: "hosts drain and leave, one after another, and new cold ones come in their place", Part: "hosts", Long: true},
+	{Name: "grow", Does: "cold hosts come on top", Part: "of the hosts there are", Long: false},
+	{Name: "reset", Does: "connections are reset under a part of the deliveries, half of them after they ran", Size: "part of them", Long: true},
+	{Name: "delay", Does: "the way between machines takes longer", Size: "how many times", Long: true},
+	{Name: "cut", Does: "zones are cut off from the others and from the counter", Part: "zones, at most all but one", Long: true},
+	{Name: "half-open", Does: "a part of the answers never arrives though the connection stays open", Size: "part of them", Long: true},
+	{Name: "counter-silent", Does: "the counter answers nothing and adds nothing", Long: true, Needs: "counter"},
+	{Name: "counter-refuse", Does: "the counter takes no connections", Long: true, Needs: "counter"},
+	{Name: "counter-small", Does: "the counter takes a part of its calls a second", Size: "part of its capacity", Long: true, Needs: "counter"},
+	{Name: "counter-drop", Does: "the counter adds all but answers only a part of the calls", Size: "part answered", Long: true, Needs: "counter"},
+	{Name: "counter-split", Does: "a part of the api gateways sees another copy of the counter; the first copy's counts stand afterwards", Part: "api gateways", Long: true, Needs: "counter"},
+	{Name: "counter-replaced", Does: "the counter is replaced by an empty one at a stroke", Long: false, Needs: "counter"},
+	{Name: "list-late", Does: "changes of the list come later", Size: "how many times", Long: true},
+	{Name: "list-silent", Does: "changes of the list don't come until it ends", Long: true},
+	{Name: "list-wrong", Does: "the list says of some hosts that they drain, though they work", Part: "hosts", Long: true},
+	{Name: "mail-loss", Does: "mail between api gateways is lost", Size: "part lost", Long: true, Needs: "peers"},
+	{Name: "burst", Does: "customers ask for more", Part: "customers", Size: "how many times", Long: true},
+	{Name: "gather", Does: "customers come in through one api gateway of their set only", Part: "customers", Long: true},
+	{Name: "move", Does: "customers come in through another set from now on", Part: "customers", Long: false},
+	{Name: "ignore", Does: "customers that were throttled come again at once, as often as size says", Part: "customers", Size: "further tries", Long: true},
+	{Name: "impatient", Does: "clients give up after a part of their time", Part: "customers", Size: "part of their time", Long: true},
+	{Name: "kill", Does: "api gateways are killed; each is back with empty hands after the time it lasts", Part: "api gateways", Long: true},
+	{Name: "restart", Does: "api gateways are restarted, one after another: each ends what it holds, then starts with empty hands", Part: "api gateways", Long: true},
+	{Name: "starve", Does: "api gateways get a part of their share of a core", Part: "api gateways", Size: "part of it", Long: true},
+}
+
+// KindOf gives what is known of a kind of trouble.
+func KindOf(name string) (Kind, bool) {
+	for _, k := range Kinds {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return Kind{}, false
+}
--- /dev/null
+++ b/lab/network/network.go
@@ -0,0 +1,86 @@
+// Package network owns the way between machines: how long it takes, and what is cut off, reset or lost at present.
+// It must never know what travels.
+package network
+
+import (
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+)
+
+// Network is the way between zones.
+type Network struct {
+	near, far, jitter float64
+	dice              dice.Stream
+	zones             []int // how many troubles cut each off
+	stretch           []float64
+	reset, half       []float64
+}
+
+// New makes the network of a day.
+func New(d *day.Network, zones int, seed uint64) *Network {
+	return &Network{near: d.Near.V(), far: d.Far.V(), jitter: d.Jitter.V(), zones: make([]int, zones),
+		dice: dice.New(seed, "network")}
+}
+
+// Way is how long something takes from one zone to another, in seconds.
+func (n *Network) Way(from, to int) float64 {
+	way := n.near
+	if from != to {
+		way = n.far
+	}
+	for _, x := range n.stretch {
+		way *= x
+	}
+	return way + n.dice.Exp(way*n.jitter)
+}
+
+// Cut says that nothing gets from one zone to another.
+func (n *Network) Cut(a, b int) bool { return a != b && (n.zones[a] > 0 || n.zones[b] > 0) }
+
+// CutOff cuts a zone off from all others, or takes one cut back.
+func (n *Network) CutOff(zone int, begin bool) {
+	if begin {
+		n.zones[zone]++
+	} else {
+		n.zones[zone]--
+	}
+}
+
+// Stretch makes all ways so many times longer, or takes that back; Resets and HalfOpen do so for the shares of
+// deliveries whose connection is reset, and of answers that never arrive.
+func (n *Network) Stretch(by float64, begin bool)     { n.stretch = change(n.stretch, by, begin) }
+func (n *Network) Resets(share float64, begin bool)   { n.reset = change(n.reset, share, begin) }
+func (n *Network) HalfOpen(share float64, begin bool) { n.half = change(n.half, share, begin) }
+
+// Reset says that the connection under this delivery is reset, and whether before it reached the host's work.
+func (n *Network) Reset() (reset, before bool) {
+	if !n.any(n.reset) {
+		return false, false
+	}
+	return true, n.dice.Chance(0.5)
+}
+
+// Lost says that this answer never arrives.
+func (n *Network) Lost() bool { return n.any(n.half) }
+
+func (n *Network) any(shares []float64) bool {
+	for _, p := range shares {
+		if n.dice.Chance(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// change puts one trouble's figure in, or takes one of that size out: troubles overlap and end in any order.
+func change(list []float64, x float64, begin bool) []float64 {
+	if begin {
+		return append(list, x)
+	}
+	for i := range list {
+		if list[i] == x {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -1,5 +1,5 @@
-// Package wirehost is the adapter between the line protocol and the deciding module. It keeps the
-// timers and the invocations in hand and decides nothing.
+// Package wirehost is the adapter between the line protocol and the deciding module, by way of drive. It keeps the
+// instances and the lists of hosts and decides nothing.
 package wirehost
 
 import (
@@ -9,6 +9,7 @@
 	"io"
 
 	"otterseam/choice"
+	"otterseam/drive"
 	"otterseam/wire"
 )
 
@@ -45,13 +46,10 @@
 	reply    wire.Reply
 }
 
-// instance is one api gateway with its invocations in hand and its one timer.
+// instance writes what one api gateway decides as commands.
 type instance struct {
+	*drive.Instance
 	reply *wire.Reply
-	gw    *choice.Gateway
-	invs  map[string]*choice.Invocation
-	bell  float64 // when the timer that is set falls due; 0: none
-	nonce uint64
 }
 
 func (p *process) batch(b wire.Batch) error {
@@ -77,7 +75,7 @@
 			continue
 		}
 		if c, ok := m.(*wire.Create); ok {
-			in := &instance{reply: &p.reply, invs: map[string]*choice.Invocation{}}
+			in := &instance{reply: &p.reply}
 			if err := in.create(c); err != nil {
 				return err
 			}
@@ -100,14 +98,13 @@
 			if !ok {
 				return fmt.Errorf("DISCOVERY: no list numbered %d", d.Slot)
 			}
-			in.gw.Hosts(now, list, d.Mode != "patch")
+			in.Hosts(now, list, d.Mode != "patch")
 		} else {
 			in.event(now, m)
 		}
-		in.turns(now)
 	}
 	if in := p.gateways[g.Who]; in != nil {
-		in.timer(now)
+		in.Settle(now)
 	}
 	return nil
 }
@@ -121,88 +118,45 @@
 	return list
 }
 
-func (in *instance) create(c *wire.Create) error {
-	s, err := c.Start, error(nil)
-	if in.gw, err = s.Module(c.Seed, in); err != nil {
-		return err
-	}
-	if s.Registry == "on_request" {
+func (in *instance) create(c *wire.Create) (err error) {
+	in.Instance, err = drive.New(in, func(out choice.Out) (*choice.Gateway, error) { return c.Start.Module(c.Seed, out) })
+	if err == nil && c.Start.Registry == "on_request" {
 		in.reply.Put("TRACK", true)
 	}
-	return nil
+	return err
 }
 
 // event turns one message into one call.
 func (in *instance) event(now float64, m any) {
 	switch m := m.(type) {
 	case *wire.JobIn:
-		in.invs[m.Ref] = in.gw.Take(now, choice.Asked{Ref: m.Ref, Operation: m.Class, Customer: m.Client,
+		in.Take(now, choice.Asked{Ref: m.Ref, Operation: m.Class, Customer: m.Client,
 			Plan: m.Plan, Units: m.Units, GiveUp: m.Deadline, Width: m.Width, Repeat: m.Options&2 != 0})
 	case *wire.Verdict:
-		inv := in.invs[m.Ref]
-		if inv == nil || m.Attempt < 0 || m.Attempt >= len(inv.Deliveries) {
-			return
-		}
-		in.write(inv, in.gw.After(now, inv.Deliveries[m.Attempt], choice.Ended{How: choice.Outcome(m.How[0]),
-			Over: m.Done, Took: m.Delay, Units: m.Actual}))
-		in.drop(inv)
+		in.Ended(now, m.Ref, m.Attempt, choice.Ended{How: choice.Outcome(m.How[0]),
+			Over: m.Done, Took: m.Delay, Units: m.Actual})
 	case *wire.Hangup:
-		if inv := in.invs[m.Ref]; inv != nil {
-			in.gw.Gone(now, inv)
-			in.drop(inv)
-		}
+		in.Instance.Gone(now, m.Ref)
 	case *wire.Bell:
-		if m.Nonce == in.nonce {
-			in.bell = 0
-		}
-		in.gw.Tick(now)
+		in.Ring(now, m.Nonce)
 	case *wire.Message:
-		in.gw.Told(now, m.Data)
+		in.Told(now, m.Data)
 	case *wire.Sum:
-		in.gw.Counted(now, m.Name, choice.Outcome(m.How[0]), m.Sum, m.Delay)
-	}
-}
-
-// turns asks about each invocation whose turn it is.
-func (in *instance) turns(now float64) {
-	for inv := in.gw.Turn(now); inv != nil; inv = in.gw.Turn(now) {
-		in.write(inv, in.gw.Where(now, inv))
-		in.drop(inv)
+		in.Counted(now, m.Name, choice.Outcome(m.How[0]), m.Sum, m.Delay)
 	}
 }
 
-func (in *instance) write(inv *choice.Invocation, a choice.Answer) {
-	switch a.Do {
-	case choice.Send:
-		in.reply.Put("PASS_ON", inv.Ref, a.Within, a.Host.Addr)
-	case choice.Throttle:
-		in.reply.Put("SHED", inv.Ref, a.RetryAfter)
-	case choice.GiveUp:
-		in.reply.Put("SURRENDER", inv.Ref)
-	}
-}
-
-func (in *instance) drop(inv *choice.Invocation) {
-	if inv.Finished() {
-		delete(in.invs, inv.Ref)
-	}
-}
+// The commands.
 
-func (in *instance) timer(now float64) {
-	w := in.gw.Wait(now)
-	if in.bell > 0 && in.bell <= now+w {
-		return
-	}
-	in.bell = now + w
-	in.nonce++
-	in.reply.Put("SCHEDULE", in.nonce, in.bell)
+func (in *instance) Send(ref, host string, within float64) {
+	in.reply.Put("PASS_ON", ref, within, host)
 }
-
-// What belongs to no single invocation leaves here.
-
+func (in *instance) Throttle(ref string, retryAfter float64) { in.reply.Put("SHED", ref, retryAfter) }
+func (in *instance) GiveUp(ref string)                       { in.reply.Put("SURRENDER", ref) }
+func (in *instance) Wake(nonce uint64, at float64)           { in.reply.Put("SCHEDULE", nonce, at) }
+func (in *instance) Cancel(ref string, number int)           { in.reply.Put("CALL_OFF", ref, number) }
+func (in *instance) Tell(text string)                        { in.reply.Put("ANNOUNCE", nil, text) }
+func (in *instance) Log(text string)                         { in.reply.Put("TRACE", text) }
 func (in *instance) Count(name uint64, amount, life float64) {
 	in.reply.Put("BUMP", name, amount, life)
 }
-func (in *instance) Cancel(d *choice.Delivery) { in.reply.Put("CALL_OFF", d.Inv.Ref, d.Number) }
-func (in *instance) Tell(text string)          { in.reply.Put("ANNOUNCE", nil, text) }
-func (in *instance) Log(text string)           { in.reply.Put("TRACE", text) }
