--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,6 +20,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -109,7 +110,9 @@
 	names              map[uint64][]*call
 	callRate, deniedAt float64 // counter calls a second that may be made; when one was last wanted and not made
 	callRoom, callAt   float64 // how many may be made now, as of callAt
-	lateAt, drawn      float64 // when the rate was last cut; chances drawn so far
+	lateAt             float64 // when the rate was last cut
+	seeded             uint32  // of the chances: the check sum of the seed
+	drawn              uint64  // how many so far
 	tellAt, shut       float64 // no message to the peers before; share of deliveries of late with no connection
 	crowded            bool    // one was denied of late
 	ready, line        []*Invocation
@@ -124,6 +127,7 @@
 		plans: map[string]*Plan{}, byAddr: map[string]*Host{}, customers: map[string]*customer{},
 		names: map[uint64][]*call{}, callRate: 32, callRoom: 8, deniedAt: math.Inf(-1),
 		most: 12, wait: 0.2, all: all, own: min(1, 12/all)}
+	g.seed(at.Seed)
 	for _, o := range ops {
 		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
 		g.mean += o.Objective / 5 / float64(len(ops))
@@ -581,9 +585,13 @@
 	return 0.5 * g.mean * g.all / min(1, g.cold.Factor/2)
 }
 
+func (g *Gateway) seed(s uint64) { g.seeded = crc32.ChecksumIEEE(fmt.Appendf(nil, "%d ", s)) }
+
 func (g *Gateway) chance() float64 {
+	var digits [20]byte // of the counter, behind those of the seed: most calls of a large fleet's choice end here
 	g.drawn++
-	return float64(2654435761*crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %.0f", g.at.Seed, g.drawn))) / (1 << 32)
+	text := strconv.AppendUint(digits[:0], g.drawn, 10)
+	return float64(2654435761*crc32.Update(g.seeded, crc32.IEEETable, text)) / (1 << 32)
 }
 
 func (g *Gateway) bestHost(now float64, inv *Invocation, free []*Host) *Host {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -406,7 +406,7 @@
 	n := 0
 	for seed := range uint64(300) {
 		f := newFakeOf(t, Plan{Name: "p"}, 300)
-		f.g.at.Seed = seed
+		f.g.seed(seed)
 		f.g.Hosts(f.now, []Listed{{Addr: "c", Zone: "z", State: "active", Since: f.now}}, true)
 		for range 10 {
 			f.take(1, 2)
@@ -424,7 +424,7 @@
 	told := 0
 	for seed := range uint64(100) {
 		f := newFakeOf(t, Plan{Name: "p"}, 300)
-		f.g.at.Seed = seed
+		f.g.seed(seed)
 		f.g.setAside(f.now, f.g.hosts[0], "for the story")
 		told += len(f.told)
 	}
--- a/lab/counter/counter.go
+++ b/lab/counter/counter.go
@@ -8,6 +8,7 @@
 	"otterseam/lab/day"
 	"otterseam/lab/dice"
 	"otterseam/lab/event"
+	"otterseam/lab/stack"
 )
 
 // Outcome is how the counter deals with a call.
@@ -38,8 +39,8 @@
 	split    int
 	silent   int
 	refuse   int
-	small    []float64
-	drop     []float64
+	small    stack.Stack
+	drop     stack.Stack
 	old      [][]map[uint64]sum
 	// Calls and Answered count what reached it; Unanswered what it left without an answer.
 	Calls, Answered, Unanswered float64
@@ -78,10 +79,7 @@
 		side = 1
 	}
 	p := &c.copies[side][name%uint64(len(c.copies[side]))]
-	each := 1 / c.capacity
-	for _, f := range c.small {
-		each /= f
-	}
+	each := 1 / (c.capacity * c.small.Times())
 	now := c.q.Now()
 	if (p.free-now)/each > c.most {
 		c.Answered++
@@ -100,11 +98,9 @@
 		}
 		s.value += amount
 		p.sums[name] = s
-		for _, answered := range c.drop {
-			if !c.dice.Chance(answered) {
-				c.Unanswered++
-				return
-			}
+		if c.drop.Any(func(answered float64) bool { return !c.dice.Chance(answered) }) {
+			c.Unanswered++
+			return
 		}
 		c.Answered++
 		done(Added, s.value)
@@ -166,8 +162,8 @@
 }
 
 // Small leaves a part of its capacity; Drop lets it answer a part of the calls only.
-func (c *Counter) Small(factor float64, begin bool)  { c.small = change(c.small, factor, begin) }
-func (c *Counter) Drop(answered float64, begin bool) { c.drop = change(c.drop, answered, begin) }
+func (c *Counter) Small(factor float64, begin bool)  { c.small.Set(factor, begin) }
+func (c *Counter) Drop(answered float64, begin bool) { c.drop.Set(answered, begin) }
 
 func sign(begin bool) int {
 	if begin {
@@ -175,15 +171,3 @@
 	}
 	return -1
 }
-
-func change(list []float64, x float64, begin bool) []float64 {
-	if begin {
-		return append(list, x)
-	}
-	for i := range list {
-		if list[i] == x {
-			return append(list[:i], list[i+1:]...)
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/lab/crowd/crowd.go
@@ -0,0 +1,262 @@
+// Package crowd owns the model of customers and their clients: who asks for what, when, through which api gateway, and
+// what a client does with its answer. It must never know hosts, the counter or what an api gateway thinks.
+package crowd
+
+import (
+	"fmt"
+	"math"
+
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/event"
+	"otterseam/lab/model"
+)
+
+// Door is what the crowd asks of the rest.
+type Door interface {
+	// Arrive brings a try to an api gateway; false: none took it.
+	Arrive(inv *model.Invocation) bool
+	// Admits says whether the front sends tries to this api gateway.
+	Admits(gateway int) bool
+	// Asked, Closed and Tried tell of a need that begins or ends, and of a try.
+	Asked(n *model.Need)
+	Closed(n *model.Need, took float64)
+	Tried(inv *model.Invocation)
+}
+
+// Crowd is all customers of a day.
+type Crowd struct {
+	Customers []*model.Customer
+
+	q         *event.Queue
+	day       *day.Day
+	door      Door
+	load      dice.Stream // when, and what
+	ways      dice.Stream // through which api gateway
+	mood      dice.Stream // what clients do with an answer
+	ops       []model.Operation
+	shares    []float64
+	gateways  int
+	tries     uint64
+	lives     []int // by customer: which schedule holds
+	meanUnits float64
+	end       float64
+}
+
+// New draws the customers of a day. Each plan has so many that those far, near and over together ask for the plan's
+// part of the load inside their quotas.
+func New(q *event.Queue, d *day.Day, seed uint64, door Door) *Crowd {
+	c := &Crowd{q: q, day: d, door: door, gateways: d.Fleet.Gateways.N(), load: dice.New(seed, "load"),
+		ways: dice.New(seed, "ways"), mood: dice.New(seed, "mood"), end: d.Length.V()}
+	whole := 0.0
+	for i := range d.Operations {
+		c.ops = append(c.ops, model.Operation{Operation: &d.Operations[i], Number: i})
+		whole += d.Operations[i].Share.V()
+		c.shares = append(c.shares, whole)
+	}
+	c.meanUnits = meanUnits(d.Clients.Units.N())
+	plans := 0.0
+	for i := range d.Plans {
+		plans += d.Plans[i].Share.V()
+	}
+	who := dice.New(seed, "customers")
+	for i := range d.Plans {
+		c.draw(who, i, d.Clients.Rate.V()*d.Plans[i].Share.V()/plans)
+	}
+	c.lives = make([]int, len(c.Customers))
+	return c
+}
+
+// Units are drawn from 1 to most, each half as likely again as the next: small ones are usual.
+func meanUnits(most int) float64 {
+	sum, all := 0.0, 0.0
+	for u := 1; u <= most; u++ {
+		p := math.Pow(1.5, -float64(u))
+		sum, all = sum+p*float64(u), all+p
+	}
+	return sum / all
+}
+
+func (c *Crowd) units() float64 {
+	most := c.day.Clients.Units.N()
+	x := c.load.Float64() * (1 - math.Pow(1.5, -float64(most)))
+	return min(float64(most), 1+math.Floor(-math.Log(1-x)/math.Log(1.5)))
+}
+
+// draw adds customers of one plan until what they ask for inside their quotas comes to rate invocations a second.
+func (c *Crowd) draw(who dice.Stream, plan int, rate float64) {
+	p, k := &c.day.Plans[plan], c.day.Clients
+	quota := p.Use.V()
+	if quota == 0 {
+		quota = p.Rate.V()
+	}
+	for inside := 0.0; inside < rate && len(c.Customers) < 1_000_000; {
+		n := len(c.Customers)
+		x := &model.Customer{Number: n, Key: fmt.Sprintf("%016x", 0x10000000+uint64(n)*2654435761%0xe0000000), Plan: p, PlanNumber: plan,
+			Times: 1, Short: 1, Width: min(c.gateways, max(1, k.Set.N()))}
+		part := 0.0
+		switch u := who.Float64(); {
+		case u < k.Over.V():
+			x.Class, part = model.Over, k.OverBy.V()*who.Between(0.7, 1.3)
+		case u < k.Over.V()+k.Near.V():
+			x.Class, part = model.Near, who.Between(0.85, 1)
+		default:
+			part = min(0.8, 0.3*who.Pareto(k.Heavy.V()))
+		}
+		x.First = who.IntN(c.gateways)
+		x.Favourite = x.First
+		x.Follows = who.Chance(k.Follow.V())
+		x.Rate = part * quota / c.meanUnits
+		inside += min(1, part) * quota / c.meanUnits
+		c.Customers = append(c.Customers, x)
+	}
+}
+
+// Start has all customers ask from now on.
+func (c *Crowd) Start() {
+	for _, x := range c.Customers {
+		c.plan(x)
+	}
+}
+
+// plan sets when a customer asks next.
+func (c *Crowd) plan(x *model.Customer) {
+	if x.Rate*x.Times <= 0 {
+		return
+	}
+	life := c.lives[x.Number]
+	c.q.After(c.load.Exp(1/(x.Rate*x.Times)), func() {
+		if c.lives[x.Number] != life || c.q.Now() >= c.end {
+			return
+		}
+		c.ask(x)
+		c.plan(x)
+	})
+}
+
+func (c *Crowd) ask(x *model.Customer) {
+	now := c.q.Now()
+	op := c.ops[0]
+	for u, i := c.load.Float64()*c.shares[len(c.shares)-1], 0; i < len(c.ops); i++ {
+		if op = c.ops[i]; u < c.shares[i] {
+			break
+		}
+	}
+	n := &model.Need{Cust: x, Op: op, Units: c.units(), Born: now, Until: now + op.Timeout.V()}
+	n.Work = op.Work.V() // what an invocation costs grows with neither its units nor its customer
+	switch draw := c.load.Float64(); op.Spread {
+	case "exponential":
+		n.Work *= -math.Log(1 - draw)
+	case "even":
+		n.Work *= 0.5 + draw
+	}
+	if n.True = n.Units; c.day.Counter.Settles {
+		n.True = max(1, math.Round(n.Units*c.load.Between(0.5, 1.5)))
+	}
+	c.door.Asked(n)
+	c.try(n, false)
+}
+
+// try sends a client's next try through one of the customer's api gateways.
+func (c *Crowd) try(n *model.Need, repeat bool) {
+	x, now := n.Cust, c.q.Now()
+	n.Tries++
+	c.tries++
+	patience := c.mood.Between(c.day.Clients.Patience.V(), 1) * x.Short
+	inv := &model.Invocation{Ref: fmt.Sprintf("%016x", c.tries*0x9e3779b97f4a7c15), Number: c.tries, Need: n, Born: now,
+		GiveUp: min(n.Until, now+patience*n.Op.Timeout.V()), Repeat: repeat && c.day.Clients.Marked}
+	inv.Gateway = c.way(x)
+	c.door.Tried(inv)
+	if !c.door.Arrive(inv) {
+		c.Ended(inv, model.Unreachable, 0, false)
+	}
+}
+
+// way chooses the api gateway: the favourite of the hour, or another of the set; a dead one that the front has noticed is
+// passed over.
+func (c *Crowd) way(x *model.Customer) int {
+	now := c.q.Now()
+	if now >= x.Until {
+		x.Until = now + c.ways.Between(0.5, 1.5)*c.day.Clients.Change.V()
+		x.Favourite = c.ways.IntN(x.Width)
+	}
+	pick := x.Favourite
+	if !x.Gathered && !c.ways.Chance(c.day.Clients.Uneven.V()) {
+		pick = c.ways.IntN(x.Width)
+	}
+	for i := range x.Width {
+		if g := (x.First + (pick+i)%x.Width) % c.gateways; c.door.Admits(g) {
+			return g
+		}
+	}
+	return (x.First + pick) % c.gateways
+}
+
+// Ended tells a client how its try ended; retryAfter is the time to come back, 0 where none was told.
+func (c *Crowd) Ended(inv *model.Invocation, how model.Ending, retryAfter float64, room bool) {
+	n, x, now := inv.Need, inv.Need.Cust, c.q.Now()
+	if n.Closed {
+		return
+	}
+	n.Last, n.Room = how, room
+	again := n.Tries <= c.day.Clients.Retries.N()
+	wait := c.mood.Exp(c.day.Clients.Wait.V())
+	switch how {
+	case model.Served:
+		again = false
+	case model.Throttled:
+		if x.Follows && x.Again == 0 {
+			wait = max(retryAfter, min(wait, 0.05))
+		}
+		if x.Again > 0 {
+			again, wait = n.Tries <= x.Again+c.day.Clients.Retries.N(), c.mood.Exp(0.01)
+		}
+	case model.Unreachable: // harmless
+	default:
+		again = again && (n.Op.Effect == "idempotent" ||
+			n.Op.Effect == "tokened" && n.Op.Group == "all" && now+wait < n.Born+n.Op.TokenTime.V())
+	}
+	if again && now+wait < n.Until-0.01 {
+		c.q.After(wait, func() { c.try(n, true) })
+		return
+	}
+	n.Closed = true
+	c.door.Closed(n, now-inv.Born)
+}
+
+// The troubles.
+
+// Times makes a customer ask so many times as often, or ends that.
+func (c *Crowd) Times(x *model.Customer, by float64, begin bool) {
+	if begin {
+		x.Times *= by
+	} else {
+		x.Times /= by
+	}
+	c.lives[x.Number]++
+	c.plan(x)
+}
+
+// Gather brings all of a customer's tries to its favourite; Move gives it another set for good.
+func (c *Crowd) Gather(x *model.Customer, begin bool) { x.Gathered = begin }
+func (c *Crowd) Move(x *model.Customer) {
+	x.First = (x.First + 1 + c.ways.IntN(max(1, c.gateways-1))) % c.gateways
+}
+
+// Ignore makes clients of a customer come again at once, so many times more, when they are throttled; Hurry leaves them
+// a part of their patience.
+func (c *Crowd) Ignore(x *model.Customer, times int, begin bool) {
+	if begin {
+		x.Again += times
+	} else {
+		x.Again -= times
+	}
+}
+
+func (c *Crowd) Hurry(x *model.Customer, part float64, begin bool) {
+	if begin {
+		x.Short *= part
+	} else {
+		x.Short /= part
+	}
+}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -140,17 +140,18 @@
 
 // Kind tells what a trouble does.
 type Kind struct {
-	Name  string
-	Does  string
-	Part  string // of what; "": part means nothing
-	Size  string // what it says; "": size means nothing
-	Long  bool   // it lasts
-	Needs string // "operation", "peers" or "counter"
+	Name    string
+	Does    string
+	Part    string // of what; "": part means nothing
+	Size    string // what it says; "": size means nothing
+	Long    bool   // it lasts
+	Needs   string // "operation", "peers" or "counter"
+	Divides bool   // a size of 0 makes no sense
 }
 
 // Kinds are the troubles in the order in which the pages list them.
 var Kinds = []Kind{
-	{Name: "slow", Does: "hosts work at a part of their speed", Part: "hosts", Size: "how many times slower", Long: true},
+	{Name: "slow", Does: "hosts work at a part of their speed", Part: "hosts", Size: "how many times slower", Long: true, Divides: true},
 	{Name: "silent", Does: "hosts answer nothing and run nothing; connections stay open", Part: "hosts", Long: true},
 	{Name: "vanish", Does: "hosts are silent, then back cold", Part: "hosts", Long: true},
 	{Name: "operation-silent", Does: "hosts leave a part of one operation's deliveries unanswered", Part: "hosts", Size: "part of them", Long: true, Needs: "operation"},
@@ -160,27 +161,27 @@
 	{Name: "replace", Does: "hosts drain and leave, one after another, and new cold ones come in their place", Part: "hosts", Long: true},
 	{Name: "grow", Does: "cold hosts come on top", Part: "of the hosts there are", Long: false},
 	{Name: "reset", Does: "connections are reset under a part of the deliveries, half of them after they ran", Size: "part of them", Long: true},
-	{Name: "delay", Does: "the way between machines takes longer", Size: "how many times", Long: true},
+	{Name: "delay", Does: "the way between machines takes longer", Size: "how many times", Long: true, Divides: true},
 	{Name: "cut", Does: "zones are cut off from the others and from the counter", Part: "zones, at most all but one", Long: true},
 	{Name: "half-open", Does: "a part of the answers never arrives though the connection stays open", Size: "part of them", Long: true},
 	{Name: "counter-silent", Does: "the counter answers nothing and adds nothing", Long: true, Needs: "counter"},
 	{Name: "counter-refuse", Does: "the counter takes no connections", Long: true, Needs: "counter"},
-	{Name: "counter-small", Does: "the counter takes a part of its calls a second", Size: "part of its capacity", Long: true, Needs: "counter"},
+	{Name: "counter-small", Does: "the counter takes a part of its calls a second", Size: "part of its capacity", Long: true, Needs: "counter", Divides: true},
 	{Name: "counter-drop", Does: "the counter adds all but answers only a part of the calls", Size: "part answered", Long: true, Needs: "counter"},
 	{Name: "counter-split", Does: "a part of the api gateways sees another copy of the counter; the first copy's counts stand afterwards", Part: "api gateways", Long: true, Needs: "counter"},
 	{Name: "counter-replaced", Does: "the counter is replaced by an empty one at a stroke", Long: false, Needs: "counter"},
-	{Name: "list-late", Does: "changes of the list come later", Size: "how many times", Long: true},
+	{Name: "list-late", Does: "changes of the list come later", Size: "how many times", Long: true, Divides: true},
 	{Name: "list-silent", Does: "changes of the list don't come until it ends", Long: true},
 	{Name: "list-wrong", Does: "the list says of some hosts that they drain, though they work", Part: "hosts", Long: true},
 	{Name: "mail-loss", Does: "mail between api gateways is lost", Size: "part lost", Long: true, Needs: "peers"},
-	{Name: "burst", Does: "customers ask for more", Part: "customers", Size: "how many times", Long: true},
+	{Name: "burst", Does: "customers ask for more", Part: "customers", Size: "how many times", Long: true, Divides: true},
 	{Name: "gather", Does: "customers come in through one api gateway of their set only", Part: "customers", Long: true},
 	{Name: "move", Does: "customers come in through another set from now on", Part: "customers", Long: false},
 	{Name: "ignore", Does: "customers that were throttled come again at once, as often as size says", Part: "customers", Size: "further tries", Long: true},
-	{Name: "impatient", Does: "clients give up after a part of their time", Part: "customers", Size: "part of their time", Long: true},
+	{Name: "impatient", Does: "clients give up after a part of their time", Part: "customers", Size: "part of their time", Long: true, Divides: true},
 	{Name: "kill", Does: "api gateways are killed; each is back with empty hands after the time it lasts", Part: "api gateways", Long: true},
 	{Name: "restart", Does: "api gateways are restarted, one after another: each ends what it holds, then starts with empty hands", Part: "api gateways", Long: true},
-	{Name: "starve", Does: "api gateways get a part of their share of a core", Part: "api gateways", Size: "part of it", Long: true},
+	{Name: "starve", Does: "api gateways get a part of their share of a core", Part: "api gateways", Size: "part of it", Long: true, Divides: true},
 }
 
 // KindOf gives what is known of a kind of trouble.
--- a/lab/day/read.go
+++ b/lab/day/read.go
@@ -419,9 +419,12 @@
 		if strings.HasPrefix(k.Size, "part") && t.Size.Hi > 1 {
 			r.fault(at+".size", "is a part here: at most 1")
 		}
-		if strings.HasPrefix(k.Size, "how many") && t.Size.Lo == 0 {
+		if k.Divides && t.Size.Lo == 0 {
 			r.fault(at+".size", "is a factor here: over 0")
 		}
+		if t.Kind == "cut" && d.Fleet.Zones.Lo < 2 {
+			r.fault(at+".kind", "cut needs two zones or more")
+		}
 	}
 }
 
--- /dev/null
+++ b/lab/edge/edge.go
@@ -0,0 +1,541 @@
+// Package edge owns the model of one api gateway's machine: its share of a core, its connections to hosts, its calls to
+// the counter, what it has in hand. What it decides is a Mind's; it must never decide itself.
+package edge
+
+import (
+	"cmp"
+	"slices"
+
+	"otterseam/choice"
+	"otterseam/drive"
+	"otterseam/lab/counter"
+	"otterseam/lab/day"
+	"otterseam/lab/event"
+	"otterseam/lab/host"
+	"otterseam/lab/model"
+	"otterseam/lab/network"
+)
+
+// Early is how long before its client gives up the last delivery is ended, as the api gateway on sockets does it.
+const Early = 0.008
+
+// Mind decides for one api gateway. Its answers leave through the drive.Out that it was made with; after each call, or
+// several at one moment, Settle is called.
+type Mind interface {
+	Hosts(now float64, list []choice.Listed, whole bool)
+	Take(now float64, a choice.Asked)
+	Ended(now float64, ref string, number int, e choice.Ended)
+	Gone(now float64, ref string)
+	Ring(now float64, nonce uint64)
+	Told(now float64, text string)
+	Counted(now float64, name uint64, how choice.Outcome, sum, took float64)
+	Settle(now float64)
+}
+
+// Surroundings is what an api gateway meets.
+type Surroundings interface {
+	Host(addr string) *host.Host
+	// Sent, Reached, Ran, EndedAt and Answered tell the referee, and what counts, of what happens.
+	Sent(d *model.Delivery)
+	Reached(d *model.Delivery)
+	Ran(d *model.Delivery)
+	EndedAt(d *model.Delivery)
+	Answered(inv *model.Invocation, how model.Ending) (room bool)
+	// Client brings an answer to its client.
+	Client(inv *model.Invocation, how model.Ending, retryAfter float64, room bool)
+	Mail(from int, text string)
+	Note(from int, ref, text string)
+	Called(missed bool)
+	Dialled()
+}
+
+// Edge is one api gateway.
+type Edge struct {
+	Slot, Zone int
+	Alive      bool
+	Admits     bool // the front sends it tries
+	Far        bool // while the counter is split, it sees the copy
+	Mind       Mind
+
+	q       *event.Queue
+	net     *network.Network
+	counter *counter.Counter
+	day     *day.Day
+	around  Surroundings
+	cost    float64 // seconds of time for each thing it hears, at its share of a core
+	starve  float64
+	busy    float64
+	life    int
+	inHand  map[string]*model.Invocation
+	rest    map[*host.Host][]connection // at rest, the one used last at the end
+	flying  map[*model.Delivery]*flight
+	lastSum map[int]float64 // by part of the counter: when its last answer arrives; they keep their order
+	czone   int
+}
+
+type connection struct {
+	life int // of the host
+	at   float64
+}
+
+// flight is a delivery that is out, and what it holds.
+type flight struct {
+	d     *model.Delivery
+	h     *host.Host
+	job   *host.Job
+	fresh bool // its connection is new
+	up    bool // it stands, and counts at the host
+	life  int  // of the host, when it came up
+}
+
+// New makes an api gateway; Start starts it.
+func New(slot, zone int, q *event.Queue, net *network.Network, c *counter.Counter, d *day.Day, around Surroundings) *Edge {
+	e := &Edge{Slot: slot, Zone: zone, q: q, net: net, counter: c, day: d, around: around, starve: 1,
+		cost: d.Gateway.Cost.V() / d.Gateway.Core.V()}
+	if d.Counter.Zone == "own" {
+		e.czone = zone
+	}
+	return e
+}
+
+// Start begins a life with empty hands and the list as it was last told.
+func (e *Edge) Start(mind Mind, list []choice.Listed) {
+	e.life++
+	e.Alive, e.Admits, e.Mind, e.busy = true, true, mind, e.q.Now()
+	e.inHand, e.rest = map[string]*model.Invocation{}, map[*host.Host][]connection{}
+	e.flying, e.lastSum = map[*model.Delivery]*flight{}, map[int]float64{}
+	mind.Hosts(e.q.Now(), list, true)
+	mind.Settle(e.q.Now())
+}
+
+// InHand is how many invocations it holds; Out how many deliveries.
+func (e *Edge) InHand() int { return len(e.inHand) }
+func (e *Edge) Out() int    { return len(e.flying) }
+
+// Starve leaves it a part of its share of a core, or gives it back.
+func (e *Edge) Starve(part float64, begin bool) {
+	if begin {
+		e.starve *= part
+	} else {
+		e.starve /= part
+	}
+}
+
+// hear lets the api gateway deal with something once it has a turn on its core.
+func (e *Edge) hear(what func(now float64)) {
+	now, life := e.q.Now(), e.life
+	e.busy = max(now, e.busy) + e.cost/e.starve
+	e.q.At(e.busy, func() {
+		if e.life == life && e.Alive {
+			what(e.q.Now())
+			e.Mind.Settle(e.q.Now())
+		}
+	})
+}
+
+// Arrive brings a try to its machine; false: it takes none.
+func (e *Edge) Arrive(inv *model.Invocation) bool {
+	if !e.Alive {
+		return false
+	}
+	inv.Taken = true
+	life := e.life
+	e.inHand[inv.Ref] = inv
+	e.q.At(inv.GiveUp, func() { e.gone(inv, life) })
+	e.hear(func(now float64) {
+		if inv.Final != model.Open {
+			return
+		}
+		n := inv.Need
+		e.around.Note(e.Slot, inv.Ref, "taken")
+		e.Mind.Take(now, choice.Asked{Ref: inv.Ref, Operation: n.Op.Name, Customer: n.Cust.Key, Plan: n.Cust.Plan.Name,
+			Units: n.Units, GiveUp: inv.GiveUp, Width: n.Cust.Width, Repeat: inv.Repeat})
+	})
+	return true
+}
+
+// gone: the client's time is over. What it has not had by now it will not have.
+func (e *Edge) gone(inv *model.Invocation, life int) {
+	if e.life != life || inv.Final != model.Open {
+		return
+	}
+	e.around.Client(inv, model.Unanswered, 0, false)
+	// The client closes its connection; the api gateway hears of it a way later and on its core's time.
+	e.q.After(e.net.Way(e.Zone, e.Zone), func() {
+		if e.life != life {
+			return
+		}
+		e.hear(func(now float64) {
+			if e.inHand[inv.Ref] == nil {
+				return
+			}
+			e.around.Answered(inv, model.Unanswered)
+			for _, d := range inv.Deliveries {
+				e.end(d, choice.Withdrawn)
+			}
+			e.Mind.Gone(now, inv.Ref)
+			e.drop(inv)
+		})
+	})
+}
+
+func (e *Edge) drop(inv *model.Invocation) {
+	if inv.Final == model.Open {
+		return
+	}
+	for _, d := range inv.Deliveries {
+		if e.flying[d] != nil {
+			return
+		}
+	}
+	delete(e.inHand, inv.Ref)
+}
+
+// Told brings a change of the list; Mailed a peer's message.
+func (e *Edge) Told(change choice.Listed) {
+	if e.Alive {
+		e.hear(func(now float64) { e.Mind.Hosts(now, []choice.Listed{change}, false) })
+	}
+}
+
+func (e *Edge) Mailed(text string) {
+	if e.Alive {
+		e.hear(func(now float64) { e.Mind.Told(now, text) })
+	}
+}
+
+// Kill ends it outright: what it holds is lost to its clients, what it has sent goes on.
+func (e *Edge) Kill() {
+	if !e.Alive {
+		return
+	}
+	e.Alive, e.Admits = false, false
+	e.life++
+	flights := make([]*flight, 0, len(e.flying))
+	for _, f := range e.flying {
+		flights = append(flights, f)
+	}
+	slices.SortFunc(flights, func(a, b *flight) int {
+		return cmp.Or(cmp.Compare(a.d.Inv.Number, b.d.Inv.Number), cmp.Compare(a.d.Number, b.d.Number))
+	})
+	for _, f := range flights {
+		f.d.Over = true
+		e.close(f)
+		e.around.EndedAt(f.d)
+	}
+	for h, cs := range e.rest { // each host's own sum: the order does not show
+		for _, c := range cs {
+			if c.life == h.Life {
+				h.Connections--
+			}
+		}
+	}
+	held := make([]*model.Invocation, 0, len(e.inHand))
+	for _, inv := range e.inHand {
+		held = append(held, inv)
+	}
+	slices.SortFunc(held, func(a, b *model.Invocation) int { return cmp.Compare(a.Number, b.Number) })
+	for _, inv := range held {
+		if inv.Final == model.Open {
+			inv.Final = model.Broken
+			e.around.Note(e.Slot, inv.Ref, "its api gateway is killed")
+			e.q.After(e.net.Way(e.Zone, e.Zone), func() { e.around.Client(inv, model.Broken, 0, false) })
+		}
+	}
+	e.inHand, e.rest, e.flying = nil, nil, nil
+}
+
+// What the mind asks for. All of it happens at the moment at which it is asked.
+
+// Send begins a delivery.
+func (e *Edge) Send(ref, addr string, within float64) {
+	inv, h, now := e.inHand[ref], e.around.Host(addr), e.q.Now()
+	if inv == nil || h == nil {
+		return
+	}
+	limit := inv.GiveUp - now - Early
+	if within > 0 {
+		limit = min(limit, within)
+	}
+	d := &model.Delivery{Inv: inv, Number: len(inv.Deliveries), Host: h.Number, Sent: now}
+	inv.Deliveries = append(inv.Deliveries, d)
+	f := &flight{d: d, h: h}
+	e.flying[d] = f
+	e.around.Sent(d)
+	e.around.Note(e.Slot, ref, "sent to "+addr)
+	life := e.life
+	e.q.After(limit, func() {
+		if e.life == life {
+			e.end(d, choice.TimedOut)
+		}
+	})
+	if c, ok := e.idle(h); ok {
+		f.up, f.life = true, c.life
+		e.write(f)
+		return
+	}
+	e.dial(f)
+}
+
+// idle takes the connection at rest that was used last. One near the time at which the host closes it is closed here.
+func (e *Edge) idle(h *host.Host) (c connection, ok bool) {
+	cs, now := e.rest[h], e.q.Now()
+	for len(cs) > 0 && (cs[0].life != h.Life || now-cs[0].at > 0.8*e.day.Network.Idle.V()) {
+		if cs[0].life == h.Life {
+			h.Connections--
+		}
+		cs = cs[1:]
+	}
+	if n := len(cs); n > 0 {
+		c, ok, cs = cs[n-1], true, cs[:n-1]
+	}
+	e.rest[h] = cs
+	return c, ok
+}
+
+func (e *Edge) dial(f *flight) {
+	life := e.life
+	f.fresh = true
+	e.around.Dialled()
+	e.q.After(e.day.Network.Dial.V(), func() {
+		if e.life == life && !f.up {
+			e.end(f.d, choice.NoConnection)
+		}
+	})
+	if e.net.Cut(e.Zone, f.h.Zone) || f.h.Silent() {
+		return // it never comes up
+	}
+	e.q.After(e.net.Way(e.Zone, f.h.Zone), func() {
+		taken := !f.h.Silent() && f.h.Open()
+		hlife := f.h.Life
+		e.q.After(e.net.Way(f.h.Zone, e.Zone), func() {
+			switch {
+			case e.life != life || f.d.Over:
+				if taken && hlife == f.h.Life {
+					f.h.Connections--
+				}
+			case !taken && f.h.Silent():
+			case !taken:
+				e.end(f.d, choice.NoConnection)
+			default:
+				f.up, f.life = true, hlife
+				e.write(f)
+			}
+		})
+	})
+}
+
+// write puts the delivery on its connection. It is whole at the host a way later, whatever happens here meanwhile.
+func (e *Edge) write(f *flight) {
+	f.d.Written = true
+	if e.net.Cut(e.Zone, f.h.Zone) {
+		return
+	}
+	e.q.After(e.net.Way(e.Zone, f.h.Zone), func() { e.reach(f) })
+}
+
+func (e *Edge) reach(f *flight) {
+	if f.life != f.h.Life { // it has started anew meanwhile, or is gone: the connection is reset
+		e.back(f, choice.Reset, 0)
+		return
+	}
+	n := f.d.Inv.Need
+	reset, before := e.net.Reset()
+	if reset && before {
+		e.back(f, choice.Reset, 0)
+		return
+	}
+	e.around.Reached(f.d)
+	f.job = &host.Job{Operation: n.Op.Number, Work: n.Work, Gateway: e.Slot}
+	if f.fresh { // setting the connection up costs the host work, and this request the time
+		f.job.Work += f.h.ConnectWork
+	}
+	f.job.Runs = func() { e.around.Ran(f.d) }
+	f.job.Answers = func(a host.Answer) {
+		how := choice.Outcome(choice.Failed)
+		switch {
+		case a == host.TurnedAway:
+			how = choice.TurnedAway
+		case reset, a == host.Reset:
+			how = choice.Reset
+		case a == host.Good:
+			how = choice.Succeeded
+		}
+		e.around.EndedAt(f.d)
+		e.back(f, how, n.True)
+	}
+	f.h.Arrive(f.job)
+	if f.d.Over {
+		f.h.Withdraw(f.job)
+		e.around.EndedAt(f.d)
+	}
+}
+
+// back brings a host's word to the api gateway.
+func (e *Edge) back(f *flight, how choice.Outcome, units float64) {
+	if e.net.Cut(e.Zone, f.h.Zone) || how == choice.Succeeded && e.net.Lost() {
+		return
+	}
+	life := e.life
+	e.q.After(e.net.Way(f.h.Zone, e.Zone), func() {
+		if e.life != life || f.d.Over {
+			return
+		}
+		e.finish(f, how, units)
+	})
+}
+
+// end gives a delivery up, unless it is over.
+func (e *Edge) end(d *model.Delivery, how choice.Outcome) {
+	if f := e.flying[d]; f != nil && !d.Over {
+		if !d.Written && how == choice.TimedOut {
+			how = choice.NoConnection
+		} else if !d.Written {
+			how = choice.NotSent
+		}
+		e.finish(f, how, 0)
+	}
+}
+
+// finish ends a delivery with its outcome, and lets the mind hear of it.
+func (e *Edge) finish(f *flight, how choice.Outcome, units float64) {
+	d, inv := f.d, f.d.Inv
+	d.Over = true
+	d.Proved = how == choice.TurnedAway || how == choice.NoConnection || how == choice.NotSent
+	switch how {
+	case choice.Succeeded, choice.TurnedAway, choice.Failed:
+		if f.up && f.life == f.h.Life {
+			e.rest[f.h] = append(e.rest[f.h], connection{f.life, e.q.Now()})
+		}
+	default:
+		e.close(f)
+	}
+	e.around.Note(e.Slot, inv.Ref, "delivery ended: "+string(how))
+	e.hear(func(now float64) {
+		delete(e.flying, d)
+		over := inv.Final != model.Open
+		if how == choice.Succeeded && !over {
+			e.answer(inv, model.Served, 0)
+		}
+		e.Mind.Ended(now, inv.Ref, d.Number, choice.Ended{How: how, Over: over || how == choice.Succeeded,
+			Took: now - d.Sent, Units: settled(e.day, units, how)})
+		e.drop(inv)
+	})
+}
+
+func settled(d *day.Day, units float64, how choice.Outcome) float64 {
+	if d.Counter.Settles && how == choice.Succeeded {
+		return units
+	}
+	return 0
+}
+
+// close ends a connection; the host hears of it a way later, and drops work that waits.
+func (e *Edge) close(f *flight) {
+	if !f.up || f.life != f.h.Life {
+		e.around.EndedAt(f.d)
+		return
+	}
+	if e.net.Cut(e.Zone, f.h.Zone) { // it is not heard of; the connection stands there till the host tires of it
+		e.q.After(e.day.Network.Idle.V(), func() { e.closed(f) })
+		return
+	}
+	e.q.After(e.net.Way(e.Zone, f.h.Zone), func() { e.closed(f) })
+}
+
+func (e *Edge) closed(f *flight) {
+	if f.life == f.h.Life {
+		f.h.Connections--
+		if f.job != nil {
+			f.h.Withdraw(f.job)
+		}
+	}
+	e.around.EndedAt(f.d)
+}
+
+func (e *Edge) answer(inv *model.Invocation, how model.Ending, retryAfter float64) {
+	room := e.around.Answered(inv, how)
+	e.around.Note(e.Slot, inv.Ref, "final answer: "+model.Endings[how])
+	e.q.After(e.net.Way(e.Zone, e.Zone), func() {
+		if e.q.Now() <= inv.GiveUp+0.05 {
+			e.around.Client(inv, how, retryAfter, room)
+		}
+	})
+}
+
+// Throttle, GiveUp: final answers.
+func (e *Edge) Throttle(ref string, retryAfter float64) { e.final(ref, model.Throttled, retryAfter) }
+func (e *Edge) GiveUp(ref string)                       { e.final(ref, model.Errored, 0) }
+
+func (e *Edge) final(ref string, how model.Ending, retryAfter float64) {
+	if inv := e.inHand[ref]; inv != nil {
+		e.answer(inv, how, retryAfter)
+		e.drop(inv)
+	}
+}
+
+// Cancel withdraws a delivery.
+func (e *Edge) Cancel(ref string, number int) {
+	if inv := e.inHand[ref]; inv != nil && number >= 0 && number < len(inv.Deliveries) {
+		e.end(inv.Deliveries[number], choice.Withdrawn)
+	}
+}
+
+// Count calls the counter. The mind hears one outcome, at the latest when the call is given up.
+func (e *Edge) Count(name uint64, amount, life float64) {
+	now, mine := e.q.Now(), e.life
+	heard := false
+	tell := func(how choice.Outcome, sum float64) {
+		if heard || e.life != mine {
+			return
+		}
+		heard = true
+		e.around.Called(how != choice.Succeeded)
+		e.hear(func(at float64) { e.Mind.Counted(at, name, how, sum, at-now) })
+	}
+	e.q.After(e.day.Counter.Limit.V(), func() { tell(choice.TimedOut, 0) })
+	if !e.counter.Up() {
+		e.q.After(2*e.net.Way(e.Zone, e.czone), func() { tell(choice.NoConnection, 0) })
+		return
+	}
+	if e.net.Cut(e.Zone, e.czone) {
+		return
+	}
+	part := int(name % uint64(e.day.Counter.Parts.N()))
+	e.q.After(e.net.Way(e.Zone, e.czone), func() {
+		e.counter.Call(e.Far, name, amount, life, func(how counter.Outcome, sum float64) {
+			if e.net.Cut(e.Zone, e.czone) {
+				return
+			}
+			at := max(e.lastSum[part], e.q.Now()+e.net.Way(e.czone, e.Zone)) // answers keep their order
+			if e.life == mine {
+				e.lastSum[part] = at
+			}
+			e.q.At(at, func() {
+				switch how {
+				case counter.Added:
+					tell(choice.Succeeded, sum)
+				case counter.TurnedAway:
+					tell(choice.TurnedAway, 0)
+				case counter.Refused:
+					tell(choice.NoConnection, 0)
+				}
+			})
+		})
+	})
+}
+
+// Tell mails a text to all peers; Log notes a line; Wake sets the timer.
+func (e *Edge) Tell(text string) { e.around.Mail(e.Slot, text) }
+func (e *Edge) Log(text string)  { e.around.Note(e.Slot, "", text) }
+
+func (e *Edge) Wake(nonce uint64, at float64) {
+	life := e.life
+	e.q.At(at, func() {
+		if e.life == life && e.Alive {
+			e.hear(func(now float64) { e.Mind.Ring(now, nonce) })
+		}
+	})
+}
+
+var _ drive.Out = (*Edge)(nil)
--- /dev/null
+++ b/lab/figures/figures.go
@@ -0,0 +1,221 @@
+// Package figures owns what is counted on a day: by second, by plan, by operation and by how a customer's use lies to
+// its quota. It adds up and must never judge.
+package figures
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"otterseam/lab/model"
+	"otterseam/lab/referee"
+)
+
+// Share is value asked for inside the quotas and what became of it, and what else was sent on.
+type Share struct {
+	Asked       float64 `json:"asked"`       // value asked for inside the quotas
+	Served      float64 `json:"served"`      // of it, answered within the latency objective
+	Late        float64 `json:"late"`        // answered after it
+	WithRoom    float64 `json:"with_room"`   // throttled, the last time though there was room
+	WithoutRoom float64 `json:"no_room"`     // throttled, and there was none
+	Errored     float64 `json:"errored"`     // errored
+	Lost        float64 `json:"lost"`        // unanswered, broken, or no api gateway took it
+	Beyond      float64 `json:"beyond"`      // value sent on beyond a quota
+	BeyondCost  float64 `json:"beyond_cost"` // what that costs
+	Worth       float64 `json:"worth"`       // served, late at its part, less what was beyond
+	Sent        float64 `json:"sent"`        // value sent on, for the first time
+}
+
+// Add adds another share to it.
+func (s *Share) Add(o Share) {
+	s.Asked, s.Served, s.Late, s.WithRoom = s.Asked+o.Asked, s.Served+o.Served, s.Late+o.Late, s.WithRoom+o.WithRoom
+	s.WithoutRoom, s.Errored, s.Lost = s.WithoutRoom+o.WithoutRoom, s.Errored+o.Errored, s.Lost+o.Lost
+	s.Beyond, s.BeyondCost, s.Worth, s.Sent = s.Beyond+o.Beyond, s.BeyondCost+o.BeyondCost, s.Worth+o.Worth, s.Sent+o.Sent
+}
+
+// Second is one second of a day.
+type Second struct {
+	Share
+	Out     float64 `json:"out"`      // deliveries out at its end
+	Busy    float64 `json:"busy"`     // part of the hosts' cores at work
+	Waiting float64 `json:"waiting"`  // work waiting or running at hosts
+	Calls   float64 `json:"calls"`    // to the counter
+	Missed  float64 `json:"missed"`   // of them, unanswered, late or turned away
+	Alive   float64 `json:"alive"`    // api gateways
+	HostsUp float64 `json:"hosts_up"` // hosts that take work
+	First   float64 `json:"first"`    // first tries
+	Repeats float64 `json:"repeats"`  // clients' further tries
+	Dials   float64 `json:"dials"`    // new connections to hosts
+
+	Sends float64 `json:"deliveries"` // deliveries begun
+}
+
+// Latency is how long answers took, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Figures is all that is counted on a day.
+type Figures struct {
+	Day        string             `json:"day"`
+	Decider    string             `json:"decider"`
+	Seed       uint64             `json:"seed"`
+	Whole      Share              `json:"whole"`
+	Plans      map[string]*Share  `json:"plans"`
+	Classes    map[string]*Share  `json:"classes"`
+	Operations map[string]*Share  `json:"operations"`
+	Latency    map[string]Latency `json:"latency"`
+	Seconds    []Second           `json:"seconds"`
+	First      float64            `json:"first_tries"`
+	Tries      float64            `json:"tries"`
+	Deliveries float64            `json:"deliveries"`
+	Wasted     float64            `json:"wasted"` // part of the hosts' work that served nobody in time
+	Calls      float64            `json:"calls"`
+	Missed     float64            `json:"calls_missed"`
+	Mail       float64            `json:"mail"`
+	Dials      float64            `json:"dials"`
+	Fairness   float64            `json:"fairness"` // Jain's index over customers' served part of what they asked for inside
+	Events     uint64             `json:"events"`
+	Breaks     int                `json:"breaks"`
+	Broken     []referee.Break    `json:"broken,omitempty"`
+	Logs       map[string]int     `json:"logs,omitempty"` // log lines of the module, by how they begin
+
+	hist   map[string]*hdrhistogram.Histogram
+	served map[*model.Customer]*[2]float64
+}
+
+// New begins the count of a day.
+func New(day, decider string, seed uint64) *Figures {
+	return &Figures{Day: day, Decider: decider, Seed: seed, Plans: map[string]*Share{}, Classes: map[string]*Share{},
+		Operations: map[string]*Share{}, Latency: map[string]Latency{}, Logs: map[string]int{},
+		hist: map[string]*hdrhistogram.Histogram{}, served: map[*model.Customer]*[2]float64{}}
+}
+
+// At is the second of a clock time.
+func (f *Figures) At(now float64) *Second {
+	for len(f.Seconds) <= int(now) {
+		f.Seconds = append(f.Seconds, Second{})
+	}
+	return &f.Seconds[int(now)]
+}
+
+func share(m map[string]*Share, name string) *Share {
+	if m[name] == nil {
+		m[name] = &Share{}
+	}
+	return m[name]
+}
+
+// Count adds something to the account of a need, at the second when it was first asked for.
+func (f *Figures) Count(n *model.Need, s Share) {
+	f.Whole.Add(s)
+	f.At(n.Born).Add(s)
+	share(f.Plans, n.Cust.Plan.Name).Add(s)
+	share(f.Classes, model.Classes[n.Cust.Class]).Add(s)
+	share(f.Operations, n.Op.Name).Add(s)
+}
+
+// Close counts what became of a need that was inside its customer's quota.
+func (f *Figures) Close(n *model.Need, took float64) {
+	if n.Last == model.Served {
+		f.time("all", took)
+		f.time(n.Op.Name, took)
+	}
+	if !n.Inside {
+		return
+	}
+	v, s := n.Value(), Share{}
+	switch {
+	case n.Last == model.Served && took <= n.Op.Objective.V():
+		s.Served, s.Worth = v, v
+	case n.Last == model.Served:
+		s.Late, s.Worth = v, v*n.Op.Late.V()
+	case n.Last == model.Throttled && n.Room:
+		s.WithRoom = v
+	case n.Last == model.Throttled:
+		s.WithoutRoom = v
+	case n.Last == model.Errored:
+		s.Errored = v
+	default:
+		s.Lost = v
+	}
+	f.Count(n, s)
+	c := f.served[n.Cust]
+	if c == nil {
+		c = &[2]float64{}
+		f.served[n.Cust] = c
+	}
+	c[0], c[1] = c[0]+s.Served, c[1]+v
+}
+
+func (f *Figures) time(name string, took float64) {
+	h := f.hist[name]
+	if h == nil {
+		h = hdrhistogram.New(1, 600_000_000, 3)
+		f.hist[name] = h
+	}
+	h.RecordValue(max(1, int64(took*1e6)))
+}
+
+// Quantile is a quantile of the answers' times in seconds, of an operation or "all".
+func (f *Figures) Quantile(name string, q float64) float64 {
+	if f.hist[name] == nil {
+		return 0
+	}
+	return float64(f.hist[name].ValueAtQuantile(100*q)) / 1e6
+}
+
+// End closes the count. customers are in a fixed order.
+func (f *Figures) End(customers []*model.Customer) {
+	for name, h := range f.hist {
+		f.Latency[name] = Latency{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+	}
+	sum, squares, n := 0.0, 0.0, 0.0
+	for _, c := range customers {
+		if x := f.served[c]; x != nil && x[1] > 0 {
+			part := x[0] / x[1]
+			sum, squares, n = sum+part, squares+part*part, n+1
+		}
+	}
+	if squares > 0 {
+		f.Fairness = sum * sum / n / squares
+	}
+}
+
+func ms(us int64) float64 { return math.Round(float64(us)) / 1000 }
+
+// Part is a share of what was asked for inside the quotas; 0 where nothing was.
+func (s Share) Part(x float64) float64 {
+	if s.Asked == 0 {
+		return 0
+	}
+	return x / s.Asked
+}
+
+// Score is the worth of a day for what was asked for inside the quotas.
+func (f *Figures) Score() float64 { return f.Whole.Part(f.Whole.Worth) }
+
+// Bytes writes the figures in one form only: same day, same seed, same bytes.
+func (f *Figures) Bytes() []byte {
+	b, err := json.MarshalIndent(f, "", " ")
+	if err != nil { // no figure is infinite or not a number
+		panic(err)
+	}
+	return append(b, '\n')
+}
+
+// Names are the keys of a map of shares, in order.
+func Names(m map[string]*Share) []string {
+	var all []string
+	for name := range m {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
--- a/lab/host/host.go
+++ b/lab/host/host.go
@@ -3,9 +3,12 @@
 package host
 
 import (
+	"slices"
+
 	"otterseam/lab/day"
 	"otterseam/lab/dice"
 	"otterseam/lab/event"
+	"otterseam/lab/stack"
 )
 
 // Job is a piece of work that has arrived whole.
@@ -52,6 +55,7 @@
 	Zone, Cell  int
 	Cores       int
 	Speed       float64
+	ConnectWork float64 // what a new connection costs it, in seconds
 	Started     float64 // clock time of its last start; 0: long ago
 	State       State
 	Life        int // which start this is
@@ -65,11 +69,11 @@
 	busy                    int
 	line                    []*Job
 	head                    int
-	running                 map[*Job]bool
+	running                 []*Job
 	sent                    []Sent
 	silent                  int
-	slow, errs, spoilt, few []float64
-	mute                    map[int][]float64
+	slow, errs, spoilt, few stack.Stack
+	mute                    map[int]*stack.Stack
 	// BusyTime adds up core seconds of work done.
 	BusyTime float64
 }
@@ -78,8 +82,8 @@
 func New(q *event.Queue, number int, addr string, kind *day.HostKind, cold *day.Cold, seed uint64) *Host {
 	d := dice.New(seed, "host", number)
 	return &Host{Number: number, Addr: addr, Cores: kind.Cores.N(), Speed: d.Between(kind.Speed.Lo, kind.Speed.Hi),
-		q: q, dice: d, queue: kind.Queue.N(), most: kind.Connections.N(), cold: cold, running: map[*Job]bool{},
-		mute: map[int][]float64{}}
+		ConnectWork: kind.ConnectWork.V(), q: q, dice: d, queue: kind.Queue.N(), most: kind.Connections.N(), cold: cold,
+		mute: map[int]*stack.Stack{}}
 }
 
 // Warmth is the part of its capacity that it has now.
@@ -93,11 +97,7 @@
 
 // Pace is what one core does in a second, at present.
 func (h *Host) Pace() float64 {
-	p := h.Speed * h.Warmth()
-	for _, s := range h.slow {
-		p /= s
-	}
-	return p
+	return h.Speed * h.Warmth() / h.slow.Times()
 }
 
 // Waiting is how much work is in hand, running or in line.
@@ -108,11 +108,7 @@
 
 // Open takes a new connection if there is room for one.
 func (h *Host) Open() bool {
-	most := float64(h.most)
-	for _, f := range h.few {
-		most *= f
-	}
-	if h.State == Down || float64(h.Connections) >= most {
+	if h.State == Down || float64(h.Connections) >= float64(h.most)*h.few.Times() {
 		return false
 	}
 	h.Connections++
@@ -152,7 +148,7 @@
 func (h *Host) start(j *Job) {
 	h.busy++
 	j.waits = false
-	h.running[j] = true
+	h.running = append(h.running, j)
 	j.Runs()
 	took, life := j.Work/max(1e-6, h.Pace()), h.Life
 	h.q.After(took, func() {
@@ -161,9 +157,11 @@
 		}
 		h.busy--
 		h.BusyTime += took
-		delete(h.running, j)
+		i := slices.Index(h.running, j)
+		h.running = append(h.running[:i], h.running[i+1:]...)
 		h.next()
-		if h.silent == 0 && !h.hit(h.mute[j.Operation]) {
+		mute := h.mute[j.Operation]
+		if h.silent == 0 && (mute == nil || !h.hit(*mute)) {
 			switch {
 			case h.hit(h.errs):
 				j.Answers(Error)
@@ -190,14 +188,7 @@
 	}
 }
 
-func (h *Host) hit(shares []float64) bool {
-	for _, p := range shares {
-		if h.dice.Chance(p) {
-			return true
-		}
-	}
-	return false
-}
+func (h *Host) hit(shares stack.Stack) bool { return shares.Any(h.dice.Chance) }
 
 // bear keeps account of what a cold host is sent; past its budget for the window it falls over and stays down. All that
 // reaches it pushes, what it turns away too.
@@ -229,8 +220,14 @@
 func (h *Host) Stop() {
 	h.State = Down
 	h.Life++
-	h.busy, h.line, h.head, h.sent, h.Connections = 0, nil, 0, nil, 0
-	clear(h.running)
+	held := append(h.running, h.line[h.head:]...)
+	h.busy, h.running, h.line, h.head, h.sent, h.Connections = 0, nil, nil, 0, nil, 0
+	for _, j := range held {
+		if !j.dropped {
+			j.waits = false
+			j.Answers(Reset)
+		}
+	}
 }
 
 // Start starts it cold, under its old address.
@@ -251,27 +248,18 @@
 }
 
 // Slow makes it so many times slower.
-func (h *Host) Slow(by float64, begin bool) { h.slow = change(h.slow, by, begin) }
+func (h *Host) Slow(by float64, begin bool) { h.slow.Set(by, begin) }
 
 // Errs makes it answer a share with an error; Spoils makes a share of its answers unreadable; Few leaves a part of its
 // connections.
-func (h *Host) Errs(share float64, begin bool)   { h.errs = change(h.errs, share, begin) }
-func (h *Host) Spoils(share float64, begin bool) { h.spoilt = change(h.spoilt, share, begin) }
-func (h *Host) Few(part float64, begin bool)     { h.few = change(h.few, part, begin) }
+func (h *Host) Errs(share float64, begin bool)   { h.errs.Set(share, begin) }
+func (h *Host) Spoils(share float64, begin bool) { h.spoilt.Set(share, begin) }
+func (h *Host) Few(part float64, begin bool)     { h.few.Set(part, begin) }
 
 // MuteFor leaves a share of one operation's work unanswered.
 func (h *Host) MuteFor(operation int, share float64, begin bool) {
-	h.mute[operation] = change(h.mute[operation], share, begin)
-}
-
-func change(list []float64, x float64, begin bool) []float64 {
-	if begin {
-		return append(list, x)
-	}
-	for i := range list {
-		if list[i] == x {
-			return append(list[:i], list[i+1:]...)
-		}
+	if h.mute[operation] == nil {
+		h.mute[operation] = &stack.Stack{}
 	}
-	return list
+	h.mute[operation].Set(share, begin)
 }
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -99,6 +99,8 @@
 	Sent    float64
 	Over    bool // the api gateway has its outcome, or is gone
 	Reached bool // whole at the host
-	Ran     bool // it has had its effect, or may have at any moment
+	Written bool // its last byte has left the api gateway
+	Proved  bool // its outcome proves that it never ran
+	Ran     bool // it has begun to run
 	Out     bool // counts as out in the customer's quota
 }
--- a/lab/network/network.go
+++ b/lab/network/network.go
@@ -5,6 +5,7 @@
 import (
 	"otterseam/lab/day"
 	"otterseam/lab/dice"
+	"otterseam/lab/stack"
 )
 
 // Network is the way between zones.
@@ -12,8 +13,8 @@
 	near, far, jitter float64
 	dice              dice.Stream
 	zones             []int // how many troubles cut each off
-	stretch           []float64
-	reset, half       []float64
+	stretch           stack.Stack
+	reset, half       stack.Stack
 }
 
 // New makes the network of a day.
@@ -28,9 +29,7 @@
 	if from != to {
 		way = n.far
 	}
-	for _, x := range n.stretch {
-		way *= x
-	}
+	way *= n.stretch.Times()
 	return way + n.dice.Exp(way*n.jitter)
 }
 
@@ -48,39 +47,17 @@
 
 // Stretch makes all ways so many times longer, or takes that back; Resets and HalfOpen do so for the shares of
 // deliveries whose connection is reset, and of answers that never arrive.
-func (n *Network) Stretch(by float64, begin bool)     { n.stretch = change(n.stretch, by, begin) }
-func (n *Network) Resets(share float64, begin bool)   { n.reset = change(n.reset, share, begin) }
-func (n *Network) HalfOpen(share float64, begin bool) { n.half = change(n.half, share, begin) }
+func (n *Network) Stretch(by float64, begin bool)     { n.stretch.Set(by, begin) }
+func (n *Network) Resets(share float64, begin bool)   { n.reset.Set(share, begin) }
+func (n *Network) HalfOpen(share float64, begin bool) { n.half.Set(share, begin) }
 
 // Reset says that the connection under this delivery is reset, and whether before it reached the host's work.
 func (n *Network) Reset() (reset, before bool) {
-	if !n.any(n.reset) {
+	if !n.reset.Any(n.dice.Chance) {
 		return false, false
 	}
 	return true, n.dice.Chance(0.5)
 }
 
 // Lost says that this answer never arrives.
-func (n *Network) Lost() bool { return n.any(n.half) }
-
-func (n *Network) any(shares []float64) bool {
-	for _, p := range shares {
-		if n.dice.Chance(p) {
-			return true
-		}
-	}
-	return false
-}
-
-// change puts one trouble's figure in, or takes one of that size out: troubles overlap and end in any order.
-func change(list []float64, x float64, begin bool) []float64 {
-	if begin {
-		return append(list, x)
-	}
-	for i := range list {
-		if list[i] == x {
-			return append(list[:i], list[i+1:]...)
-		}
-	}
-	return list
-}
+func (n *Network) Lost() bool { return n.half.Any(n.dice.Chance) }
--- /dev/null
+++ b/lab/play/play.go
@@ -0,0 +1,390 @@
+// Package play owns a day being played: it makes all parts, lets them meet, and lets the day's troubles begin and end.
+// It must never decide for an api gateway, nor judge.
+package play
+
+import (
+	"fmt"
+	"strings"
+
+	"otterseam/choice"
+	"otterseam/drive"
+	"otterseam/lab/counter"
+	"otterseam/lab/crowd"
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/edge"
+	"otterseam/lab/event"
+	"otterseam/lab/figures"
+	"otterseam/lab/host"
+	"otterseam/lab/model"
+	"otterseam/lab/network"
+	"otterseam/lab/post"
+	"otterseam/lab/referee"
+	"otterseam/lab/registry"
+	"otterseam/wire"
+)
+
+// Decider makes the minds of a day's api gateways.
+type Decider interface {
+	Name() string
+	// Mind makes the mind of an api gateway that starts; out is its way out.
+	Mind(w *World, slot int, seed uint64, out drive.Out) (edge.Mind, error)
+	// Err is what ended the decider, if something did; End lets go of what it holds.
+	Err() error
+	End()
+}
+
+// World is a day being played.
+type World struct {
+	Day     *day.Day
+	Seed    uint64
+	Queue   *event.Queue
+	Hosts   []*host.Host
+	Edges   []*edge.Edge
+	Crowd   *crowd.Crowd
+	Counter *counter.Counter
+	Referee *referee.Referee
+	Figures *figures.Figures
+
+	net     *network.Network
+	list    *registry.Registry
+	post    *post.Post
+	byAddr  map[string]*host.Host
+	byKey   map[string]*model.Customer
+	decider Decider
+	starts  uint64
+	useful  float64
+	alive   int
+	err     error
+
+	story string   // the invocation whose story is told
+	lines []string // it
+	prog  func(at float64)
+}
+
+// Option changes how a day is played.
+type Option func(*World)
+
+// Story has all that happens to one invocation written down.
+func Story(ref string) Option { return func(w *World) { w.story = ref } }
+
+// Progress is called each second of the day.
+func Progress(f func(at float64)) Option { return func(w *World) { w.prog = f } }
+
+// New makes the world of a day, drawn by a seed, with a decider.
+func New(d *day.Day, seed uint64, dec Decider, opts ...Option) *World {
+	w := &World{Day: d.Draw(seed), Seed: seed, Queue: &event.Queue{}, byAddr: map[string]*host.Host{}, byKey: map[string]*model.Customer{},
+		decider: dec}
+	d = w.Day
+	for _, o := range opts {
+		o(w)
+	}
+	zones, n := d.Fleet.Zones.N(), d.Fleet.Gateways.N()
+	w.net = network.New(&d.Network, zones, seed)
+	w.Counter = counter.New(w.Queue, &d.Counter, seed)
+	w.Referee = referee.New(d, n, w.Queue.Now)
+	w.Figures = figures.New(d.Name, dec.Name(), seed)
+	var list []choice.Listed
+	for range d.Fleet.Hosts.N() {
+		list = append(list, w.listed(w.newHost(0), "active"))
+	}
+	w.list = registry.New(w.Queue, &d.Discovery, n, seed, list, w.told)
+	w.post = post.New(w.Queue, &d.Peers, n, seed)
+	for slot := range n {
+		w.Edges = append(w.Edges, edge.New(slot, slot%zones, w.Queue, w.net, w.Counter, d, w))
+	}
+	w.Crowd = crowd.New(w.Queue, d, seed, w)
+	for _, c := range w.Crowd.Customers {
+		w.byKey[c.Key] = c
+	}
+	return w
+}
+
+// newHost adds a host; since is its start, 0: long ago.
+func (w *World) newHost(since float64) *host.Host {
+	n, d := len(w.Hosts), w.Day
+	whole := 0.0
+	for i := range d.Hosts {
+		whole += d.Hosts[i].Share.V()
+	}
+	kind := &d.Hosts[len(d.Hosts)-1]
+	for u, i := dice.New(w.Seed, "kind", n).Float64()*whole, 0; i < len(d.Hosts); i++ {
+		if u -= d.Hosts[i].Share.V(); u < 0 {
+			kind = &d.Hosts[i]
+			break
+		}
+	}
+	h := host.New(w.Queue, n, fmt.Sprintf("10.%d.%d.%d:9000", n>>16&255, n>>8&255, n&255), kind, &d.Cold, w.Seed)
+	h.Zone, h.Cell, h.Started = n%d.Fleet.Zones.N(), n/4, since
+	h.Fell = func(sent []host.Sent) {
+		w.Referee.Fell(h, sent)
+		w.list.Change(w.listed(h, "left"))
+	}
+	w.Hosts = append(w.Hosts, h)
+	w.byAddr[h.Addr] = h
+	return h
+}
+
+// Zone is how a zone is called.
+func Zone(n int) string { return fmt.Sprintf("zone-%d", n) }
+
+func (w *World) listed(h *host.Host, state string) choice.Listed {
+	return choice.Listed{Addr: h.Addr, Zone: Zone(h.Zone), Cell: h.Cell, State: state, Since: h.Started, Weight: 1}
+}
+
+// Settings are the start settings of an api gateway of this day, as the platform would give them.
+func Settings(d *day.Day, slot int) wire.Start {
+	var s wire.Start
+	s.Balancers, s.Slot, s.Locality = d.Fleet.Gateways.N(), slot, Zone(slot%d.Fleet.Zones.N())
+	s.Caps.Cancel, s.Caps.PeerMessages, s.Caps.TryLimit = d.Gateway.Cancel, d.Peers.Allowed, d.Gateway.Deliveries.N()
+	s.Caps.Idle, s.Caps.Connect = d.Network.Idle.V(), d.Network.Dial.V()
+	for _, o := range d.Operations {
+		effect := map[string]string{"idempotent": "idempotent", "tokened": "deduplicated", "non-idempotent": "at_most_once"}[o.Effect]
+		s.Classes = append(s.Classes, wire.Class{Name: o.Name, Goal: o.Objective.V(), Limit: o.Timeout.V(), Gain: o.Value.V(),
+			Late: o.Late.V(), Effect: effect, Group: o.Group, KeyTTL: o.TokenTime.V()})
+	}
+	for _, p := range d.Plans {
+		s.Plans = append(s.Plans, wire.Plan{Name: p.Name, Rate: p.Rate.V(), Burst: p.Burst.V(), MaxOut: p.MaxOut.N(),
+			NeverOver: p.CeilingRate.V(), HardBurst: p.CeilingBurst.V()})
+	}
+	s.Contract.Start, s.Contract.Warm, s.Contract.Factor = d.Cold.Share.V(), d.Cold.Warm.V(), d.Cold.Factor.V()
+	s.Extra.Counter, s.Extra.Limit, s.Extra.Settles = d.Counter.Present, d.Counter.Limit.V(), d.Counter.Settles
+	s.Extra.Most = d.Clients.Units.V()
+	if d.Peers.Allowed {
+		s.Extra.Mail = d.Peers.Mail.V()
+	}
+	return s
+}
+
+// Run plays the day to its end and beyond, until every need is closed, and gives its figures.
+func (w *World) Run() (*figures.Figures, error) {
+	defer w.decider.End()
+	for slot := range w.Edges {
+		w.start(slot)
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	w.Crowd.Start()
+	for i := range w.Day.Troubles {
+		w.trouble(i, &w.Day.Troubles[i])
+	}
+	w.Queue.After(1, w.second)
+	longest := 0.0
+	for _, o := range w.Day.Operations {
+		longest = max(longest, o.Timeout.V())
+	}
+	w.Queue.Run(w.Day.Length.V() + longest + 1)
+	if w.err == nil {
+		w.err = w.decider.Err()
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	f := w.Figures
+	f.End(w.Crowd.Customers)
+	f.Mail, f.Events, f.Breaks, f.Broken = w.post.Sent, w.Queue.Fired, w.Referee.All, w.Referee.Breaks
+	done := 0.0
+	for _, h := range w.Hosts {
+		done += h.BusyTime
+	}
+	if done > 0 {
+		f.Wasted = max(0, 1-w.useful/done)
+	}
+	f.Seconds = f.Seconds[:min(len(f.Seconds), int(w.Day.Length.V())+1)]
+	return f, nil
+}
+
+// Told is the story that was asked for, in time order.
+func (w *World) Told() []string { return w.lines }
+
+func (w *World) start(slot int) {
+	if w.err != nil || w.Queue.Stopped() {
+		return
+	}
+	e := w.Edges[slot]
+	w.starts++
+	mind, err := w.decider.Mind(w, slot, dice.New(w.Seed, "mind", slot, int(w.starts)).Uint64()>>1, e)
+	if err != nil {
+		w.err = err
+		w.Queue.Stop()
+		return
+	}
+	w.Referee.Started(slot)
+	list := w.list.List(slot)
+	for _, l := range list {
+		w.Referee.Told(slot, w.byAddr[l.Addr].Number, l.State, l.Since)
+	}
+	e.Start(mind, list)
+	w.alive++
+}
+
+func (w *World) told(slot int, l choice.Listed) {
+	if w.Edges[slot].Alive {
+		w.Referee.Told(slot, w.byAddr[l.Addr].Number, l.State, l.Since)
+		w.Edges[slot].Told(l)
+	}
+}
+
+// second takes the figures that stand at the end of each second.
+func (w *World) second() {
+	now := w.Queue.Now()
+	s := w.Figures.At(now - 0.5)
+	for _, e := range w.Edges {
+		s.Out += float64(e.Out())
+	}
+	cores := 0.0
+	for _, h := range w.Hosts {
+		if h.State != host.Down {
+			cores += float64(h.Cores)
+			s.Busy += float64(min(h.Cores, h.Waiting()))
+			s.Waiting += float64(h.Waiting())
+			s.HostsUp++
+		}
+	}
+	s.Busy /= max(1, cores)
+	s.Alive = float64(w.alive)
+	if w.Counter.Forget(); w.prog != nil {
+		w.prog(now)
+	}
+	if err := w.decider.Err(); err != nil {
+		w.Queue.Stop()
+	}
+	if now < w.Day.Length.V() {
+		w.Queue.After(1, w.second)
+	}
+}
+
+// What the crowd asks for.
+
+func (w *World) Arrive(inv *model.Invocation) bool { return w.Edges[inv.Gateway].Arrive(inv) }
+func (w *World) Admits(gateway int) bool           { return w.Edges[gateway].Admits }
+
+func (w *World) Asked(n *model.Need) {
+	w.Figures.First++
+	w.Figures.At(w.Queue.Now()).First++
+	if n.Inside = w.Referee.Asked(n); n.Inside {
+		w.Figures.Count(n, figures.Share{Asked: n.Value()})
+	}
+}
+
+func (w *World) Closed(n *model.Need, took float64) {
+	w.Figures.Close(n, took)
+}
+
+func (w *World) Tried(inv *model.Invocation) {
+	if w.Figures.Tries++; inv.Repeat {
+		w.Figures.At(w.Queue.Now()).Repeats++
+	}
+	w.Note(inv.Gateway, inv.Ref, fmt.Sprintf("asked for by customer %s, %s, plan %s, %.0f units, gives up at %.3f s", inv.Need.Cust.Key,
+		inv.Need.Op.Name, inv.Need.Cust.Plan.Name, inv.Need.Units, inv.GiveUp))
+}
+
+// What api gateways meet.
+
+func (w *World) Host(addr string) *host.Host { return w.byAddr[addr] }
+
+func (w *World) Sent(d *model.Delivery) {
+	w.Figures.Deliveries++
+	w.Figures.At(w.Queue.Now()).Sends++
+	w.Referee.Sent(d)
+	w.Referee.Grouped(d, func(a, b int) bool {
+		x, y := w.Hosts[a], w.Hosts[b]
+		switch d.Inv.Need.Op.Group {
+		case "zone":
+			return x.Zone == y.Zone
+		case "cell":
+			return x.Cell == y.Cell
+		}
+		return true
+	})
+}
+
+func (w *World) Reached(d *model.Delivery) {
+	first, beyond := w.Referee.Reached(d)
+	w.Note(d.Inv.Gateway, d.Inv.Ref, fmt.Sprintf("delivery %d reaches host %d", d.Number, d.Host))
+	if !first {
+		return
+	}
+	n := d.Inv.Need
+	s := figures.Share{Sent: n.Value()}
+	if beyond {
+		s.Beyond = n.Value()
+		s.BeyondCost = n.Value() * n.Cust.Plan.OverCost.V()
+		s.Worth = -s.BeyondCost
+	}
+	w.Figures.Count(n, s)
+}
+
+func (w *World) Ran(d *model.Delivery) {
+	w.Referee.Ran(d)
+	w.Note(d.Inv.Gateway, d.Inv.Ref, fmt.Sprintf("delivery %d runs on host %d", d.Number, d.Host))
+}
+
+func (w *World) EndedAt(d *model.Delivery) { w.Referee.Ended(d) }
+
+func (w *World) Answered(inv *model.Invocation, how model.Ending) (room bool) {
+	if how == model.Unanswered {
+		w.Referee.Unanswered(inv)
+		return false
+	}
+	if how == model.Throttled {
+		room = w.Referee.Room(inv.Need.Cust, inv.Need.True)
+	}
+	if how == model.Served {
+		for _, d := range inv.Deliveries {
+			if d.Ran && d.Over {
+				w.useful += inv.Need.Work / w.Hosts[d.Host].Speed
+				break
+			}
+		}
+	}
+	w.Referee.Answered(inv, how)
+	return room
+}
+
+func (w *World) Client(inv *model.Invocation, how model.Ending, retryAfter float64, room bool) {
+	w.Crowd.Ended(inv, how, retryAfter, room)
+}
+
+func (w *World) Mail(from int, text string) {
+	if !w.Day.Peers.Allowed {
+		return
+	}
+	for to, e := range w.Edges {
+		if to != from && e.Alive && !w.net.Cut(w.Edges[from].Zone, e.Zone) {
+			w.post.Send(to, text, func() { e.Mailed(text) })
+		}
+	}
+}
+
+// Note takes down a line: of the one invocation whose story is told, or of an api gateway's log.
+func (w *World) Note(from int, ref, text string) {
+	if ref == "" {
+		words := strings.Fields(text)
+		w.Figures.Logs[strings.TrimRight(strings.Join(words[:min(len(words), 1)], " "), ":")]++
+	}
+	if w.story != "" && ref == w.story {
+		w.lines = append(w.lines, fmt.Sprintf("%10.4f  api gateway %d: %s", w.Queue.Now(), from, text))
+	}
+}
+
+func (w *World) Called(missed bool) {
+	s := w.Figures.At(w.Queue.Now())
+	s.Calls++
+	if w.Figures.Calls++; missed {
+		w.Figures.Missed++
+		s.Missed++
+	}
+}
+
+func (w *World) Dialled() {
+	w.Figures.Dials++
+	w.Figures.At(w.Queue.Now()).Dials++
+}
+
+// Room says whether a customer's quota has room for so many units, by what was really sent: for a decider that sees all.
+func (w *World) Room(key string, units float64) bool {
+	c := w.byKey[key]
+	return c == nil || w.Referee.Room(c, units)
+}
--- /dev/null
+++ b/lab/play/troubles.go
@@ -0,0 +1,258 @@
+package play
+
+// This file lets the troubles of a day begin and end. Each picks what it strikes by a stream of its own, so that one
+// trouble more moves no other.
+
+import (
+	"math"
+
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/host"
+	"otterseam/lab/model"
+)
+
+// trouble sets when one trouble begins and ends.
+func (w *World) trouble(n int, t *day.Trouble) {
+	d := dice.New(w.Seed, "trouble", n)
+	w.Queue.At(t.At.V(), func() {
+		end := w.begin(n, t, d)
+		if end != nil {
+			w.Queue.After(t.Lasts.V(), end)
+		}
+	})
+}
+
+// begin lets a trouble begin. What it gives ends it.
+func (w *World) begin(n int, t *day.Trouble, d dice.Stream) (end func()) {
+	size, part := t.Size.V(), t.Part.V()
+	hosts := func(do func(h *host.Host, begin bool)) func() {
+		return toggle(w.struckHosts(d, part), do)
+	}
+	customers := func(do func(c *model.Customer, begin bool)) func() {
+		var struck []*model.Customer
+		for i, in := range d.Part(len(w.Crowd.Customers), part) {
+			if in {
+				struck = append(struck, w.Crowd.Customers[i])
+			}
+		}
+		return toggle(struck, do)
+	}
+	whole := func(do func(begin bool)) func() {
+		do(true)
+		return func() { do(false) }
+	}
+	operation := 0
+	for i, o := range w.Day.Operations {
+		if o.Name == t.Operation {
+			operation = i
+		}
+	}
+	switch t.Kind {
+	case "slow":
+		return hosts(func(h *host.Host, b bool) { h.Slow(size, b) })
+	case "silent":
+		return hosts(func(h *host.Host, b bool) { h.Mute(b) })
+	case "vanish":
+		return hosts(func(h *host.Host, b bool) {
+			if h.Mute(b); !b && h.State == host.Up { // back under its address, cold
+				h.Start()
+				w.list.Change(w.listed(h, "active"))
+			}
+		})
+	case "operation-silent":
+		return hosts(func(h *host.Host, b bool) { h.MuteFor(operation, size, b) })
+	case "errors":
+		return hosts(func(h *host.Host, b bool) { h.Errs(size, b) })
+	case "spoilt":
+		return hosts(func(h *host.Host, b bool) { h.Spoils(size, b) })
+	case "refuse":
+		return hosts(func(h *host.Host, b bool) { h.Few(size, b) })
+	case "replace":
+		w.replace(w.struckHosts(d, part), t.Lasts.V())
+	case "grow":
+		for range int(math.Round(part * float64(len(w.Hosts)))) {
+			w.list.Change(w.listed(w.newHost(w.Queue.Now()), "active"))
+		}
+	case "reset":
+		return whole(func(b bool) { w.net.Resets(size, b) })
+	case "delay":
+		return whole(func(b bool) { w.net.Stretch(size, b) })
+	case "half-open":
+		return whole(func(b bool) { w.net.HalfOpen(size, b) })
+	case "cut": // never the first zone, where the counter stands
+		zones := w.Day.Fleet.Zones.N()
+		return whole(func(b bool) {
+			for z := zones - 1; z >= 1 && z >= zones-max(1, int(math.Round(part*float64(zones)))); z-- {
+				w.net.CutOff(z, b)
+			}
+		})
+	case "counter-silent":
+		return w.counterAway(t, w.Counter.Silent)
+	case "counter-refuse":
+		return w.counterAway(t, w.Counter.Refuse)
+	case "counter-small":
+		return whole(func(b bool) { w.Counter.Small(size, b) })
+	case "counter-drop":
+		return whole(func(b bool) { w.Counter.Drop(size, b) })
+	case "counter-split":
+		struck := d.Part(len(w.Edges), part)
+		return whole(func(b bool) {
+			w.Counter.Split(b)
+			for i, in := range struck {
+				w.Edges[i].Far = b && in
+			}
+		})
+	case "counter-replaced":
+		w.Counter.Back("empty")
+	case "list-late":
+		return whole(func(b bool) { w.list.Late(size, b) })
+	case "list-silent":
+		return whole(w.list.Silent)
+	case "list-wrong":
+		return hosts(func(h *host.Host, b bool) {
+			if state := map[bool]string{true: "leaving", false: "active"}[b]; h.State == host.Up {
+				w.list.Change(w.listed(h, state))
+			}
+		})
+	case "mail-loss":
+		return whole(func(b bool) { w.post.Loses(size, b) })
+	case "burst":
+		return customers(func(c *model.Customer, b bool) { w.Crowd.Times(c, size, b) })
+	case "gather":
+		return customers(w.Crowd.Gather)
+	case "move":
+		customers(func(c *model.Customer, b bool) { w.Crowd.Move(c) })
+	case "ignore":
+		return customers(func(c *model.Customer, b bool) { w.Crowd.Ignore(c, int(math.Round(size)), b) })
+	case "impatient":
+		return customers(func(c *model.Customer, b bool) { w.Crowd.Hurry(c, size, b) })
+	case "kill":
+		for i, in := range d.Part(len(w.Edges), part) {
+			if in {
+				w.kill(i, t.Lasts.V())
+			}
+		}
+	case "restart":
+		var struck []int
+		for i, in := range d.Part(len(w.Edges), part) {
+			if in {
+				struck = append(struck, i)
+			}
+		}
+		for i, slot := range struck {
+			w.Queue.After(t.Lasts.V()*float64(i)/float64(len(struck)), func() { w.restart(slot) })
+		}
+	case "starve":
+		struck := d.Part(len(w.Edges), part)
+		return whole(func(b bool) {
+			for i, in := range struck {
+				if in {
+					w.Edges[i].Starve(size, b)
+				}
+			}
+		})
+	}
+	return nil
+}
+
+// toggle begins something for each that is struck, and gives what ends it.
+func toggle[T any](struck []T, do func(x T, begin bool)) func() {
+	for _, x := range struck {
+		do(x, true)
+	}
+	return func() {
+		for _, x := range struck {
+			do(x, false)
+		}
+	}
+}
+
+// struckHosts picks among those that are up.
+func (w *World) struckHosts(d dice.Stream, part float64) (struck []*host.Host) {
+	var up []*host.Host
+	for _, h := range w.Hosts {
+		if h.State == host.Up {
+			up = append(up, h)
+		}
+	}
+	for i, in := range d.Part(len(up), part) {
+		if in {
+			struck = append(struck, up[i])
+		}
+	}
+	return struck
+}
+
+// drain is for how long a host that leaves ends its work, in seconds.
+const drain = 3
+
+// replace lets hosts leave one after another; each drains first, and a cold one comes as it begins to.
+func (w *World) replace(struck []*host.Host, lasts float64) {
+	for i, h := range struck {
+		w.Queue.After(lasts*float64(i)/float64(len(struck)), func() {
+			if h.State != host.Up {
+				return
+			}
+			w.list.Change(w.listed(h, "leaving"))
+			w.list.Change(w.listed(w.newHost(w.Queue.Now()), "active"))
+			// It takes new work until all can have been told that it drains.
+			w.Queue.After(drain, func() { h.State = host.Draining })
+			w.Queue.After(2*drain, func() {
+				h.Stop()
+				w.list.Change(w.listed(h, "left"))
+			})
+		})
+	}
+}
+
+// counterAway takes the counter away and brings it back with what the trouble says.
+func (w *World) counterAway(t *day.Trouble, away func(begin bool)) func() {
+	w.Counter.Keep()
+	away(true)
+	return func() {
+		w.Counter.Back(t.Back)
+		away(false)
+	}
+}
+
+// kill ends an api gateway and has it back after so many seconds; the front notices its death later, its return at once.
+func (w *World) kill(slot int, down float64) {
+	e := w.Edges[slot]
+	if !e.Alive {
+		return
+	}
+	e.Kill()
+	w.alive--
+	e.Admits = true // not noticed yet
+	w.Queue.After(w.Day.Gateway.Notice.V(), func() {
+		if !e.Alive {
+			e.Admits = false
+		}
+	})
+	w.Queue.After(down, func() { w.start(slot) })
+}
+
+// restart lets an api gateway end what it holds, then start with empty hands half a second later.
+func (w *World) restart(slot int) {
+	e := w.Edges[slot]
+	if !e.Alive {
+		return
+	}
+	e.Admits = false
+	began := w.Queue.Now()
+	var look func()
+	look = func() {
+		if !e.Alive {
+			return
+		}
+		if e.InHand() > 0 && w.Queue.Now() < began+5 {
+			w.Queue.After(0.05, look)
+			return
+		}
+		e.Kill()
+		w.alive--
+		w.Queue.After(0.5, func() { w.start(slot) })
+	}
+	look()
+}
--- /dev/null
+++ b/lab/policy/policy.go
@@ -0,0 +1,245 @@
+// Package policy holds the deciders that a day can be played with: the deciding module itself, and the plain ones that it
+// is compared with. The plain ones must never be taken for good: each says what one idea alone is worth.
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"otterseam/choice"
+	"otterseam/drive"
+	"otterseam/lab/dice"
+	"otterseam/lab/edge"
+	"otterseam/lab/host"
+	"otterseam/lab/play"
+)
+
+// Names are the deciders that New knows beside a program's path.
+var Names = []string{"module", "random", "share", "design", "omniscient"}
+
+// New gives a decider by its name.
+func New(name string) (play.Decider, error) {
+	if !slices.Contains(Names, name) {
+		return nil, fmt.Errorf("no decider %q; there are %s, and wire:PATH for a program that speaks the line protocol",
+			name, strings.Join(Names, ", "))
+	}
+	return decider(name), nil
+}
+
+type decider string
+
+func (d decider) Name() string { return string(d) }
+func (d decider) Err() error   { return nil }
+func (d decider) End()         {}
+
+func (d decider) Mind(w *play.World, slot int, seed uint64, out drive.Out) (edge.Mind, error) {
+	if d == "module" {
+		s := play.Settings(w.Day, slot)
+		return drive.New(out, func(o choice.Out) (*choice.Gateway, error) { return s.Module(seed, o) })
+	}
+	b := &plain{kind: string(d), w: w, out: out, dice: dice.New(seed, "policy"), hosts: map[string]choice.Listed{},
+		invs: map[string]*held{}, calls: map[uint64][]*held{}, shares: map[string]*share{}}
+	return b, nil
+}
+
+// plain is a decider that knows no health, no line and no repairs: it admits by one rule and draws a host.
+type plain struct {
+	kind   string
+	w      *play.World
+	out    drive.Out
+	dice   dice.Stream
+	hosts  map[string]choice.Listed
+	active []string
+	invs   map[string]*held
+	calls  map[uint64][]*held
+	shares map[string]*share
+}
+
+type held struct {
+	choice.Asked
+	sent   int
+	maybe  bool // a delivery may have run
+	window float64
+	name   uint64
+}
+
+type share struct{ level, at, before, last float64 }
+
+func (p *plain) Settle(float64)             {}
+func (p *plain) Told(float64, string)       {}
+func (p *plain) Ring(float64, uint64)       {}
+func (p *plain) Gone(_ float64, ref string) { delete(p.invs, ref) }
+
+func (p *plain) Hosts(now float64, list []choice.Listed, whole bool) {
+	if whole {
+		clear(p.hosts)
+	}
+	for _, l := range list {
+		p.hosts[l.Addr] = l
+	}
+	p.active = p.active[:0]
+	for addr, l := range p.hosts {
+		if l.State == "active" {
+			p.active = append(p.active, addr)
+		}
+	}
+	slices.Sort(p.active)
+}
+
+func (p *plain) plan(name string) (rate, burst float64) {
+	for i := range p.w.Day.Plans {
+		if q := &p.w.Day.Plans[i]; q.Name == name {
+			return q.Rate.V(), q.Burst.V()
+		}
+	}
+	return 0, 0
+}
+
+func (p *plain) Take(now float64, a choice.Asked) {
+	h := &held{Asked: a}
+	p.invs[a.Ref] = h
+	rate, burst := p.plan(a.Plan)
+	switch {
+	case p.kind == "omniscient" && !p.w.Room(a.Customer, a.Units):
+		p.throttle(h, max(0.1, a.Units/max(rate, 1)))
+		return
+	case p.kind == "share" && rate > 0:
+		// An even part of each quota, whatever the traffic.
+		width := float64(max(1, a.Width))
+		s := p.shares[a.Customer]
+		if s == nil {
+			s = &share{level: burst / width, at: now}
+			p.shares[a.Customer] = s
+		}
+		s.level, s.at = min(max(burst/width, a.Units), s.level+rate/width*(now-s.at)), now
+		if s.level < a.Units {
+			p.throttle(h, (a.Units-s.level)*width/rate)
+			return
+		}
+		s.level -= a.Units
+	case p.kind == "design" && rate > 0 && p.w.Day.Counter.Present:
+		// The post's own rule, nothing beside it: one call an invocation, by customer and window.
+		length := burst / rate
+		h.window = math.Floor(now / length)
+		h.name = name(a.Customer, h.window)
+		p.calls[h.name] = append(p.calls[h.name], h)
+		p.out.Count(h.name, a.Units, min(60, 2.2*length))
+		return
+	}
+	p.send(now, h)
+}
+
+func name(customer string, window float64) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(fmt.Sprintf("%s %.0f", customer, window)) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h >> 1
+}
+
+func (p *plain) Counted(now float64, n uint64, how choice.Outcome, sum, took float64) {
+	q := p.calls[n]
+	if len(q) == 0 {
+		return
+	}
+	h := q[0]
+	if p.calls[n] = q[1:]; len(q) == 1 {
+		delete(p.calls, n)
+	}
+	if h == nil || p.invs[h.Ref] == nil { // it was taken off, or is over
+		return
+	}
+	rate, burst := p.plan(h.Plan)
+	if how == choice.Succeeded {
+		s := p.shares[h.Customer]
+		if s == nil {
+			s = &share{last: h.window}
+			p.shares[h.Customer] = s
+		}
+		if h.window > s.last { // what the window before left unused, by the last total seen of it
+			s.before, s.level, s.last = max(0, min(burst, burst-s.level)), 0, h.window
+		}
+		s.level = sum
+		if sum > burst+s.before {
+			p.calls[n] = append(p.calls[n], nil)
+			p.out.Count(n, -h.Units, min(60, 2.2*burst/rate))
+			p.throttle(h, (h.window+1)*burst/rate-now)
+			return
+		}
+	} // without a total the post has no rule: it passes
+	p.send(now, h)
+}
+
+func (p *plain) send(now float64, h *held) {
+	addr := ""
+	if p.kind == "omniscient" {
+		addr = p.best(h)
+	} else if len(p.active) > 0 {
+		addr = p.active[p.dice.IntN(len(p.active))]
+	}
+	if addr == "" {
+		p.end(h)
+		return
+	}
+	h.sent++
+	p.out.Send(h.Ref, addr, 0)
+}
+
+// best is the host that would be done first, by its true state; one that is cold, silent or draining is kept off.
+func (p *plain) best(h *held) string {
+	best, least := "", math.Inf(1)
+	for _, x := range p.w.Hosts {
+		if x.State != host.Up || x.Silent() || p.hosts[x.Addr].State != "active" || x.Warmth() < 1 && x.Waiting() >= x.Cores {
+			continue
+		}
+		if ends := float64(x.Waiting()+1) / (float64(x.Cores) * x.Pace()); ends < least {
+			best, least = x.Addr, ends
+		}
+	}
+	return best
+}
+
+func (p *plain) effect(operation string) string {
+	for i := range p.w.Day.Operations {
+		if o := &p.w.Day.Operations[i]; o.Name == operation {
+			return o.Effect
+		}
+	}
+	return "non-idempotent"
+}
+
+func (p *plain) Ended(now float64, ref string, number int, e choice.Ended) {
+	h := p.invs[ref]
+	if h == nil {
+		return
+	}
+	if e.Over {
+		delete(p.invs, ref)
+		return
+	}
+	if !strings.ContainsRune("FCN", rune(e.How)) {
+		h.maybe = true
+	}
+	if again := p.effect(h.Operation) == "idempotent" || !h.maybe; again && h.sent < p.w.Day.Gateway.Deliveries.N() && now < h.GiveUp-0.05 {
+		p.send(now, h)
+		return
+	}
+	p.end(h)
+}
+
+// end gives a final answer: a throttling only where nothing can have run or running again does no harm.
+func (p *plain) end(h *held) {
+	if h.maybe && p.effect(h.Operation) != "idempotent" {
+		delete(p.invs, h.Ref)
+		p.out.GiveUp(h.Ref)
+		return
+	}
+	p.throttle(h, 0.2)
+}
+
+func (p *plain) throttle(h *held, retryAfter float64) {
+	delete(p.invs, h.Ref)
+	p.out.Throttle(h.Ref, retryAfter)
+}
--- /dev/null
+++ b/lab/post/post.go
@@ -0,0 +1,55 @@
+// Package post owns the mail between api gateways: late, lost, and no more than one takes in. It must never read it.
+package post
+
+import (
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/event"
+	"otterseam/lab/stack"
+)
+
+// Most is how long a message may be, in bytes.
+const Most = 256
+
+// Post is the mail of a day.
+type Post struct {
+	q     *event.Queue
+	dice  dice.Stream
+	rate  float64
+	delay float64
+	loss  stack.Stack
+	room  []float64 // messages that each may still take in, as of at
+	at    []float64
+	// Sent and Arrived count messages, one for each receiver.
+	Sent, Arrived float64
+}
+
+// New makes the mail of a day.
+func New(q *event.Queue, d *day.Peers, gateways int, seed uint64) *Post {
+	p := &Post{q: q, dice: dice.New(seed, "post"), rate: d.Mail.V(), delay: d.Delay.V(), loss: stack.Stack{d.Loss.V()},
+		room: make([]float64, gateways), at: make([]float64, gateways)}
+	for i := range p.room {
+		p.room[i] = p.rate
+	}
+	return p
+}
+
+// Send puts a message on its way; arrive is called if it gets there.
+func (p *Post) Send(to int, text string, arrive func()) {
+	if p.Sent++; len(text) > Most || p.loss.Any(p.dice.Chance) {
+		return
+	}
+	p.q.After(p.dice.Exp(p.delay), func() {
+		now := p.q.Now()
+		p.room[to] = min(p.rate, p.room[to]+p.rate*(now-p.at[to]))
+		if p.at[to] = now; p.room[to] < 1 {
+			return
+		}
+		p.room[to]--
+		p.Arrived++
+		arrive()
+	})
+}
+
+// Loses makes it lose a further part.
+func (p *Post) Loses(part float64, begin bool) { p.loss.Set(part, begin) }
--- /dev/null
+++ b/lab/referee/referee.go
@@ -0,0 +1,280 @@
+// Package referee judges a day from the world's side: whether the five rules were kept, and for each customer's quota
+// what was really used. It sees what happens, never what an api gateway thinks, and must never change anything.
+package referee
+
+import (
+	"fmt"
+
+	"otterseam/lab/day"
+	"otterseam/lab/host"
+	"otterseam/lab/model"
+)
+
+// Slack is how much later than a rule says something may happen on the way, in seconds: 50 ms.
+const Slack = 0.05
+
+// Break is a rule broken.
+type Break struct {
+	Rule int
+	At   float64
+	Ref  string // of the invocation; "": none in particular
+	Text string
+}
+
+func (b Break) String() string {
+	return fmt.Sprintf("rule %d at %.3f s: %s", b.Rule, b.At, b.Text)
+}
+
+// store fills at a rate and holds one burst; it starts full.
+type store struct{ rate, burst, level, at float64 }
+
+func (s *store) fill(now float64) {
+	s.level, s.at = min(s.burst, s.level+s.rate*(now-s.at)), now
+}
+
+// use is what one customer has really used.
+type use struct {
+	sent, asked, hard store
+	out               int
+	wanted            []float64 // when what it asked for inside a cap on places would have been done
+}
+
+// state is what an api gateway was told of a host, and when.
+type state struct {
+	name string
+	at   float64
+	born float64 // of the start that it was told of
+}
+
+// Referee holds the account of a day.
+type Referee struct {
+	Breaks []Break
+	Most   int // breaks kept
+	All    int
+
+	now    func() float64
+	day    *day.Day
+	uses   map[*model.Customer]*use
+	told   []map[int]state // by api gateway and host
+	Second bool            // two deliveries of one invocation may be out at once
+}
+
+// New makes the referee of a day that has been drawn.
+func New(d *day.Day, gateways int, now func() float64) *Referee {
+	r := &Referee{Most: 20, now: now, day: d, uses: map[*model.Customer]*use{}, told: make([]map[int]state, gateways)}
+	for i := range r.told {
+		r.told[i] = map[int]state{}
+	}
+	return r
+}
+
+func (r *Referee) broken(rule int, ref, text string, args ...any) {
+	if r.All++; len(r.Breaks) < r.Most {
+		r.Breaks = append(r.Breaks, Break{rule, r.now(), ref, fmt.Sprintf(text, args...)})
+	}
+}
+
+func (r *Referee) use(c *model.Customer) *use {
+	u := r.uses[c]
+	if u == nil {
+		p, now := c.Plan, r.now()
+		u = &use{sent: store{p.Rate.V(), p.Burst.V(), p.Burst.V(), now}, asked: store{p.Rate.V(), p.Burst.V(), p.Burst.V(), now},
+			hard: store{p.CeilingRate.V(), p.CeilingBurst.V(), p.CeilingBurst.V(), now}}
+		r.uses[c] = u
+	}
+	return u
+}
+
+// Asked says whether a customer's need is inside its quota when it is first asked for; what is inside takes its units.
+func (r *Referee) Asked(n *model.Need) bool {
+	u, p, now := r.use(n.Cust), n.Cust.Plan, r.now()
+	u.asked.fill(now)
+	open := u.wanted[:0]
+	for _, ends := range u.wanted {
+		if ends > now {
+			open = append(open, ends)
+		}
+	}
+	u.wanted = open
+	if p.Rate.V() > 0 && n.True > u.asked.level || p.MaxOut.N() > 0 && len(open) >= p.MaxOut.N() {
+		return false
+	}
+	if p.Rate.V() > 0 {
+		u.asked.level -= n.True
+	}
+	if p.MaxOut.N() > 0 {
+		u.wanted = append(u.wanted, now+1.5*n.Op.Work.V())
+	}
+	return true
+}
+
+// Told: an api gateway was told of a host's state; born is the start of the host that is meant.
+func (r *Referee) Told(gateway, host int, name string, born float64) {
+	old, known := r.told[gateway][host]
+	at := r.now()
+	if known && old.name != "active" && name != "active" { // it drains, then is gone: the first counts
+		at = old.at
+	}
+	r.told[gateway][host] = state{name, at, born}
+}
+
+// Started: an api gateway started with this list; it is told of all in it now.
+func (r *Referee) Started(gateway int) { r.told[gateway] = map[int]state{} }
+
+// Sent: an api gateway begins to send a delivery.
+func (r *Referee) Sent(d *model.Delivery) {
+	inv, now := d.Inv, r.now()
+	op := inv.Need.Op
+	if inv.Final != model.Open {
+		r.broken(1, inv.Ref, "%s is sent on after its final answer", inv.Ref)
+	}
+	if now > inv.GiveUp+Slack {
+		r.broken(1, inv.Ref, "%s is sent on after its client gave up", inv.Ref)
+	}
+	if s, ok := r.told[inv.Gateway][d.Host]; ok && s.name != "active" && now > s.at+r.day.Gateway.Grace.V()+Slack {
+		r.broken(3, inv.Ref, "%s is sent to host %d, %s for %.3f s", inv.Ref, d.Host, s.name, now-s.at)
+	}
+	for _, e := range inv.Deliveries {
+		if e == d {
+			continue
+		}
+		if !e.Over && !r.Second {
+			r.broken(2, inv.Ref, "%s has two deliveries out at once", inv.Ref)
+		}
+	}
+	if bad := r.repeats(d); bad != "" {
+		r.broken(2, inv.Ref, "%s, %s, is sent on again %s", inv.Ref, op.Effect, bad)
+	}
+}
+
+// repeats says what is wrong with a further delivery; "": nothing.
+func (r *Referee) repeats(d *model.Delivery) string {
+	inv, op := d.Inv, d.Inv.Need.Op
+	for _, e := range inv.Deliveries {
+		if e == d || e.Proved {
+			continue
+		}
+		switch op.Effect {
+		case "non-idempotent":
+			return fmt.Sprintf("though delivery %d may have run", e.Number)
+		case "tokened":
+			if r.now() > e.Sent+op.TokenTime.V() {
+				return fmt.Sprintf("%.3f s after delivery %d, which may have run", r.now()-e.Sent, e.Number)
+			}
+		}
+	}
+	return ""
+}
+
+// Grouped says that a tokened invocation is sent outside the group of a host where it may have run.
+func (r *Referee) Grouped(d *model.Delivery, same func(a, b int) bool) {
+	if d.Inv.Need.Op.Effect != "tokened" {
+		return
+	}
+	for _, e := range d.Inv.Deliveries {
+		if e != d && !e.Proved && !same(e.Host, d.Host) {
+			r.broken(2, d.Inv.Ref, "%s, tokened, is sent outside its group, from host %d to %d", d.Inv.Ref, e.Host, d.Host)
+		}
+	}
+}
+
+// Reached: a delivery is whole at a host. The first takes its units; it says whether they were beyond the quota.
+func (r *Referee) Reached(d *model.Delivery) (first, beyond bool) {
+	inv := d.Inv
+	u, p, n := r.use(inv.Need.Cust), inv.Need.Cust.Plan, inv.Need
+	d.Reached = true
+	first = !inv.Counted
+	if first {
+		inv.Counted = true
+		now := r.now()
+		if u.sent.fill(now); p.Rate.V() > 0 {
+			if n.True > u.sent.level+1e-9 {
+				beyond = true
+			} else {
+				u.sent.level -= n.True
+			}
+		}
+		beyond = beyond || p.MaxOut.N() > 0 && u.out >= p.MaxOut.N()
+		if p.CeilingRate.V() > 0 {
+			if u.hard.fill(now); n.Units > u.hard.level+1e-9 {
+				r.broken(5, inv.Ref, "%s passes the ceiling of customer %s: %.2f units where %.2f were left", inv.Ref, n.Cust.Key,
+					n.Units, u.hard.level)
+			}
+			u.hard.level -= n.Units
+		}
+	}
+	if !d.Out {
+		d.Out = true
+		u.out++
+	}
+	return first, beyond
+}
+
+// Ran: a delivery has begun to run.
+func (r *Referee) Ran(d *model.Delivery) {
+	for _, e := range d.Inv.Deliveries {
+		if e != d && e.Ran && d.Inv.Need.Op.Effect == "non-idempotent" {
+			r.broken(2, d.Inv.Ref, "%s, non-idempotent, has run twice: deliveries %d and %d", d.Inv.Ref, e.Number, d.Number)
+		}
+	}
+	d.Ran = true
+}
+
+// Ended: a delivery is no longer out: its answer is written, or its connection has ended.
+func (r *Referee) Ended(d *model.Delivery) {
+	if d.Out {
+		d.Out = false
+		r.use(d.Inv.Need.Cust).out--
+	}
+}
+
+// Room says whether a customer's quota would take so many units now, by what was really sent.
+func (r *Referee) Room(c *model.Customer, units float64) bool {
+	u, p := r.use(c), c.Plan
+	u.sent.fill(r.now())
+	return (p.Rate.V() == 0 || units <= u.sent.level+1e-9) && (p.MaxOut.N() == 0 || u.out < p.MaxOut.N())
+}
+
+// Answered: an api gateway gives a final answer.
+func (r *Referee) Answered(inv *model.Invocation, how model.Ending) {
+	if inv.Final != model.Open {
+		r.broken(1, inv.Ref, "%s gets a second final answer: %s after %s", inv.Ref, model.Endings[how], model.Endings[inv.Final])
+		return
+	}
+	inv.Final = how
+	if r.now() > inv.GiveUp+Slack {
+		r.broken(1, inv.Ref, "%s is answered %.3f s after its client gave up", inv.Ref, r.now()-inv.GiveUp)
+	}
+	if how != model.Throttled {
+		return
+	}
+	op := inv.Need.Op
+	for _, d := range inv.Deliveries {
+		if !d.Proved && (op.Effect == "non-idempotent" || op.Effect == "tokened" && op.Group != "all") {
+			r.broken(2, inv.Ref, "%s, %s, is throttled though delivery %d may have run", inv.Ref, op.Effect, d.Number)
+		}
+	}
+}
+
+// Unanswered: the client's time is over and nothing has come.
+func (r *Referee) Unanswered(inv *model.Invocation) {
+	if inv.Final == model.Open {
+		r.broken(1, inv.Ref, "%s was taken and got no final answer before its client gave up", inv.Ref)
+		inv.Final = model.Unanswered
+	}
+}
+
+// Fell: a cold host fell over; a break if two thirds of what did it came from api gateways that knew of its start.
+func (r *Referee) Fell(h *host.Host, sent []host.Sent) {
+	all, told := 0.0, 0.0
+	for _, s := range sent {
+		all += s.Work
+		if k, ok := r.told[s.Gateway][h.Number]; ok && k.born == h.Started {
+			told += s.Work
+		}
+	}
+	if told >= all*2/3 {
+		r.broken(4, "", "host %d fell over %.2f s after its start under %.3f core seconds in %.2f s, %.0f%% of it from api gateways that knew",
+			h.Number, r.now()-h.Started, all, r.day.Cold.Window.V(), 100*told/all)
+	}
+}
--- /dev/null
+++ b/lab/registry/registry.go
@@ -0,0 +1,95 @@
+// Package registry owns the list of hosts and its way to the api gateways: each hears each change late, in order, and
+// one that starts has the list as it was last told. It must never know whether a host works.
+package registry
+
+import (
+	"otterseam/choice"
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/event"
+	"otterseam/lab/stack"
+)
+
+// Registry is the list with its history.
+type Registry struct {
+	q       *event.Queue
+	dice    dice.Stream
+	delay   float64
+	late    stack.Stack
+	silent  int
+	changes []choice.Listed
+	first   int // how many of the changes are the list at the start
+	told    []int
+	due     []float64 // the last change on its way to each arrives then
+	held    []func()  // what waits for the list to speak again
+	tell    func(gateway int, change choice.Listed)
+}
+
+// New makes the list of a day with the hosts it starts with; tell is called when an api gateway is told of a change.
+func New(q *event.Queue, d *day.Discovery, gateways int, seed uint64, hosts []choice.Listed,
+	tell func(int, choice.Listed)) *Registry {
+	r := &Registry{q: q, dice: dice.New(seed, "registry"), delay: d.Delay.V(), changes: hosts, first: len(hosts),
+		told: make([]int, gateways), due: make([]float64, gateways), tell: tell}
+	for i := range r.told {
+		r.told[i] = r.first
+	}
+	return r
+}
+
+// Change puts a change on its way to all.
+func (r *Registry) Change(l choice.Listed) {
+	r.changes = append(r.changes, l)
+	n := len(r.changes)
+	if r.silent > 0 {
+		r.held = append(r.held, func() { r.send(n) })
+		return
+	}
+	r.send(n)
+}
+
+func (r *Registry) send(n int) {
+	for g := range r.told {
+		// Never before an earlier change: they build on each other.
+		r.due[g] = max(r.due[g], r.q.Now()+r.delay*r.late.Times()*r.dice.Between(0.5, 1.5))
+		r.q.At(r.due[g], func() {
+			r.told[g] = n
+			r.tell(g, r.changes[n-1])
+		})
+	}
+}
+
+// List is the list as an api gateway was last told of it, in the order in which hosts came.
+func (r *Registry) List(gateway int) []choice.Listed {
+	at := map[string]int{}
+	var list []choice.Listed
+	for _, l := range r.changes[:r.told[gateway]] {
+		if i, ok := at[l.Addr]; ok {
+			list[i] = l
+			continue
+		}
+		at[l.Addr] = len(list)
+		list = append(list, l)
+	}
+	whole := list[:0]
+	for _, l := range list {
+		if l.State != "left" {
+			whole = append(whole, l)
+		}
+	}
+	return whole
+}
+
+// Silent keeps changes back until it ends; then they all set out.
+func (r *Registry) Silent(begin bool) {
+	if begin {
+		r.silent++
+	} else if r.silent--; r.silent == 0 {
+		for _, f := range r.held {
+			f()
+		}
+		r.held = nil
+	}
+}
+
+// Late makes changes take so many times longer.
+func (r *Registry) Late(by float64, begin bool) { r.late.Set(by, begin) }
--- a/wire/start.go
+++ b/wire/start.go
@@ -21,17 +21,7 @@
 		Idle         float64 `json:"idle_close"`
 		Connect      float64 `json:"dial_timeout"`
 	} `json:"caps"`
-	Classes []struct {
-		Name     string  `json:"name"`
-		Goal     float64 `json:"goal_time"`
-		Limit    float64 `json:"deadline"`
-		Gain     float64 `json:"gain"`
-		Late     float64 `json:"late_worth"`
-		Effect   string  `json:"effect"`
-		Group    string  `json:"group"`
-		KeyTTL   float64 `json:"key_ttl"`
-		Streamed bool    `json:"streamed"`
-	} `json:"classes"`
+	Classes  []Class `json:"classes"`
 	Contract struct {
 		Start  float64 `json:"start_capacity"`
 		Warm   float64 `json:"warm_up"`
@@ -44,17 +34,33 @@
 		Most    float64 `json:"most_units"`
 		Mail    float64 `json:"mail_per_s"`
 	} `json:"extra"`
-	Plans []struct {
-		Name      string  `json:"name"`
-		Rate      float64 `json:"rate"`
-		Burst     float64 `json:"burst"`
-		MaxOut    int     `json:"max_out"`
-		NeverOver float64 `json:"never_over_rate"`
-		HardBurst float64 `json:"hard_burst"`
-	} `json:"plans"`
+	Plans    []Plan `json:"plans"`
 	Registry string `json:"registry_mode"`
 }
 
+// Class is an operation as the settings have it.
+type Class struct {
+	Name     string  `json:"name"`
+	Goal     float64 `json:"goal_time"`
+	Limit    float64 `json:"deadline"`
+	Gain     float64 `json:"gain"`
+	Late     float64 `json:"late_worth"`
+	Effect   string  `json:"effect"`
+	Group    string  `json:"group"`
+	KeyTTL   float64 `json:"key_ttl"`
+	Streamed bool    `json:"streamed"`
+}
+
+// Plan is a plan as the settings have it.
+type Plan struct {
+	Name      string  `json:"name"`
+	Rate      float64 `json:"rate"`
+	Burst     float64 `json:"burst"`
+	MaxOut    int     `json:"max_out"`
+	NeverOver float64 `json:"never_over_rate"`
+	HardBurst float64 `json:"hard_burst"`
+}
+
 var effects = map[string]choice.Effect{"idempotent": choice.Idempotent, "deduplicated": choice.Tokened,
 	"at_most_once": choice.NonIdempotent}
 
