--- a/lab/counter/counter.go
+++ b/lab/counter/counter.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"otterseam/lab/day"
 	"otterseam/lab/dice"
@@ -103,10 +104,22 @@
 			return
 		}
 		c.Answered++
-		done(Added, s.value)
+		done(Added, digits(s.value))
 	})
 }
 
+// digits leaves seven of them, as the platform's counter does.
+func digits(x float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(math.Abs(x)))-6)
+	if unit < 1 { // by the whole number that divides, which is exact
+		return math.Round(x*math.Round(1/unit)) / math.Round(1/unit)
+	}
+	return math.Round(x/unit) * unit
+}
+
 // Total is what stands under a name, for those who look from outside.
 func (c *Counter) Total(name uint64) float64 {
 	s := c.copies[0][name%uint64(len(c.copies[0]))].sums[name]
--- a/lab/crowd/crowd.go
+++ b/lab/crowd/crowd.go
@@ -216,7 +216,7 @@
 		again = again && (n.Op.Effect == "idempotent" ||
 			n.Op.Effect == "tokened" && n.Op.Group == "all" && now+wait < n.Born+n.Op.TokenTime.V())
 	}
-	if again && now+wait < n.Until-0.01 {
+	if again && now+wait < n.Until-n.Op.Objective.V()/5 { // nobody comes again for an answer that can't be in time
 		c.q.After(wait, func() { c.try(n, true) })
 		return
 	}
--- a/lab/figures/figures.go
+++ b/lab/figures/figures.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat"
 
 	"otterseam/lab/model"
 	"otterseam/lab/referee"
@@ -50,6 +51,8 @@
 	Dials   float64 `json:"dials"`    // new connections to hosts
 
 	Sends float64 `json:"deliveries"` // deliveries begun
+	P50   float64 `json:"p50_ms"`     // of the answers given in it
+	P99   float64 `json:"p99_ms"`
 }
 
 // Latency is how long answers took, in milliseconds.
@@ -87,6 +90,7 @@
 	Logs       map[string]int     `json:"logs,omitempty"` // log lines of the module, by how they begin
 
 	hist   map[string]*hdrhistogram.Histogram
+	took   [][]float64 // by second
 	served map[*model.Customer]*[2]float64
 }
 
@@ -122,8 +126,12 @@
 }
 
 // Close counts what became of a need that was inside its customer's quota.
-func (f *Figures) Close(n *model.Need, took float64) {
+func (f *Figures) Close(n *model.Need, took, now float64) {
 	if n.Last == model.Served {
+		for len(f.took) <= int(now) {
+			f.took = append(f.took, nil)
+		}
+		f.took[int(now)] = append(f.took[int(now)], took)
 		f.time("all", took)
 		f.time(n.Op.Name, took)
 	}
@@ -176,6 +184,13 @@
 	for name, h := range f.hist {
 		f.Latency[name] = Latency{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
 	}
+	for i := range f.Seconds {
+		if i < len(f.took) && len(f.took[i]) > 0 {
+			slices.Sort(f.took[i])
+			f.Seconds[i].P50 = ms(int64(1e6 * stat.Quantile(0.5, stat.Empirical, f.took[i], nil)))
+			f.Seconds[i].P99 = ms(int64(1e6 * stat.Quantile(0.99, stat.Empirical, f.took[i], nil)))
+		}
+	}
 	sum, squares, n := 0.0, 0.0, 0.0
 	for _, c := range customers {
 		if x := f.served[c]; x != nil && x[1] > 0 {
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -269,7 +269,7 @@
 }
 
 func (w *World) Closed(n *model.Need, took float64) {
-	w.Figures.Close(n, took)
+	w.Figures.Close(n, took, w.Queue.Now())
 }
 
 func (w *World) Tried(inv *model.Invocation) {
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -119,8 +119,9 @@
 			return
 		}
 		s.level -= a.Units
-	case p.kind == "design" && rate > 0 && p.w.Day.Counter.Present:
-		// The post's own rule, nothing beside it: one call an invocation, by customer and window.
+	case p.kind == "design" && rate > 0 && p.w.Day.Counter.Present && a.GiveUp-now > p.w.Day.Counter.Limit.V()+0.02:
+		// The post's own rule, nothing beside it: one call an invocation, by customer and window. What has no time left to
+		// hear the total passes, as what hears none does: a final answer is owed.
 		length := burst / rate
 		h.window = math.Floor(now / length)
 		h.name = name(a.Customer, h.window)
--- /dev/null
+++ b/lab/process/process.go
@@ -0,0 +1,264 @@
+// Package process owns a program that speaks the line protocol, such as an earlier build of bin/wirehost, and lets it
+// decide for the api gateways of a day. It must never repair what the program says: nonsense ends the day.
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"strconv"
+	"strings"
+
+	"otterseam/choice"
+	"otterseam/drive"
+	"otterseam/lab/edge"
+	"otterseam/lab/play"
+)
+
+// Process decides by a program's answers.
+type Process struct {
+	name  string
+	in    io.WriteCloser
+	out   *bufio.Reader
+	wait  func() error
+	outs  map[int]drive.Out
+	err   error
+	last  string // the last line that came
+	lines int
+}
+
+// Start starts a program; its name in figures and errors is the path.
+func Start(path string) (*Process, error) {
+	c := exec.Command(path)
+	in, err := c.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.Start(); err != nil {
+		return nil, fmt.Errorf("wire:%s: %w", path, err)
+	}
+	return From("wire:"+path, in, out, c.Wait), nil
+}
+
+// From takes a program's pipes; wait is called when it is let go.
+func From(name string, in io.WriteCloser, out io.Reader, wait func() error) *Process {
+	return &Process{name: name, in: in, out: bufio.NewReaderSize(out, 1<<20), wait: wait, outs: map[int]drive.Out{}}
+}
+
+func (p *Process) Name() string { return p.name }
+
+// Err is what ended the program's part in the day.
+func (p *Process) Err() error { return p.err }
+
+// End closes its input, on which it ends.
+func (p *Process) End() {
+	p.in.Close()
+	p.wait()
+}
+
+// Mind makes an instance in the program.
+func (p *Process) Mind(w *play.World, slot int, seed uint64, out drive.Out) (edge.Mind, error) {
+	m := &mind{p: p, who: slot}
+	if p.outs[slot] != nil {
+		m.put("CRASH_NOW")
+	}
+	p.outs[slot] = out
+	settings, err := json.Marshal(play.Settings(w.Day, slot))
+	if err != nil {
+		return nil, err
+	}
+	m.put("CREATE", seed, json.RawMessage(settings))
+	m.fresh = true
+	return m, p.err
+}
+
+// mind is one instance. What it is told waits until Settle, since all of one moment is one batch.
+type mind struct {
+	p     *Process
+	who   int
+	inbox bytes.Buffer
+	fresh bool // it has had no list yet
+}
+
+func (m *mind) put(name string, values ...any) {
+	if m.inbox.Len() > 0 {
+		m.inbox.WriteByte(',')
+	}
+	m.inbox.WriteString(`["` + name + `"`)
+	for _, v := range values {
+		m.inbox.WriteByte(',')
+		switch v := v.(type) {
+		case float64: // the shortest text that reads back as the same number
+			m.inbox.WriteString(strconv.FormatFloat(v, 'g', -1, 64))
+		default:
+			b, err := json.Marshal(v)
+			if err != nil {
+				b = []byte("null")
+			}
+			m.inbox.Write(b)
+		}
+	}
+	m.inbox.WriteByte(']')
+}
+
+func (m *mind) Hosts(now float64, list []choice.Listed, whole bool) {
+	rows := make([][]any, len(list))
+	for i, l := range list {
+		rows[i] = []any{l.Addr, l.Zone, "host", l.Cell, l.State, l.Weight, l.Since}
+	}
+	mode := "patch"
+	if whole {
+		mode = "whole"
+	}
+	if m.fresh {
+		mode, m.fresh = "stale_copy", false
+	}
+	m.put("DIRECTORY", 0, rows)
+	m.put("DISCOVERY", mode, 1, 0)
+}
+
+func (m *mind) Take(now float64, a choice.Asked) {
+	options := 0
+	if a.Repeat {
+		options = 2
+	}
+	m.put("JOB_IN", a.Ref, a.Width, a.Units, a.Operation, a.Customer, a.GiveUp, a.Plan, options, 0)
+}
+
+func (m *mind) Ended(now float64, ref string, number int, e choice.Ended) {
+	m.put("VERDICT", ref, e.Over, 0, e.Took, "", e.Units, number, string(e.How), nil)
+}
+
+func (m *mind) Gone(now float64, ref string)   { m.put("HANGUP", ref) }
+func (m *mind) Ring(now float64, nonce uint64) { m.put("BELL", nonce) }
+func (m *mind) Told(now float64, text string)  { m.put("MESSAGE", 0, text) }
+func (m *mind) Counted(now float64, name uint64, how choice.Outcome, sum, took float64) {
+	m.put("SUM", string(how), sum, name, took)
+}
+
+// Settle sends the batch and carries out what is answered.
+func (m *mind) Settle(now float64) {
+	if m.p.err != nil || m.inbox.Len() == 0 {
+		m.inbox.Reset()
+		return
+	}
+	line := fmt.Sprintf(`{"at_time":%s,"gateways":[{"who":%d,"inbox":[%s]}]}`+"\n", strconv.FormatFloat(now, 'g', -1, 64), m.who, m.inbox.Bytes())
+	m.inbox.Reset()
+	m.p.ask(line)
+}
+
+func (p *Process) fail(what string, args ...any) {
+	if p.err == nil {
+		p.err = fmt.Errorf("%s: %s; its line %d was %.200q", p.name, fmt.Sprintf(what, args...), p.lines, p.last)
+	}
+}
+
+func (p *Process) ask(line string) {
+	if _, err := io.WriteString(p.in, line); err != nil {
+		p.fail("takes no more input: %v", err)
+		return
+	}
+	answer, err := p.out.ReadBytes('\n')
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			p.fail("has ended in the middle of the day")
+		} else {
+			p.fail("%v", err)
+		}
+		return
+	}
+	p.lines++
+	p.last = strings.TrimSpace(string(answer))
+	var reply struct {
+		Gateways []struct {
+			Who  int                 `json:"who"`
+			Cmds [][]json.RawMessage `json:"cmds"`
+		} `json:"gateways"`
+	}
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		p.fail("answers what is no reply: %v", err)
+		return
+	}
+	for _, g := range reply.Gateways {
+		out := p.outs[g.Who]
+		if out == nil {
+			p.fail("acts for api gateway %d, which there is not", g.Who)
+			return
+		}
+		for _, c := range g.Cmds {
+			if p.command(out, c); p.err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (p *Process) command(out drive.Out, c []json.RawMessage) {
+	var name string
+	if len(c) == 0 || json.Unmarshal(c[0], &name) != nil {
+		p.fail("answers a command without a name")
+		return
+	}
+	read := func(into ...any) bool {
+		for i, to := range into {
+			if i+1 < len(c) && json.Unmarshal(c[i+1], to) != nil || i+1 >= len(c) && i == 0 {
+				p.fail("%s: value %d makes no sense", name, i+1)
+				return false
+			}
+		}
+		return true
+	}
+	var ref, text string
+	var x, y float64
+	var n uint64
+	var k int
+	switch name {
+	case "PASS_ON":
+		if read(&ref, &x, &text) {
+			out.Send(ref, text, x)
+		}
+	case "SHED":
+		if read(&ref, &x) {
+			out.Throttle(ref, x)
+		}
+	case "SURRENDER":
+		if read(&ref) {
+			out.GiveUp(ref)
+		}
+	case "CALL_OFF":
+		if read(&ref, &k) {
+			out.Cancel(ref, k)
+		}
+	case "BUMP":
+		if read(&n, &x, &y) {
+			out.Count(n, x, y)
+		}
+	case "SCHEDULE":
+		if read(&n, &x) {
+			out.Wake(n, x)
+		}
+	case "ANNOUNCE":
+		var to any
+		if read(&to, &text) {
+			out.Tell(text)
+		}
+	case "TRACE":
+		if read(&text) {
+			out.Log(text)
+		}
+	case "FAULT":
+		read(&text)
+		p.fail("has failed: %s", text)
+	case "TRACK", "FETCH", "RELEASE": // the list comes by itself here, and connections at rest are the laboratory's
+	default:
+		p.fail("answers a command that the laboratory doesn't know: %s", name)
+	}
+}
--- /dev/null
+++ b/lab/search/search.go
@@ -0,0 +1,144 @@
+// Package search looks for the day on which a decider does worst within a day's ranges, then takes away what does not
+// matter, so that the day that is left shows its cause.
+package search
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/runs"
+)
+
+// Options say how long to look.
+type Options struct {
+	Decider string
+	Tries   int    // days drawn
+	Rounds  int    // rounds of drawing near the worst so far
+	Seed    uint64 // of the search itself
+	Workers int
+	Keep    float64 // part of the loss found that a smaller day must keep
+	Tell    func(text string)
+}
+
+// Found is the worst day.
+type Found struct {
+	Day   *day.Day
+	Seed  uint64
+	Score float64
+	Steps []string // what was taken away
+}
+
+// Worst looks for it. A broken rule is worse than any score.
+func Worst(ctx context.Context, d *day.Day, o Options) (*Found, error) {
+	if len(d.Spans()) == 0 && len(d.Troubles) == 0 {
+		return nil, fmt.Errorf("%s has neither ranges nor troubles: there is nothing to look through", d.Name)
+	}
+	play := func(days []*day.Day, seeds []uint64) ([]float64, error) {
+		plans := make([]runs.Plan, len(days))
+		for i := range days {
+			plans[i] = runs.Plan{Day: days[i], Decider: o.Decider, Seed: seeds[i]}
+		}
+		rs, err := runs.All(ctx, plans, o.Workers, nil)
+		if err != nil {
+			return nil, err
+		}
+		scores := make([]float64, len(rs))
+		for i, r := range rs {
+			if scores[i] = r.Score(); r.Breaks > 0 {
+				scores[i] = -10 - math.Log10(float64(r.Breaks))
+			}
+		}
+		return scores, nil
+	}
+	take := func(days []*day.Day, seeds []uint64, scores []float64, best *Found) {
+		for i, s := range scores {
+			if best.Day == nil || s < best.Score {
+				*best = Found{Day: days[i], Seed: seeds[i], Score: s}
+			}
+		}
+	}
+	best := &Found{}
+	var days []*day.Day
+	var seeds []uint64
+	for i := range o.Tries {
+		seed := dice.New(o.Seed, "search", i).Uint64() >> 1
+		days, seeds = append(days, d.Draw(seed)), append(seeds, seed)
+	}
+	scores, err := play(days, seeds)
+	if err != nil {
+		return nil, err
+	}
+	take(days, seeds, scores, best)
+	usual := slices.Clone(scores)
+	slices.Sort(usual)
+	middle := usual[len(usual)/2]
+	o.Tell(fmt.Sprintf("%d days drawn: worst %.3f, middle %.3f", len(days), best.Score, middle))
+
+	// Near the worst: some of its figures drawn anew.
+	spans := d.Spans()
+	for round := range o.Rounds {
+		days, seeds = nil, nil
+		for i := range max(4, o.Tries/4) {
+			s := dice.New(o.Seed, "near", round, i)
+			other, c := d.Draw(s.Uint64()>>1), best.Day.Clone()
+			for _, path := range spans {
+				if s.Chance(max(0.25, 1/float64(len(spans)))) {
+					*c.At(path) = *other.At(path)
+				}
+			}
+			days, seeds = append(days, c), append(seeds, best.Seed)
+		}
+		if scores, err = play(days, seeds); err != nil {
+			return nil, err
+		}
+		take(days, seeds, scores, best)
+		o.Tell(fmt.Sprintf("round %d: worst %.3f", round+1, best.Score))
+	}
+
+	// Smaller: each trouble left out, then each figure at its range's mild end, as long as most of the loss stays.
+	limit := middle - o.Keep*(middle-best.Score)
+	if best.Score < -5 {
+		limit = -5 // the rule must stay broken
+	}
+	worst := *best
+	try := func(c *day.Day, what string) error {
+		s, err := play([]*day.Day{c}, []uint64{best.Seed})
+		if err != nil {
+			return err
+		}
+		if s[0] <= limit {
+			best.Day, best.Score = c, s[0]
+			best.Steps = append(best.Steps, fmt.Sprintf("%s (%.3f)", what, s[0]))
+			o.Tell(what)
+		}
+		return nil
+	}
+	for i := len(best.Day.Troubles) - 1; i >= 0; i-- {
+		c := best.Day.Clone()
+		kind := c.Troubles[i].Kind
+		c.Troubles = slices.Delete(c.Troubles, i, i+1)
+		if err := try(c, "without the trouble "+kind); err != nil {
+			return nil, err
+		}
+	}
+	if len(best.Day.Troubles) == len(worst.Day.Troubles) { // the paths still mean the same
+		for _, path := range spans {
+			from, to := d.At(path), best.Day.At(path)
+			if to == nil || to.Lo == from.Lo {
+				continue
+			}
+			c := best.Day.Clone()
+			c.At(path).Lo, c.At(path).Hi = from.Lo, from.Lo
+			if err := try(c, path+" at the mild end"); err != nil {
+				return nil, err
+			}
+		}
+	}
+	best.Day.Name = d.Name + "-worst"
+	best.Day.About = fmt.Sprintf("found by a search of %s with seed %d; play it with seed %d", d.Name, o.Seed, best.Seed)
+	return best, nil
+}
