A host that can't be the best any more costs no powers: a large fleet's choice is cheaper

Change: the power of a host's slowness is kept until it changes; a host whose cost can't fall under the least so far is passed over after its chance is drawn, so the chances stay the same.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,6 +63,7 @@
 	pace, odd            float64 // mean gap between good answers times deliveries out; how odd its silence is
 	sign                 float64 // last good answer, or when it was given work after none
 	trialAt, trialGap    float64 // set aside: next trial, and how far apart
+	powOf, pow           float64 // what bestHost last raised to a power for it, and the result
 }
 
 type operation struct {
@@ -601,8 +602,15 @@
 			continue
 		}
 		slow := max(h.slow, 1/max(0.01, g.cold.Share+(1-g.cold.Share)*g.warmth(now, h)))
+		if slow != h.powOf {
+			h.powOf, h.pow = slow, math.Pow(slow, 2-g.own)
+		}
+		cost, luck := h.pow*(1+0.5*float64(len(h.out))), g.chance()
+		if !h.aside && cost*luck >= least { // what follows is never less: spares large fleets two powers a host
+			continue
+		}
 		// Guards against all choosing the same host: the less one knows of hosts, the more it goes by chance.
-		cost := math.Pow(slow, 2-g.own) * (1 + 0.5*float64(len(h.out))) * math.Pow(-math.Log(1-g.chance()), 1-g.own)
+		cost *= math.Pow(-math.Log(1-luck), 1-g.own)
 		if h.pace == 0 { // guards against hosts that hold all the connections they take: stay where one is in
 			cost *= 1 + 100*g.shut
 		}
