--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -35,6 +35,9 @@
 	Sweep   sweepCmd   `cmd:"" help:"Play a day over values of its keys and several seeds, on all cores."`
 	Search  searchCmd  `cmd:"" help:"Look for the worst day within a day's ranges, then shrink it."`
 	Report  reportCmd  `cmd:"" help:"Write results that were kept as one HTML page or as text."`
+	Sockets socketsCmd `cmd:"" help:"Play a day in real time on loopback, with api gateway processes, beside the model."`
+	Standin standinCmd `cmd:"" help:"Stand in for a day's hosts, counter and discovery on loopback."`
+	Load    loadCmd    `cmd:"" help:"Let a day's customers ask api gateways on loopback, in open loop."`
 	Days    daysCmd    `cmd:"" help:"List the days there are, or the form of a day's file."`
 }
 
--- /dev/null
+++ b/cmd/otterlab/sockets.go
@@ -0,0 +1,136 @@
+package main
+
+// This file owns the commands that play in real time on loopback.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"otterseam/lab/runs"
+	"otterseam/lab/sockets"
+)
+
+type socketsCmd struct {
+	choose
+	Gateway string  `default:"bin/otterseam" help:"The program of the api gateway."`
+	Memory  float64 `default:"64" help:"Memory limit that the api gateways are told, in MB."`
+	Dir     string  `help:"Folder for configurations and logs; without it they go when it is over." placeholder:"DIR"`
+	Model   bool    `default:"true" negatable:"" help:"Play the same day by the model as well."`
+}
+
+func (c *socketsCmd) Run(ctx context.Context, s *streams) error {
+	d, err := c.load()
+	if err != nil {
+		return err
+	}
+	if err := sockets.Check(d.Draw(c.Seed)); err != nil {
+		return badInput{err}
+	}
+	if _, err := os.Stat(c.Gateway); err != nil {
+		return badInput{fmt.Errorf("the api gateway's program: %w (make build makes it)", err)}
+	}
+	dir := c.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "otterlab-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	f, w, err := sockets.Play(ctx, d, c.Seed, sockets.Options{Gateway: c.Gateway, Dir: dir, Memory: c.Memory,
+		Tell: func(t string) { fmt.Fprintln(s.errs, t) }})
+	if err != nil {
+		return err
+	}
+	rs := []*runs.Run{runs.Of(runs.Plan{Day: d, Decider: "sockets", Seed: c.Seed, Over: c.Set}, w, f)}
+	if c.Model {
+		r, _, err := runs.One(runs.Plan{Day: d, Decider: "module", Seed: c.Seed, Over: c.Set})
+		if err != nil {
+			return err
+		}
+		rs = append(rs, r)
+	}
+	if err := c.tell(s, d.Name+" on sockets", rs); err != nil {
+		return err
+	}
+	return judge(rs)
+}
+
+type standinCmd struct {
+	Day    string            `arg:"" help:"A day's name or file."`
+	Set    map[string]string `help:"Change keys of the day." placeholder:"KEY=VALUE"`
+	Seed   uint64            `default:"1" help:"Of the day."`
+	Dir    string            `required:"" help:"Folder for the api gateways' configurations." placeholder:"DIR"`
+	Listen []string          `help:"Where the api gateways listen; free addresses for those that are not named." placeholder:"ADDR"`
+}
+
+func (c *standinCmd) Run(ctx context.Context, s *streams) error {
+	d, err := (&choose{Day: c.Day, Set: c.Set}).load()
+	if err != nil {
+		return err
+	}
+	if err := sockets.Check(d.Draw(c.Seed)); err != nil {
+		return badInput{err}
+	}
+	f, err := sockets.StandIn(ctx, d, c.Seed, c.Dir, c.Listen, func(paths []string) {
+		fmt.Fprintf(s.out, "hosts, counter and discovery of %s stand on loopback for %.0f s; start each api gateway with\n", d.Name, d.Length.V())
+		for _, p := range paths {
+			fmt.Fprintf(s.out, "  EDGE_CONFIG=%s bin/otterseam\n", p)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "hosts got %.0f deliveries and %.0f new connections, the counter %.0f calls; value sent on %.0f, beyond quotas %.0f; rules broken %d\n",
+		f.Deliveries, f.Dials, f.Calls, f.Whole.Sent, f.Whole.Beyond, f.Breaks)
+	for _, b := range f.Broken {
+		fmt.Fprintln(s.out, b)
+	}
+	if f.Breaks > 0 {
+		return broken
+	}
+	return nil
+}
+
+type loadCmd struct {
+	choose
+	To []string `required:"" help:"Addresses of the api gateways, in their order." placeholder:"ADDR"`
+}
+
+func (c *loadCmd) Run(ctx context.Context, s *streams) error {
+	d, err := c.load()
+	if err != nil {
+		return err
+	}
+	f, late, err := sockets.Load(ctx, d, c.Seed, c.To)
+	if err != nil {
+		return badInput{err}
+	}
+	if c.Keep != "" {
+		if err := runs.Put(c.Keep, f.Bytes()); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		_, err := s.out.Write(f.Bytes())
+		return err
+	}
+	t := tabwriter.NewWriter(s.out, 2, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "answers, from the intended time of sending\tcount\t50%\t90%\t99%\tmost\t")
+	for _, name := range f.Timed() {
+		l := f.Latency[name]
+		fmt.Fprintf(t, "%s\t%d\t%.1f ms\t%.1f ms\t%.1f ms\t%.1f ms\t\n", name, l.Count, l.P50, l.P90, l.P99, l.Max)
+	}
+	t.Flush()
+	fmt.Fprintf(s.out, "%.0f first tries, %.0f in all; how tries ended: %s\n", f.First, f.Tries, strings.Join(f.Ends(), ", "))
+	if late > 0.02 {
+		fmt.Fprintf(s.errs, "this machine was too busy: a try was sent %.0f ms late\n", 1000*late)
+	}
+	if f.Tries > 0 && f.Ended["unreachable"] == f.Tries {
+		return errors.New("no api gateway could be reached")
+	}
+	return nil
+}
--- a/lab/crowd/crowd.go
+++ b/lab/crowd/crowd.go
@@ -18,10 +18,11 @@
 	Arrive(inv *model.Invocation) bool
 	// Admits says whether the front sends tries to this api gateway.
 	Admits(gateway int) bool
-	// Asked, Closed and Tried tell of a need that begins or ends, and of a try.
+	// Asked, Closed, Tried and Done tell of a need that begins or ends, and of a try.
 	Asked(n *model.Need)
 	Closed(n *model.Need, took float64)
 	Tried(inv *model.Invocation)
+	Done(how model.Ending)
 }
 
 // Crowd is all customers of a day.
@@ -47,7 +48,7 @@
 // part of the load inside their quotas.
 func New(q *event.Queue, d *day.Day, seed uint64, door Door) *Crowd {
 	c := &Crowd{q: q, day: d, door: door, gateways: d.Fleet.Gateways.N(), load: dice.New(seed, "load"),
-		ways: dice.New(seed, "ways"), mood: dice.New(seed, "mood"), end: d.Length.V()}
+		ways: dice.New(seed, "ways"), mood: dice.New(seed, "mood")}
 	whole := 0.0
 	for i := range d.Operations {
 		c.ops = append(c.ops, model.Operation{Operation: &d.Operations[i], Number: i})
@@ -112,8 +113,9 @@
 	}
 }
 
-// Start has all customers ask from now on.
+// Start has all customers ask from now on, for the length of the day.
 func (c *Crowd) Start() {
+	c.end = c.q.Now() + c.day.Length.V()
 	for _, x := range c.Customers {
 		c.plan(x)
 	}
@@ -198,6 +200,7 @@
 	if n.Closed {
 		return
 	}
+	c.door.Done(how)
 	n.Last, n.Room = how, room
 	again := n.Tries <= c.day.Clients.Retries.N()
 	wait := c.mood.Exp(c.day.Clients.Wait.V())
--- a/lab/figures/figures.go
+++ b/lab/figures/figures.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"slices"
 
@@ -87,8 +88,12 @@
 	Events     uint64             `json:"events"`
 	Breaks     int                `json:"breaks"`
 	Broken     []referee.Break    `json:"broken,omitempty"`
+	Ended      map[string]float64 `json:"ended"`          // tries, by how they ended for their client
 	Logs       map[string]int     `json:"logs,omitempty"` // log lines of the module, by how they begin
 
+	// Began is the clock time at which the day began: its seconds count from there.
+	Began float64 `json:"-"`
+
 	hist   map[string]*hdrhistogram.Histogram
 	took   [][]float64 // by second
 	served map[*model.Customer]*[2]float64
@@ -97,16 +102,17 @@
 // New begins the count of a day.
 func New(day, decider string, seed uint64) *Figures {
 	return &Figures{Day: day, Decider: decider, Seed: seed, Plans: map[string]*Share{}, Classes: map[string]*Share{},
-		Operations: map[string]*Share{}, Latency: map[string]Latency{}, Logs: map[string]int{},
+		Operations: map[string]*Share{}, Latency: map[string]Latency{}, Logs: map[string]int{}, Ended: map[string]float64{},
 		hist: map[string]*hdrhistogram.Histogram{}, served: map[*model.Customer]*[2]float64{}}
 }
 
 // At is the second of a clock time.
 func (f *Figures) At(now float64) *Second {
-	for len(f.Seconds) <= int(now) {
+	i := int(max(0, now-f.Began))
+	for len(f.Seconds) <= i {
 		f.Seconds = append(f.Seconds, Second{})
 	}
-	return &f.Seconds[int(now)]
+	return &f.Seconds[i]
 }
 
 func share(m map[string]*Share, name string) *Share {
@@ -125,15 +131,21 @@
 	share(f.Operations, n.Op.Name).Add(s)
 }
 
+// Try counts how one try ended for its client.
+func (f *Figures) Try(how model.Ending) { f.Ended[model.Endings[how]]++ }
+
 // Close counts what became of a need that was inside its customer's quota.
 func (f *Figures) Close(n *model.Need, took, now float64) {
 	if n.Last == model.Served {
-		for len(f.took) <= int(now) {
+		i := int(max(0, now-f.Began))
+		for len(f.took) <= i {
 			f.took = append(f.took, nil)
 		}
-		f.took[int(now)] = append(f.took[int(now)], took)
+		f.took[i] = append(f.took[i], took)
 		f.time("all", took)
-		f.time(n.Op.Name, took)
+		f.time("operation "+n.Op.Name, took)
+		f.time("plan "+n.Cust.Plan.Name, took)
+		f.time("customers "+model.Classes[n.Cust.Class], took)
 	}
 	if !n.Inside {
 		return
@@ -205,6 +217,27 @@
 
 func ms(us int64) float64 { return math.Round(float64(us)) / 1000 }
 
+// Timed are the names under which answers were timed, in order, all of them first.
+func (f *Figures) Timed() (names []string) {
+	for name := range f.Latency {
+		if name != "all" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return append([]string{"all"}, names...)
+}
+
+// Ends says how tries ended for their clients.
+func (f *Figures) Ends() (text []string) {
+	for _, name := range model.Endings {
+		if f.Ended[name] > 0 {
+			text = append(text, fmt.Sprintf("%s %.0f", name, f.Ended[name]))
+		}
+	}
+	return text
+}
+
 // Part is a share of what was asked for inside the quotas; 0 where nothing was.
 func (s Share) Part(x float64) float64 {
 	if s.Asked == 0 {
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -46,17 +46,22 @@
 	Referee *referee.Referee
 	Figures *figures.Figures
 
-	net     *network.Network
-	list    *registry.Registry
-	post    *post.Post
-	byAddr  map[string]*host.Host
-	byKey   map[string]*model.Customer
+	net    *network.Network
+	list   *registry.Registry
+	post   *post.Post
+	byAddr map[string]*host.Host
+	byKey  map[string]*model.Customer
+	// Killer ends an api gateway that stands elsewhere, gently or not, and has it back after so many seconds.
+	Killer  func(slot int, down float64, gently bool)
 	decider Decider
 	starts  uint64
 	useful  float64
 	alive   int
 	err     error
 
+	door crowd.Door
+	tell func(gateway int, change choice.Listed)
+
 	story string   // the invocation whose story is told
 	lines []string // it
 	prog  func(at float64)
@@ -68,6 +73,12 @@
 // Story has all that happens to one invocation written down.
 func Story(ref string) Option { return func(w *World) { w.story = ref } }
 
+// Outside has the day's api gateways stand elsewhere, on sockets: tries go to door, and tell is called when one of them is
+// told of a change of the list. The world then has hosts, counter, list and customers of its own, and no edges.
+func Outside(door crowd.Door, tell func(gateway int, change choice.Listed)) Option {
+	return func(w *World) { w.door, w.tell = door, tell }
+}
+
 // Progress is called each second of the day.
 func Progress(f func(at float64)) Option { return func(w *World) { w.prog = f } }
 
@@ -76,6 +87,7 @@
 	w := &World{Day: d.Draw(seed), Seed: seed, Queue: &event.Queue{}, byAddr: map[string]*host.Host{}, byKey: map[string]*model.Customer{},
 		decider: dec}
 	d = w.Day
+	w.door, w.tell = w, w.told
 	for _, o := range opts {
 		o(w)
 	}
@@ -88,12 +100,15 @@
 	for range d.Fleet.Hosts.N() {
 		list = append(list, w.listed(w.newHost(0), "active"))
 	}
-	w.list = registry.New(w.Queue, &d.Discovery, n, seed, list, w.told)
+	w.list = registry.New(w.Queue, &d.Discovery, n, seed, list, w.tell)
 	w.post = post.New(w.Queue, &d.Peers, n, seed)
 	for slot := range n {
+		if w.door != w {
+			break
+		}
 		w.Edges = append(w.Edges, edge.New(slot, slot%zones, w.Queue, w.net, w.Counter, d, w))
 	}
-	w.Crowd = crowd.New(w.Queue, d, seed, w)
+	w.Crowd = crowd.New(w.Queue, d, seed, w.door)
 	for _, c := range w.Crowd.Customers {
 		w.byKey[c.Key] = c
 	}
@@ -165,22 +180,43 @@
 	if w.err != nil {
 		return nil, w.err
 	}
+	w.Begin()
+	w.Queue.Run(w.Ends())
+	if w.err == nil {
+		w.err = w.decider.Err()
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	return w.Close(), nil
+}
+
+// Begin lets customers ask and troubles come, from the present moment on.
+func (w *World) Begin() {
+	w.BeginWithout()
 	w.Crowd.Start()
+}
+
+// BeginWithout lets troubles come and nobody ask.
+func (w *World) BeginWithout() {
+	w.Figures.Began = w.Queue.Now()
 	for i := range w.Day.Troubles {
 		w.trouble(i, &w.Day.Troubles[i])
 	}
 	w.Queue.After(1, w.second)
+}
+
+// Ends is when every need is closed.
+func (w *World) Ends() float64 {
 	longest := 0.0
 	for _, o := range w.Day.Operations {
 		longest = max(longest, o.Timeout.V())
 	}
-	w.Queue.Run(w.Day.Length.V() + longest + 1)
-	if w.err == nil {
-		w.err = w.decider.Err()
-	}
-	if w.err != nil {
-		return nil, w.err
-	}
+	return w.Figures.Began + w.Day.Length.V() + longest + 1
+}
+
+// Close adds up the figures of a day that is over.
+func (w *World) Close() *figures.Figures {
 	f := w.Figures
 	f.End(w.Crowd.Customers)
 	f.Mail, f.Events, f.Breaks, f.Broken = w.post.Sent, w.Queue.Fired, w.Referee.All, w.Referee.Breaks
@@ -192,9 +228,13 @@
 		f.Wasted = max(0, 1-w.useful/done)
 	}
 	f.Seconds = f.Seconds[:min(len(f.Seconds), int(w.Day.Length.V())+1)]
-	return f, nil
+	return f
 }
 
+// Net is the way between the day's machines; List what an api gateway was last told.
+func (w *World) Net() *network.Network            { return w.net }
+func (w *World) List(gateway int) []choice.Listed { return w.list.List(gateway) }
+
 // Told is the story that was asked for, in time order.
 func (w *World) Told() []string { return w.lines }
 
@@ -247,10 +287,10 @@
 	if w.Counter.Forget(); w.prog != nil {
 		w.prog(now)
 	}
-	if err := w.decider.Err(); err != nil {
+	if w.decider.Err() != nil {
 		w.Queue.Stop()
 	}
-	if now < w.Day.Length.V() {
+	if now < w.Figures.Began+w.Day.Length.V() {
 		w.Queue.After(1, w.second)
 	}
 }
@@ -272,6 +312,9 @@
 	w.Figures.Close(n, took, w.Queue.Now())
 }
 
+// Done counts how a try ended for its client.
+func (w *World) Done(how model.Ending) { w.Figures.Try(how) }
+
 func (w *World) Tried(inv *model.Invocation) {
 	if w.Figures.Tries++; inv.Repeat {
 		w.Figures.At(w.Queue.Now()).Repeats++
--- a/lab/play/troubles.go
+++ b/lab/play/troubles.go
@@ -15,7 +15,7 @@
 // trouble sets when one trouble begins and ends.
 func (w *World) trouble(n int, t *day.Trouble) {
 	d := dice.New(w.Seed, "trouble", n)
-	w.Queue.At(t.At.V(), func() {
+	w.Queue.After(t.At.V(), func() {
 		end := w.begin(n, t, d)
 		if end != nil {
 			w.Queue.After(t.Lasts.V(), end)
@@ -96,11 +96,13 @@
 	case "counter-drop":
 		return whole(func(b bool) { w.Counter.Drop(size, b) })
 	case "counter-split":
-		struck := d.Part(len(w.Edges), part)
+		struck := d.Part(w.Day.Fleet.Gateways.N(), part)
 		return whole(func(b bool) {
 			w.Counter.Split(b)
 			for i, in := range struck {
-				w.Edges[i].Far = b && in
+				if i < len(w.Edges) {
+					w.Edges[i].Far = b && in
+				}
 			}
 		})
 	case "counter-replaced":
@@ -128,14 +130,14 @@
 	case "impatient":
 		return customers(func(c *model.Customer, b bool) { w.Crowd.Hurry(c, size, b) })
 	case "kill":
-		for i, in := range d.Part(len(w.Edges), part) {
+		for i, in := range d.Part(w.Day.Fleet.Gateways.N(), part) {
 			if in {
 				w.kill(i, t.Lasts.V())
 			}
 		}
 	case "restart":
 		var struck []int
-		for i, in := range d.Part(len(w.Edges), part) {
+		for i, in := range d.Part(w.Day.Fleet.Gateways.N(), part) {
 			if in {
 				struck = append(struck, i)
 			}
@@ -218,6 +220,10 @@
 
 // kill ends an api gateway and has it back after so many seconds; the front notices its death later, its return at once.
 func (w *World) kill(slot int, down float64) {
+	if w.Killer != nil {
+		w.Killer(slot, down, false)
+		return
+	}
 	e := w.Edges[slot]
 	if !e.Alive {
 		return
@@ -235,6 +241,10 @@
 
 // restart lets an api gateway end what it holds, then start with empty hands half a second later.
 func (w *World) restart(slot int) {
+	if w.Killer != nil {
+		w.Killer(slot, 0.5, true)
+		return
+	}
 	e := w.Edges[slot]
 	if !e.Alive {
 		return
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -210,6 +210,14 @@
 	return first, beyond
 }
 
+// Twice: two deliveries of one invocation were out at once for longer than the way explains, as seen where Sent can't.
+func (r *Referee) Twice(inv *model.Invocation) {
+	r.broken(2, inv.Ref, "%s has two deliveries out at once", inv.Ref)
+}
+
+// Foreign: a client was served with, or a host was sent, what was not made for it.
+func (r *Referee) Foreign(ref, text string) { r.broken(1, ref, "%s", text) }
+
 // Ran: a delivery has begun to run.
 func (r *Referee) Ran(d *model.Delivery) {
 	for _, e := range d.Inv.Deliveries {
--- a/lab/runs/runs.go
+++ b/lab/runs/runs.go
@@ -65,6 +65,11 @@
 	if err != nil {
 		return nil, w, err
 	}
+	return Of(p, w, f), w, nil
+}
+
+// Of puts a played day's figures beside what the day was.
+func Of(p Plan, w *play.World, f *figures.Figures) *Run {
 	r := &Run{Over: p.Over, Length: w.Day.Length.V(), Gateways: w.Day.Fleet.Gateways.N(), Hosts: w.Day.Fleet.Hosts.N(), Figures: f}
 	if w.Day.Counter.Present {
 		r.Capacity = w.Day.Counter.Capacity.V()
@@ -72,7 +77,7 @@
 	for _, t := range w.Day.Troubles {
 		r.Troubles = append(r.Troubles, Trouble{t.Kind, t.At.V(), t.At.V() + t.Lasts.V()})
 	}
-	return r, w, nil
+	return r
 }
 
 // Story plays a day again and gives all that happened to one invocation.
--- /dev/null
+++ b/lab/sockets/client.go
@@ -0,0 +1,193 @@
+package sockets
+
+// This file owns the clients: a day's customers ask api gateways on loopback, in open loop. Times count from when a try
+// was to be sent, not from when it was: a slow machine or api gateway hides nothing.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"otterseam/http1"
+	"otterseam/lab/model"
+	"otterseam/lab/play"
+)
+
+// Clients ask the api gateways at some addresses.
+type Clients struct {
+	*play.World
+	pump   *pump
+	addrs  []string
+	up     []bool
+	mu     sync.Mutex
+	idle   []map[*client]bool // by api gateway, connections at rest
+	began  func(inv *model.Invocation)
+	ended  func(inv *model.Invocation)
+	judge  bool // the referee hears of answers
+	room   func(inv *model.Invocation) bool
+	flying sync.WaitGroup
+}
+
+type client struct {
+	tcp  net.Conn
+	used bool
+}
+
+// loopback checks that an address is on this machine: the load goes nowhere else.
+func loopback(addr string) error {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return fmt.Errorf("%s is no address such as 127.0.0.1:8443", addr)
+	}
+	if !a.Addr().IsLoopback() {
+		return fmt.Errorf("%s is not on loopback: load goes to this machine only", addr)
+	}
+	return nil
+}
+
+// The crowd's door.
+
+func (c *Clients) Admits(gateway int) bool { return c.up[gateway%len(c.up)] }
+func (c *Clients) Asked(n *model.Need)     { c.World.Asked(n) }
+func (c *Clients) Closed(n *model.Need, took float64) {
+	c.World.Closed(n, took)
+}
+func (c *Clients) Tried(inv *model.Invocation) { c.World.Tried(inv) }
+
+// Arrive sends a try. It always counts as taken here; what came of it is told to the crowd later.
+func (c *Clients) Arrive(inv *model.Invocation) bool {
+	inv.Taken = true
+	gateway := inv.Gateway % len(c.addrs)
+	if c.began != nil {
+		c.began(inv)
+	}
+	text := request(inv, c.Day.Fleet.Gateways.N())
+	until := c.pump.start.Add(time.Duration((inv.GiveUp + 0.05) * 1e9))
+	c.flying.Add(1)
+	go func() {
+		defer c.flying.Done()
+		status, retryAfter, body, err := c.exchange(gateway, text, until)
+		c.pump.Do(func() { c.answered(inv, status, retryAfter, body, err) })
+	}()
+	return true
+}
+
+func request(inv *model.Invocation, gateways int) string {
+	n := inv.Need
+	method, body := "POST", `{"lab":true}`
+	if n.Op.Effect == "idempotent" {
+		method, body = "GET", ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s /%s/%d HTTP/1.1\r\nHost: lab\r\nReq-Id: %s\r\nReq-Kind: %s\r\nX-Tier: %s\r\nCookie: key=%s\r\n"+
+		"Req-Deadline-Ms: %d\r\nX-Call-Terms: units=%.0f,spread=%d,first=%d\r\n", method, n.Op.Name, inv.Number, inv.Ref, n.Op.Name,
+		n.Cust.Plan.Name, n.Cust.Key, max(1, int((inv.GiveUp-inv.Born)*1000)), n.Units, min(n.Cust.Width, gateways), n.Cust.First%gateways)
+	if inv.Repeat {
+		b.WriteString("Req-Retry: 1\r\n")
+	}
+	if method == "POST" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	return b.String()
+}
+
+var errTime = errors.New("no answer in time")
+
+// exchange sends a request and reads its answer. A connection at rest that turns out to be closed is replaced once, as
+// clients do.
+func (c *Clients) exchange(gateway int, text string, until time.Time) (status int, retryAfter float64, body string, err error) {
+	for range 2 {
+		var k *client
+		if k, err = c.take(gateway, until); err != nil {
+			return 0, 0, "", err
+		}
+		k.tcp.SetDeadline(until)
+		if _, err = io.WriteString(k.tcp, text); err == nil {
+			last := false
+			err = Messages(k.tcp, true, func(m *http1.Message) bool {
+				status, body = m.Status, string(m.Body)
+				retryAfter, _ = strconv.ParseFloat(field(m, "retry-after"), 64)
+				last = strings.EqualFold(field(m, "connection"), "close")
+				return false
+			})
+			if status > 0 {
+				c.give(gateway, k, last)
+				return status, retryAfter, body, nil
+			}
+		}
+		k.tcp.Close()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			return 0, 0, "", errTime
+		}
+		if err == nil {
+			err = io.ErrUnexpectedEOF
+		}
+		if !k.used { // only a kept connection may have been closed under the request
+			return 0, 0, "", err
+		}
+	}
+	return 0, 0, "", err
+}
+
+func (c *Clients) take(gateway int, until time.Time) (*client, error) {
+	c.mu.Lock()
+	for k := range c.idle[gateway] {
+		delete(c.idle[gateway], k)
+		c.mu.Unlock()
+		return k, nil
+	}
+	c.mu.Unlock()
+	tcp, err := (&net.Dialer{Deadline: until}).Dial("tcp", c.addrs[gateway])
+	return &client{tcp: tcp}, err
+}
+
+func (c *Clients) give(gateway int, k *client, last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.used = true
+	if last || len(c.idle[gateway]) >= 64 {
+		k.tcp.Close()
+		return
+	}
+	c.idle[gateway][k] = true
+}
+
+func (c *Clients) answered(inv *model.Invocation, status int, retryAfter float64, body string, err error) {
+	how := model.Errored
+	switch {
+	case errors.Is(err, errTime):
+		how = model.Unanswered
+	case err != nil && errors.Is(err, syscall.ECONNREFUSED):
+		how = model.Unreachable
+	case err != nil:
+		how = model.Broken
+	case status == 200:
+		how = model.Served
+	case status == 429 || status == 503:
+		how = model.Throttled
+	}
+	room := false
+	if c.judge {
+		if how == model.Served && !strings.HasPrefix(body, inv.Ref+" ") {
+			c.Referee.Foreign(inv.Ref, fmt.Sprintf("%s was served with %.40q", inv.Ref, body))
+		}
+		switch how {
+		case model.Unreachable, model.Broken: // its api gateway was killed, or went away under it
+			inv.Final = how
+		default:
+			room = c.World.Answered(inv, how)
+		}
+	}
+	if c.ended != nil {
+		c.ended(inv)
+	}
+	c.Crowd.Ended(inv, how, retryAfter, room)
+}
--- /dev/null
+++ b/lab/sockets/server.go
@@ -0,0 +1,120 @@
+package sockets
+
+// This file owns listeners and connections of the stand-ins: reading messages, writing in the background, resets.
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"otterseam/http1"
+)
+
+// Messages reads one message after another from a connection, until what comes makes no sense or is not wanted.
+func Messages(tcp net.Conn, response bool, each func(m *http1.Message) bool) error {
+	m, room, rest := &http1.Message{}, make([]byte, http1.Room), []byte(nil)
+	for {
+		rest = append([]byte(nil), rest...)
+		m.Begin(room, response)
+		n := copy(m.Space(), rest)
+		whole, err := false, error(nil)
+		if n > 0 {
+			whole, err = m.Got(n)
+		}
+		for !whole && err == nil {
+			if n, err = tcp.Read(m.Space()); n > 0 {
+				whole, err = m.Got(n)
+			}
+		}
+		if err != nil && !whole {
+			return err
+		}
+		if !whole || !each(m) {
+			return nil
+		}
+		rest = m.Rest()
+	}
+}
+
+// conn is a connection of a stand-in. What is written goes out in order, in the background.
+type conn struct {
+	tcp  net.Conn
+	out  chan []byte
+	once sync.Once
+}
+
+func newConn(tcp net.Conn) *conn {
+	c := &conn{tcp: tcp, out: make(chan []byte, 256)}
+	go func() {
+		for b := range c.out {
+			tcp.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if _, err := tcp.Write(b); err != nil {
+				tcp.Close()
+			}
+		}
+		tcp.Close()
+	}()
+	return c
+}
+
+// write hands bytes over; a connection whose other end reads nothing is closed. Only the pump's goroutine writes.
+func (c *conn) write(b []byte) {
+	defer func() { recover() }() // closed meanwhile
+	select {
+	case c.out <- b:
+	default:
+		c.tcp.Close()
+	}
+}
+
+// end closes it; reset has the other end hear of it as a reset.
+func (c *conn) end(reset bool) {
+	c.once.Do(func() {
+		if t, ok := c.tcp.(*net.TCPConn); ok && reset {
+			t.SetLinger(0)
+			t.Close()
+		}
+		close(c.out)
+	})
+}
+
+// listen accepts connections on loopback until the listener is closed; each has a goroutine of its own.
+func listen(addr string, each func(tcp net.Conn)) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			tcp, err := l.Accept()
+			if err != nil {
+				if ne, ok := err.(net.Error); ok && ne.Timeout() {
+					continue
+				}
+				return
+			}
+			go each(tcp)
+		}
+	}()
+	return l, nil
+}
+
+// field is the value of a message's field, "" where it has none. The name is in small letters.
+func field(m *http1.Message, name string) string {
+	for _, f := range m.Fields {
+		if len(f.Name) == len(name) && lower(f.Name) == name {
+			return string(f.Value)
+		}
+	}
+	return ""
+}
+
+func lower(b []byte) string {
+	x := append([]byte(nil), b...)
+	for i, c := range x {
+		if c >= 'A' && c <= 'Z' {
+			x[i] = c + 32
+		}
+	}
+	return string(x)
+}
--- /dev/null
+++ b/lab/sockets/standin.go
@@ -0,0 +1,490 @@
+package sockets
+
+// This file owns the stand-ins: hosts, counter and discovery, one listener of each for every api gateway, so that it is
+// known who calls. What they do is the models'; nothing is decided here.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+
+	"otterseam/choice"
+	"otterseam/http1"
+	"otterseam/lab/counter"
+	"otterseam/lab/host"
+	"otterseam/lab/model"
+	"otterseam/lab/play"
+	"otterseam/wire"
+)
+
+// StandIns are a day's hosts, counter and discovery on loopback.
+type StandIns struct {
+	*play.World
+	pump      *pump
+	base      float64 // clock time, Unix, at which the day begins
+	listeners []net.Listener
+	mu        sync.Mutex
+	addrs     map[[2]int]string // by host and api gateway
+	counters  []string
+	rosters   []string
+	watches   []map[*conn]bool // by api gateway
+	versions  []int64
+	known     map[string]*model.Invocation // by ref, of those that are about
+	seen      map[string]*model.Invocation // made up for refs that no client here has sent
+	lost      func(ref string)             // called where a host got a ref that it should not have got
+	customers map[string]*model.Customer
+}
+
+// stand opens all listeners. known finds an invocation by its ref.
+func stand(w *play.World, p *pump, gateways int) (*StandIns, error) {
+	s := &StandIns{World: w, pump: p, addrs: map[[2]int]string{}, known: map[string]*model.Invocation{}, seen: map[string]*model.Invocation{},
+		customers: map[string]*model.Customer{}}
+	for _, c := range w.Crowd.Customers {
+		s.customers[c.Key] = c
+	}
+	for g := range gateways {
+		s.watches = append(s.watches, map[*conn]bool{})
+		s.versions = append(s.versions, 1)
+		c, err := s.listen(func(tcp net.Conn) { s.count(g, tcp) })
+		if err != nil {
+			return s, err
+		}
+		s.counters = append(s.counters, c)
+		d, err := s.listen(func(tcp net.Conn) { s.roster(g, tcp) })
+		if err != nil {
+			return s, err
+		}
+		s.rosters = append(s.rosters, d)
+		for _, h := range w.Hosts {
+			if _, err := s.addr(h, g); err != nil {
+				return s, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *StandIns) listen(each func(tcp net.Conn)) (string, error) {
+	l, err := listen("127.0.0.1:0", each)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	return l.Addr().String(), nil
+}
+
+// Close ends all listeners.
+func (s *StandIns) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
+
+// addr is where an api gateway reaches a host; a host that came later gets its listener now.
+func (s *StandIns) addr(h *host.Host, gateway int) (string, error) {
+	key := [2]int{h.Number, gateway}
+	if a := s.addrs[key]; a != "" {
+		return a, nil
+	}
+	a, err := s.listen(func(tcp net.Conn) { s.serve(h, gateway, tcp) })
+	s.addrs[key] = a
+	return a, err
+}
+
+func (s *StandIns) zone(gateway int) int { return gateway % s.Day.Fleet.Zones.N() }
+
+// Write writes the configuration of each api gateway into a folder and gives their paths. listens are their addresses;
+// where there are fewer, free ones are taken.
+func (s *StandIns) Write(dir string, gateways int, memory float64, listens []string) (paths, addrs []string, err error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, nil, err
+	}
+	var peers []string
+	for g := range gateways {
+		if g >= len(listens) {
+			a, err := free()
+			if err != nil {
+				return nil, nil, err
+			}
+			listens = append(listens, a)
+		}
+		if s.Day.Peers.Allowed {
+			a, err := free()
+			if err != nil {
+				return nil, nil, err
+			}
+			peers = append(peers, a)
+		}
+	}
+	for g := range gateways {
+		list, _ := s.entries(g, s.List(g))
+		c := map[string]any{"name": fmt.Sprintf("edge-%d", g), "listen": listens[g], "discovery": s.rosters[g], "seed": fmt.Sprintf("%x", s.Seed+uint64(g)),
+			"limits": map[string]any{"cores": s.Day.Gateway.Core.V(), "memory_mb": memory, "sockets": 1024}, "counter": s.counters[g],
+			"known": map[string]any{"version": 1, "full": true, "servers": list}, "settings": settings(s.World, g, gateways)}
+		if len(peers) > 0 {
+			c["peers"], c["peer_listen"] = peers, peers[g]
+		}
+		b, err := json.MarshalIndent(c, "", "  ")
+		if err != nil {
+			return nil, nil, err
+		}
+		path := filepath.Join(dir, fmt.Sprintf("edge-%d.json", g))
+		if err := os.WriteFile(path, b, 0o644); err != nil {
+			return nil, nil, err
+		}
+		paths = append(paths, path)
+	}
+	return paths, listens[:gateways], nil
+}
+
+func settings(w *play.World, slot, gateways int) wire.Start {
+	st := play.Settings(w.Day, slot)
+	st.Balancers = gateways
+	return st
+}
+
+// free finds an address on loopback that nobody holds at the moment.
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Discovery.
+
+type entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+func (s *StandIns) entries(gateway int, list []choice.Listed) ([]entry, error) {
+	all := []entry{}
+	for _, l := range list {
+		h := s.Host(l.Addr)
+		addr, err := s.addr(h, gateway)
+		if err != nil {
+			return all, err
+		}
+		started := int64(0)
+		if l.Since > 0 {
+			started = int64((s.base + l.Since) * 1000)
+		}
+		state := map[string]string{"active": "Ready", "leaving": "Terminating", "left": "Gone"}[l.State]
+		all = append(all, entry{fmt.Sprintf("host-%d", h.Number), addr, l.Zone, "stand-in", l.Cell, state, l.Weight, started})
+	}
+	return all, nil
+}
+
+// Told brings a change of the list to an api gateway's watches.
+func (s *StandIns) Told(gateway int, l choice.Listed) {
+	s.versions[gateway]++
+	s.Referee.Told(gateway, s.Host(l.Addr).Number, l.State, l.Since)
+	line := s.line(gateway, false, []choice.Listed{l})
+	for c := range s.watches[gateway] {
+		c.write(chunk(line))
+	}
+}
+
+func (s *StandIns) line(gateway int, full bool, list []choice.Listed) string {
+	es, _ := s.entries(gateway, list)
+	b, _ := json.Marshal(map[string]any{"version": s.versions[gateway], "full": full, "servers": es}) // numbers and texts only
+	return string(b) + "\n"
+}
+
+func chunk(text string) []byte { return []byte(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) }
+
+func (s *StandIns) roster(gateway int, tcp net.Conn) {
+	c := newConn(tcp)
+	Messages(tcp, false, func(m *http1.Message) bool {
+		target := string(m.Target)
+		if !strings.HasPrefix(target, "/catalog/members") {
+			c.write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
+			return true
+		}
+		watch := strings.Contains(target, "watch=1")
+		s.pump.Do(func() {
+			whole := s.line(gateway, true, s.List(gateway))
+			if !watch {
+				c.write([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)))
+				return
+			}
+			c.write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			c.write(chunk(whole))
+			s.watches[gateway][c] = true
+			s.alive(gateway, c)
+		})
+		return true
+	})
+	s.pump.Do(func() {
+		delete(s.watches[gateway], c)
+		c.end(false)
+	})
+}
+
+// alive writes an empty line every 2 s.
+func (s *StandIns) alive(gateway int, c *conn) {
+	s.Queue.After(2, func() {
+		if s.watches[gateway][c] {
+			c.write(chunk("\n"))
+			s.alive(gateway, c)
+		}
+	})
+}
+
+// The counter.
+
+func (s *StandIns) count(gateway int, tcp net.Conn) {
+	c := newConn(tcp)
+	var line []*string // answers in the order of their calls; nil: not there yet. Only the pump's goroutine looks
+	Messages(tcp, false, func(m *http1.Message) bool {
+		name, by, life, ok := call(m)
+		s.pump.Do(func() {
+			slot := new(string)
+			line = append(line, slot)
+			say := func(status, text string) {
+				*slot = fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+				for len(line) > 0 && *line[0] != "" {
+					c.write([]byte(*line[0]))
+					line = line[1:]
+				}
+			}
+			if !ok {
+				say("400 Bad Request", "")
+				return
+			}
+			net, zone := s.Net(), s.zone(gateway)
+			if net.Cut(zone, 0) {
+				return
+			}
+			s.Queue.After(net.Way(zone, 0), func() {
+				s.Called(false)
+				s.Counter.Call(gatewayFar(s, gateway), name, by, life, func(how counter.Outcome, sum float64) {
+					s.Queue.After(net.Way(0, zone), func() {
+						switch how {
+						case counter.Added:
+							say("200 OK", strconv.FormatFloat(sum, 'f', -1, 64))
+						case counter.TurnedAway:
+							say("503 Service Unavailable", "")
+						case counter.Refused:
+							c.end(true)
+						}
+					})
+				})
+			})
+			s.Queue.After(1, func() { // an answer that never comes would hold up all behind it
+				if *slot == "" {
+					c.end(true)
+				}
+			})
+		})
+		return true
+	})
+	s.pump.Do(func() { c.end(false) })
+}
+
+// gatewayFar: which api gateways see the copy of a split counter; there are no edges to ask.
+func gatewayFar(s *StandIns, gateway int) bool { return gateway%2 == 1 }
+
+// call reads POST /counters/NAME?by=AMOUNT&expire_ms=LIFE.
+func call(m *http1.Message) (name uint64, by, life float64, ok bool) {
+	path, query, _ := strings.Cut(string(m.Target), "?")
+	text, found := strings.CutPrefix(path, "/counters/")
+	name, err := strconv.ParseUint(text, 10, 64)
+	ok = found && err == nil && string(m.Method) == "POST"
+	for _, pair := range strings.Split(query, "&") {
+		key, value, _ := strings.Cut(pair, "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsInf(x, 0) || math.IsNaN(x) {
+			return 0, 0, 0, false
+		}
+		switch key {
+		case "by":
+			by = x
+		case "expire_ms":
+			life = min(60, x/1000)
+		}
+	}
+	return name, by, life, ok && life > 0
+}
+
+// Hosts.
+
+func (s *StandIns) serve(h *host.Host, gateway int, tcp net.Conn) {
+	c := newConn(tcp)
+	type answer struct{ ok bool }
+	up := make(chan answer, 1)
+	life := 0
+	s.pump.Do(func() {
+		life = h.Life
+		up <- answer{h.Silent() || h.Open()}
+		if !h.Silent() {
+			s.Dialled()
+		}
+	})
+	if !(<-up).ok {
+		c.end(true)
+		return
+	}
+	var d *model.Delivery
+	var job *host.Job
+	fresh := true
+	Messages(tcp, false, func(m *http1.Message) bool {
+		ref, kind, plan := field(m, "req-id"), field(m, "req-kind"), field(m, "x-tier")
+		first := fresh
+		fresh = false
+		s.pump.Do(func() {
+			inv := s.find(ref, kind, plan, m)
+			if inv == nil {
+				c.write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
+				return
+			}
+			d = &model.Delivery{Inv: inv, Number: len(inv.Deliveries), Host: h.Number, Sent: s.Queue.Now(), Written: true}
+			inv.Gateway = gateway
+			inv.Deliveries = append(inv.Deliveries, d)
+			job = s.arrive(h, gateway, life, d, c, first)
+		})
+		return true
+	})
+	s.pump.Do(func() { // the api gateway has ended the connection, or we have
+		c.end(false)
+		if life == h.Life && !h.Silent() {
+			h.Connections--
+		}
+		if d != nil && !d.Over {
+			d.Over = true
+			if job != nil {
+				h.Withdraw(job)
+			}
+			s.EndedAt(d)
+		}
+	})
+}
+
+// find gives the invocation of a ref: that of a client here, or one made up from what the request says of itself.
+func (s *StandIns) find(ref, kind, plan string, m *http1.Message) *model.Invocation {
+	if inv := s.known[ref]; inv != nil {
+		return inv
+	}
+	call, ok := http1.ReadCall(m)
+	if !ok || s.lost != nil { // clients are here, and none of them sent it
+		if s.lost != nil {
+			s.lost(ref)
+		}
+		return nil
+	}
+	inv := s.seen[ref]
+	if inv != nil {
+		return inv
+	}
+	n := &model.Need{Units: call.Units, True: call.Units, Born: s.Queue.Now(), Until: s.Queue.Now() + call.Limit}
+	for i := range s.Day.Operations {
+		if o := &s.Day.Operations[i]; o.Name == kind {
+			n.Op, n.Work = model.Operation{Operation: o, Number: i}, o.Work.V()
+		}
+	}
+	if n.Cust = s.customers[call.Customer]; n.Cust == nil {
+		for i := range s.Day.Plans {
+			if s.Day.Plans[i].Name == plan {
+				n.Cust = &model.Customer{Key: call.Customer, Plan: &s.Day.Plans[i], PlanNumber: i}
+				s.customers[call.Customer] = n.Cust
+			}
+		}
+	}
+	if n.Op.Operation == nil || n.Cust == nil {
+		return nil
+	}
+	inv = &model.Invocation{Ref: ref, Need: n, GiveUp: n.Until, Taken: true}
+	s.seen[ref] = inv
+	s.Queue.After(call.Limit+10, func() { delete(s.seen, ref) })
+	return inv
+}
+
+// arrive lets the referee and the host see a delivery that is whole, a way after it was.
+func (s *StandIns) arrive(h *host.Host, gateway, life int, d *model.Delivery, c *conn, fresh bool) *host.Job {
+	net, zone, n := s.Net(), s.zone(gateway), d.Inv.Need
+	job := &host.Job{Operation: n.Op.Number, Work: n.Work, Gateway: gateway, Runs: func() { s.Ran(d) }}
+	if fresh {
+		job.Work += h.ConnectWork
+	}
+	reset, before := net.Reset()
+	job.Answers = func(a host.Answer) {
+		if d.Over {
+			return
+		}
+		if d.Proved = a == host.TurnedAway; a == host.Good && net.Lost() || net.Cut(zone, h.Zone) {
+			return
+		}
+		s.Queue.After(net.Way(h.Zone, zone), func() {
+			if d.Over {
+				return
+			}
+			d.Over = true
+			s.EndedAt(d)
+			switch {
+			case reset || a == host.Reset:
+				c.end(true)
+			case a == host.TurnedAway:
+				c.write([]byte("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"))
+			case a == host.Error:
+				c.write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
+			case a == host.Spoilt:
+				c.write([]byte("HTTP/1.1 2\x00\x01 noise that is no answer\r\n\r\n"))
+			default:
+				body := fmt.Sprintf("%s by host %d\n", d.Inv.Ref, h.Number)
+				c.write([]byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+			}
+		})
+	}
+	if net.Cut(zone, h.Zone) || h.Silent() {
+		return job
+	}
+	s.Queue.After(net.Way(zone, h.Zone), func() {
+		if life != h.Life || reset && before {
+			d.Over = true
+			c.end(true)
+			return
+		}
+		s.Sent(d)
+		s.alone(d)
+		s.Reached(d)
+		h.Arrive(job)
+		if d.Over {
+			h.Withdraw(job)
+			s.EndedAt(d)
+		}
+	})
+	return job
+}
+
+// alone looks again a moment later whether an earlier delivery is still out: that its connection was closed may be heard
+// of after the next delivery has come.
+func (s *StandIns) alone(d *model.Delivery) {
+	for _, e := range d.Inv.Deliveries {
+		if e != d && !e.Over {
+			s.Queue.After(0.05, func() {
+				if !e.Over && !d.Over {
+					s.Referee.Twice(d.Inv)
+				}
+			})
+		}
+	}
+}
