--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 run: build
 	GODEBUG=schedtrace=2000000000 bin/otterseam
 
-# the api gateway of example/ with its toy; both end together
+# the api gateway with the laboratory's stand-ins for two hosts, the counter and discovery; all end together
 try: build
-	go build -o bin/toy ./example/toy
-	@bin/toy & toy=$$!; trap 'kill $$toy' EXIT; sleep 0.5; EDGE_CONFIG=example/config.json bin/otterseam
+	@rm -rf bin/try
+	@bin/otterlab standin try --dir bin/try --listen 127.0.0.1:8443 & lab=$$!; trap 'kill $$lab' EXIT; \
+	while [ ! -s bin/try/edge-0.json ]; do sleep 0.1; done; sleep 0.2; EDGE_CONFIG=bin/try/edge-0.json bin/otterseam
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -112,7 +112,7 @@
 		}
 		h.next(t)
 		if h.none(t); text != ok("x") && !strings.Contains(text, "Length: 0") && !strings.Contains(text, "100 Go") {
-			<-h.ended // a connection that held nonsense is not used again
+			<-h.Ended // a connection that held nonsense is not used again
 		}
 	}
 }
@@ -143,7 +143,7 @@
 			if status, _ := ask(tcp, invoke("pay", 900, "x")); status != 200 {
 				t.Fatalf("invocation %d after %.9q: %d", i, after, status)
 			}
-			<-h.ended
+			<-h.Ended
 			w.wait(func() bool { return len(w.hosts.byID["h0"].idle) == 0 })
 		}
 	}
@@ -169,7 +169,7 @@
 	tcp.Write([]byte(invoke("pay", 900, "x")))
 	h.next(t)
 	tcp.Close()
-	<-h.ended
+	<-h.Ended
 	w.wait(func() bool { return len(w.loop.inHand) == 0 && len(w.loop.due) == 0 })
 }
 
--- a/gateway/standin_test.go
+++ b/gateway/world_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"otterseam/http1"
+	"otterseam/lab/sockets"
 	"otterseam/wire"
 )
 
@@ -27,82 +28,26 @@
 "contract":{"start_capacity":0.2,"warm_up":5,"overload_factor":3},"plans":[{"name":"team","rate":50,"burst":1000}],
 "extra":{"counter":true,"count_limit":0.3,"most_units":8}}`
 
-// standIn is a stand-in for a host or the counter: it answers each request with the bytes say gives for it.
-// "" leaves it unanswered; a text that ends in "!" is sent without that sign and the connection closed.
-type standIn struct {
-	net.Listener
-	seen  chan string // heads and bodies as they came
-	ended chan bool   // one for each connection that has ended
-}
+// standIn is a host or the counter, by a script of the laboratory's.
+type standIn struct{ *sockets.Script }
 
 func newStandIn(t *testing.T, say func(m *http1.Message, n int) string) *standIn {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := sockets.NewScript(say)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{Listener: l, seen: make(chan string, 100), ended: make(chan bool, 100)}
-	t.Cleanup(func() { l.Close() })
-	var mu sync.Mutex
-	n := 0
-	go func() {
-		for {
-			tcp, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { tcp.Close() })
-			go func() {
-				defer func() {
-					tcp.Close()
-					select {
-					case s.ended <- true:
-					default:
-					}
-				}()
-				messages(tcp, false, func(m *http1.Message) bool {
-					mu.Lock()
-					defer mu.Unlock()
-					select {
-					case s.seen <- string(m.Method) + " " + string(m.Target) + " " + string(m.Body):
-					default: // nobody looks
-					}
-					n++
-					text := say(m, n)
-					io.WriteString(tcp, strings.TrimSuffix(text, "!"))
-					return !strings.HasSuffix(text, "!")
-				})
-			}()
-		}
-	}()
-	return s
+	t.Cleanup(s.End)
+	return &standIn{s}
 }
 
-// messages reads one message after another until what comes makes no sense or is not wanted.
 func messages(tcp net.Conn, response bool, each func(m *http1.Message) bool) {
-	m, rest := &http1.Message{}, []byte(nil)
-	for {
-		m.Begin(make([]byte, http1.Room), response)
-		n := copy(m.Space(), rest)
-		whole, err := false, error(nil)
-		if n > 0 {
-			whole, err = m.Got(n)
-		}
-		for !whole && err == nil {
-			if n, err = tcp.Read(m.Space()); n > 0 {
-				whole, err = m.Got(n)
-			}
-		}
-		if !whole || !each(m) {
-			return
-		}
-		rest = m.Rest()
-	}
+	sockets.Messages(tcp, response, each)
 }
 
 func (s *standIn) next(t *testing.T) string {
 	t.Helper()
 	select {
-	case x := <-s.seen:
+	case x := <-s.Seen:
 		return x
 	case <-time.After(3 * time.Second):
 		t.Fatal("nothing came")
@@ -113,7 +58,7 @@
 func (s *standIn) none(t *testing.T) {
 	t.Helper()
 	select {
-	case x := <-s.seen:
+	case x := <-s.Seen:
 		t.Fatalf("got %q", x)
 	default:
 	}
--- a/lab/sockets/standin.go
+++ b/lab/sockets/standin.go
@@ -348,11 +348,11 @@
 	var job *host.Job
 	fresh := true
 	Messages(tcp, false, func(m *http1.Message) bool {
-		ref, kind, plan := field(m, "req-id"), field(m, "req-kind"), field(m, "x-tier")
-		first := fresh
+		ref, first := field(m, "req-id"), fresh
 		fresh = false
+		call, whole := http1.ReadCall(m) // the message is lent until this returns
 		s.pump.Do(func() {
-			inv := s.find(ref, kind, plan, m)
+			inv := s.find(ref, call, whole)
 			if inv == nil {
 				c.write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
 				return
@@ -380,12 +380,11 @@
 }
 
 // find gives the invocation of a ref: that of a client here, or one made up from what the request says of itself.
-func (s *StandIns) find(ref, kind, plan string, m *http1.Message) *model.Invocation {
+func (s *StandIns) find(ref string, call http1.Call, whole bool) *model.Invocation {
 	if inv := s.known[ref]; inv != nil {
 		return inv
 	}
-	call, ok := http1.ReadCall(m)
-	if !ok || s.lost != nil { // clients are here, and none of them sent it
+	if !whole || s.lost != nil { // clients are here, and none of them sent it
 		if s.lost != nil {
 			s.lost(ref)
 		}
@@ -397,13 +396,13 @@
 	}
 	n := &model.Need{Units: call.Units, True: call.Units, Born: s.Queue.Now(), Until: s.Queue.Now() + call.Limit}
 	for i := range s.Day.Operations {
-		if o := &s.Day.Operations[i]; o.Name == kind {
+		if o := &s.Day.Operations[i]; o.Name == call.Operation {
 			n.Op, n.Work = model.Operation{Operation: o, Number: i}, o.Work.V()
 		}
 	}
 	if n.Cust = s.customers[call.Customer]; n.Cust == nil {
 		for i := range s.Day.Plans {
-			if s.Day.Plans[i].Name == plan {
+			if s.Day.Plans[i].Name == call.Plan {
 				n.Cust = &model.Customer{Key: call.Customer, Plan: &s.Day.Plans[i], PlanNumber: i}
 				s.customers[call.Customer] = n.Cust
 			}
