--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -354,6 +354,9 @@
 	if err := runs.Writable(c.Out); err != nil {
 		return badInput{fmt.Errorf("no day could be written: %w", err)}
 	}
+	if len(d.Spans()) == 0 && len(d.Troubles) == 0 {
+		return badInput{fmt.Errorf("%s has neither ranges nor troubles: there is nothing to look through", d.Name)}
+	}
 	if c.Tries < 1 || c.Part <= 0 || c.Part > 1 {
 		return badInput{errors.New("--tries is at least 1, and --part over 0 and at most 1")}
 	}
--- a/lab/edge/edge.go
+++ b/lab/edge/edge.go
@@ -390,7 +390,7 @@
 	if f := e.flying[d]; f != nil && !d.Over {
 		if !d.Written && how == choice.TimedOut {
 			how = choice.NoConnection
-		} else if !d.Written {
+		} else if !d.Written && how == choice.Withdrawn {
 			how = choice.NotSent
 		}
 		e.finish(f, how, 0)
--- a/lab/host/host.go
+++ b/lab/host/host.go
@@ -106,9 +106,14 @@
 // Silent says that it answers nothing, not even a new connection.
 func (h *Host) Silent() bool { return h.silent > 0 }
 
+// Takes says whether there is room for a new connection.
+func (h *Host) Takes() bool {
+	return h.State != Down && float64(h.Connections) < float64(h.most)*h.few.Times()
+}
+
 // Open takes a new connection if there is room for one.
 func (h *Host) Open() bool {
-	if h.State == Down || float64(h.Connections) >= float64(h.most)*h.few.Times() {
+	if !h.Takes() {
 		return false
 	}
 	h.Connections++
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -192,7 +192,7 @@
 func (p *plain) best(h *held) string {
 	best, least := "", math.Inf(1)
 	for _, x := range p.w.Hosts {
-		if x.State != host.Up || x.Silent() || p.hosts[x.Addr].State != "active" || x.Warmth() < 1 && x.Waiting() >= x.Cores {
+		if x.State != host.Up || x.Silent() || !x.Takes() || p.hosts[x.Addr].State != "active" || x.Warmth() < 1 && x.Waiting() >= x.Cores {
 			continue
 		}
 		if ends := float64(x.Waiting()+1) / (float64(x.Cores) * x.Pace()); ends < least {
--- a/lab/search/search.go
+++ b/lab/search/search.go
@@ -32,11 +32,8 @@
 	Steps []string // what was taken away
 }
 
-// Worst looks for it. A broken rule is worse than any score.
+// Worst looks for it in a day that has ranges or troubles. A broken rule is worse than any score.
 func Worst(ctx context.Context, d *day.Day, o Options) (*Found, error) {
-	if len(d.Spans()) == 0 && len(d.Troubles) == 0 {
-		return nil, fmt.Errorf("%s has neither ranges nor troubles: there is nothing to look through", d.Name)
-	}
 	play := func(days []*day.Day, seeds []uint64) ([]float64, error) {
 		plans := make([]runs.Plan, len(days))
 		for i := range days {
