--- a/lab/day/day_test.go
+++ b/lab/day/day_test.go
@@ -82,3 +82,21 @@
 		}
 	}
 }
+
+// The page holds the form as it is.
+func TestPageHoldsTheForm(t *testing.T) {
+	b, err := os.ReadFile("../../docs/laboratory.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(Form()), "\n") {
+		if !strings.Contains(string(b), line) {
+			t.Errorf("docs/laboratory.md lacks\n%s", line)
+		}
+	}
+	for _, k := range Kinds {
+		if !strings.Contains(string(b), "| `"+k.Name+"` | "+k.Does+" |") {
+			t.Errorf("docs/laboratory.md lacks the trouble %s", k.Name)
+		}
+	}
+}
