Without a call, a customer that nothing says is near its quota gets up to twice its share

Change: the share is up to doubled, the more so the less an api gateway sees by itself, where no total of late left no room and what is asked for here alone is under 0.3 of the rate. The far ones' single loan is no longer drawn by chance.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -81,6 +81,7 @@
 	room, at, asking    float64 // units that may still be let in, as of at, less those of calls that are out
 	owed, told          float64 // units to add with the next call, and when the last was
 	out, standing       int     // open places held here, and of them on the counter
+	asks                float64 // units asked for here of late, repeats left out
 	mine, all, share    float64 // units let in of late: here, everywhere; its part of the quota without a call
 	lent, lentAt        float64 // what may be let in without a call, as of then (0: a total came since)
 	part, overAt        float64 // of its tries let in without a call, as of when a total last left no room
@@ -275,7 +276,7 @@
 		c.name = f.Sum64() >> 1
 	}
 	fade := math.Exp(-(now - c.at) / 8)
-	c.mine, c.all, c.at = c.mine*fade, c.all*fade, now
+	c.mine, c.all, c.asks, c.at = c.mine*fade, c.all*fade, c.asks*fade, now
 }
 
 func (g *Gateway) admit(now float64, inv *Invocation) Answer {
@@ -288,6 +289,9 @@
 		return Answer{}
 	}
 	c.busy += 0.1 * (float64(c.out) - c.busy)
+	if !inv.repeat {
+		c.asks += inv.units
+	}
 	recent, full := now-c.sawAt < 0.07 || g.crowded && now-c.sawAt < 1, p.MaxOut > 0 && c.out >= p.MaxOut
 	if short := inv.units - c.room; short > 0 && recent || full { // by a total just seen, or by what is out here
 		inv.comeBack = max(inv.op.mean, short/max(p.Rate, 0.001))
@@ -461,8 +465,13 @@
 	if c.lentAt == 0 {
 		prior := max(1, p.Burst/2)
 		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
+		// Guards against throttling those far from their quota, as most are, whose traffic comes in unevenly: no total
+		// has said that it is near its quota, nor does what is asked for here alone.
+		if c.partNow(now) == 1 && c.asks < 8*0.3*p.Rate {
+			c.share = min(1, c.share*(2-g.own))
+		}
 		room := max(0, min(p.Burst, c.room+inv.units))
-		if c.lent, c.lentAt = c.share*room, now; g.chance() > g.own && room > p.Burst/2 && !inv.repeat {
+		if c.lent, c.lentAt = c.share*room, now; room > p.Burst/2 && !inv.repeat {
 			c.lent = max(c.lent, min(room, inv.units)) // far from its quota, as most are
 		}
 	}
