--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -119,8 +119,9 @@
 			return
 		}
 		s.level -= a.Units
-	case p.kind == "design" && rate > 0 && p.w.Day.Counter.Present:
-		// The post's own rule, nothing beside it: one call an invocation, by customer and window.
+	case p.kind == "design" && rate > 0 && p.w.Day.Counter.Present && a.GiveUp-now > p.w.Day.Counter.Limit.V()+0.02:
+		// The post's own rule, nothing beside it: one call an invocation, by customer and window. What has no time left to
+		// hear the total passes, as what hears none does: a final answer is owed.
 		length := burst / rate
 		h.window = math.Floor(now / length)
 		h.name = name(a.Customer, h.window)
@@ -191,7 +192,7 @@
 func (p *plain) best(h *held) string {
 	best, least := "", math.Inf(1)
 	for _, x := range p.w.Hosts {
-		if x.State != host.Up || x.Silent() || p.hosts[x.Addr].State != "active" || x.Warmth() < 1 && x.Waiting() >= x.Cores {
+		if x.State != host.Up || x.Silent() || !x.Takes() || p.hosts[x.Addr].State != "active" || x.Warmth() < 1 && x.Waiting() >= x.Cores {
 			continue
 		}
 		if ends := float64(x.Waiting()+1) / (float64(x.Cores) * x.Pace()); ends < least {
