--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -940,3 +940,26 @@
 	f.n = 2
 	f.wantCall(-p.pack())
 }
+
+// A customer far under its quota came in mostly through one api gateway: without calls it was throttled there by an even
+// share of its quota though most of it was unused. One that a total of late showed to be over gets no more than that.
+func TestWithoutCallsTheFavouriteOfAFarCustomerLetsItIn(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		f := newFakeOf(t, Plan{Name: "p", Rate: 10, Burst: 60}, 300)
+		f.g.counter.Present = false
+		if known {
+			f.g.Told(f.now, "=p c")
+			f.wait(1)
+		}
+		let := 0.0
+		for range 75 { // 3 units each 1.25 s, a quarter of its quota, where its share is a sixth
+			f.wait(1.25)
+			if f.passes(3, 6) {
+				let++
+			}
+		}
+		if !known && let < 73 || known && let > 68 {
+			t.Fatalf("known to be over %v: %v of 75 let in", known, let)
+		}
+	}
+}
