--- /dev/null
+++ b/lab/runs/rules_test.go
@@ -0,0 +1,89 @@
+package runs
+
+import (
+	"testing"
+
+	"otterseam/choice"
+	"otterseam/drive"
+	"otterseam/lab/edge"
+	"otterseam/lab/play"
+)
+
+// wicked is a decider that breaks one rule on purpose and else sends each invocation to one host.
+type wicked struct {
+	rule int
+	w    *play.World
+	out  drive.Out
+	list []choice.Listed
+}
+
+func (d *wicked) Name() string { return "wicked" }
+func (d *wicked) Err() error   { return nil }
+func (d *wicked) End()         {}
+func (d *wicked) Mind(w *play.World, slot int, seed uint64, out drive.Out) (edge.Mind, error) {
+	return &wicked{rule: d.rule, w: w, out: out}, nil
+}
+
+func (d *wicked) Settle(float64)                                            {}
+func (d *wicked) Told(float64, string)                                      {}
+func (d *wicked) Ring(float64, uint64)                                      {}
+func (d *wicked) Gone(float64, string)                                      {}
+func (d *wicked) Counted(float64, uint64, choice.Outcome, float64, float64) {}
+func (d *wicked) Hosts(_ float64, list []choice.Listed, whole bool)         { d.list = append(d.list, list...) }
+func (d *wicked) Take(now float64, a choice.Asked) {
+	last := d.list[len(d.list)-1].Addr
+	switch {
+	case d.rule == 1: // no answer at all
+	case d.rule == 2 && a.Operation == "charge": // a second delivery beside the first
+		d.out.Send(a.Ref, d.list[0].Addr, 0)
+		d.out.Send(a.Ref, d.list[1].Addr, 0)
+	case d.rule == 3: // whatever the list says of it
+		for _, l := range d.list {
+			if l.State == "leaving" {
+				last = l.Addr
+			}
+		}
+		d.out.Send(a.Ref, last, 0)
+	case d.rule == 4: // all to the host that came last
+		d.out.Send(a.Ref, last, 0)
+	default:
+		d.out.Send(a.Ref, d.list[int(a.GiveUp*1e4)%6].Addr, 0)
+	}
+}
+
+func (d *wicked) Ended(now float64, ref string, number int, e choice.Ended) {
+	if !e.Over {
+		d.out.GiveUp(ref)
+	}
+}
+
+// Each rule is seen broken in a day whose decider breaks it, and by none that keeps it.
+func TestRulesBrokenOnPurposeAreSeen(t *testing.T) {
+	sets := []string{"clients.rate=60/s", "length=8s", "cold.warm=20s", "plan[0].ceiling_burst=20", "plan[0].ceiling_rate=2/s"}
+	more := trouble("replace", "0.3", "1", "100ms")
+	for rule := 0; rule <= 5; rule++ {
+		d := small(t, more, sets...)
+		if rule == 4 {
+			d = small(t, more, append(sets, "clients.rate=400/s")...)
+		}
+		if rule != 5 {
+			d.Plans[0].CeilingRate, d.Plans[0].CeilingBurst = d.Plans[1].CeilingRate, d.Plans[1].CeilingBurst
+		}
+		w := play.New(d, 5, &wicked{rule: rule})
+		f, err := w.Run()
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[int]bool{}
+		for _, b := range f.Broken {
+			seen[b.Rule] = true
+		}
+		if rule == 0 { // hosts that leave are not sent to by the module
+			if f = run(t, d, "module").Figures; f.Breaks > 0 {
+				t.Errorf("the module: %v", f.Broken)
+			}
+		} else if !seen[rule] {
+			t.Errorf("rule %d broken on purpose: seen %v", rule, f.Broken)
+		}
+	}
+}
