Laboratory: what was served within quotas counts whichever tries of a customer these were

Need: a customer over its quota asks for more tries than its quota has units for.

Change: two further rows: served in time of all sent on within quotas, and the same less what beyond costs.

--- a/lab/figures/figures.go
+++ b/lab/figures/figures.go
@@ -28,6 +28,7 @@
 	BeyondCost  float64 `json:"beyond_cost"` // what that costs
 	Worth       float64 `json:"worth"`       // served, late at its part, less what was beyond
 	Sent        float64 `json:"sent"`        // value sent on, for the first time
+	Within      float64 `json:"within"`      // value served in time of all that was sent on within quotas, asked for inside or not
 }
 
 // Add adds another share to it.
@@ -35,6 +36,7 @@
 	s.Asked, s.Served, s.Late, s.WithRoom = s.Asked+o.Asked, s.Served+o.Served, s.Late+o.Late, s.WithRoom+o.WithRoom
 	s.WithoutRoom, s.Errored, s.Lost = s.WithoutRoom+o.WithoutRoom, s.Errored+o.Errored, s.Lost+o.Lost
 	s.Beyond, s.BeyondCost, s.Worth, s.Sent = s.Beyond+o.Beyond, s.BeyondCost+o.BeyondCost, s.Worth+o.Worth, s.Sent+o.Sent
+	s.Within += o.Within
 }
 
 // Second is one second of a day.
@@ -147,10 +149,16 @@
 		f.time("plan "+n.Cust.Plan.Name, took)
 		f.time("customers "+model.Classes[n.Cust.Class], took)
 	}
+	v, s := n.Value(), Share{}
+	if n.Last == model.Served && took <= n.Op.Objective.V() && !n.Beyond {
+		s.Within = v
+	}
 	if !n.Inside {
+		if s.Within > 0 {
+			f.Count(n, s)
+		}
 		return
 	}
-	v, s := n.Value(), Share{}
 	switch {
 	case n.Last == model.Served && took <= n.Op.Objective.V():
 		s.Served, s.Worth = v, v
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -54,6 +54,7 @@
 	Inside bool // its units were inside the quota when it was first asked for
 	Closed bool
 	Last   Ending
+	Beyond bool // its last try that was sent on was beyond the quota
 	Room   bool // of the last try, if it was throttled: there was room
 }
 
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -350,6 +350,7 @@
 		return
 	}
 	n := d.Inv.Need
+	n.Beyond = beyond
 	s := figures.Share{Sent: n.Value()}
 	if beyond {
 		s.Beyond = n.Value()
--- a/lab/report/text.go
+++ b/lab/report/text.go
@@ -107,6 +107,8 @@
 	name string
 	of   func(r *runs.Run) float64
 }{
+	{"served in time within quotas", func(r *runs.Run) float64 { return r.Whole.Part(r.Whole.Within) }},
+	{"the same, less what beyond costs", func(r *runs.Run) float64 { return r.Whole.Part(r.Whole.Within - r.Whole.BeyondCost) }},
 	{"counter calls a try", func(r *runs.Run) float64 { return r.Calls / max(1, r.Tries) }},
 	{"of them without a total", func(r *runs.Run) float64 { return r.Missed / max(1, r.Calls) }},
 	{"deliveries a try", func(r *runs.Run) float64 { return r.Deliveries / max(1, r.Tries) }},
