--- a/choice/choice.go
+++ b/choice/choice.go
@@ -426,13 +426,7 @@
 	}
 }
 
-func (c *customer) partNow(now float64) float64 {
-	back := 0.05
-	if c.plan.Rate <= 0 { // places come free again within an answer's time
-		back = 0.15
-	}
-	return min(1, c.part*math.Exp(back*(now-c.overAt)))
-}
+func (c *customer) partNow(now float64) float64 { return min(1, c.part*math.Exp(0.05*(now-c.overAt))) }
 
 func (g *Gateway) over(now float64, c *customer, cut float64) {
 	if now-c.overAt > 1 {
