--- a/choice/choice.go
+++ b/choice/choice.go
@@ -356,7 +356,7 @@
 		g.join(inv)
 	} else { // over: the estimate is taken off again, at once
 		g.tellPeers(now, "="+c.key)
-		g.over(now, c, 0.3)
+		g.over(now, c, 0.5)
 		g.refuse(now, inv)
 	}
 }
@@ -834,7 +834,7 @@
 // Told brings a peer's message: "=plan customer" has no room, "-host" asks for word of it, "+host" answers.
 func (g *Gateway) Told(now float64, text string) {
 	if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
-		g.over(now, g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways}), 0.4)
+		g.over(now, g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways}), 0.6)
 		return
 	}
 	h := g.byAddr[strings.TrimLeft(text, "+-")]
