--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,8 +465,8 @@
 	if c.lentAt == 0 {
 		prior := max(1, p.Burst/2)
 		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
-		// Guards against throttling those far from their quota, as most are, whose traffic comes in unevenly: no total
-		// has said that it is near its quota, nor does what is asked for here alone.
+		// Guards against throttling those far from their quota, as most are, whose traffic comes in unevenly:
+		// no total has said that it is near its quota, nor does what is asked for here alone.
 		if c.partNow(now) == 1 && c.asks < 8*0.3*p.Rate {
 			c.share = min(1, c.share*(2-g.own))
 		}
@@ -598,7 +598,7 @@
 func (g *Gateway) seed(s uint64) { g.seeded = crc32.ChecksumIEEE(fmt.Appendf(nil, "%d ", s)) }
 
 func (g *Gateway) chance() float64 {
-	var digits [20]byte // of the counter, behind those of the seed: most calls of a large fleet's choice end here
+	var digits [20]byte // of the counter; the seed's are in the check sum already
 	g.drawn++
 	text := strconv.AppendUint(digits[:0], g.drawn, 10)
 	return float64(2654435761*crc32.Update(g.seeded, crc32.IEEETable, text)) / (1 << 32)
--- a/lab/sockets/sockets_test.go
+++ b/lab/sockets/sockets_test.go
@@ -169,13 +169,20 @@
 	q := &event.Queue{}
 	p := newPump(q)
 	var order []string
-	q.At(0.03, func() { order = append(order, "queue") })
+	fired := make(chan bool)
+	p.Do(func() { order = append(order, "first") })
+	q.At(0.2, func() {
+		order = append(order, "queue")
+		close(fired)
+	})
 	go func() {
-		p.Do(func() { order = append(order, "first") })
-		time.Sleep(60 * time.Millisecond)
-		p.Do(func() { order = append(order, fmt.Sprintf("after %v", q.Now() >= 0.03)) })
+		<-fired
+		p.Do(func() {
+			order = append(order, fmt.Sprintf("after %v", q.Now() >= 0.2))
+			q.Stop()
+		})
 	}()
-	p.run(context.Background(), 0.15)
+	p.run(context.Background(), 30)
 	if strings.Join(order, ",") != "first,queue,after true" {
 		t.Fatal(order)
 	}
