--- a/lab/counter/counter.go
+++ b/lab/counter/counter.go
@@ -120,15 +120,6 @@
 	return math.Round(x/unit) * unit
 }
 
-// Total is what stands under a name, for those who look from outside.
-func (c *Counter) Total(name uint64) float64 {
-	s := c.copies[0][name%uint64(len(c.copies[0]))].sums[name]
-	if s.ends <= c.q.Now() {
-		return 0
-	}
-	return s.value
-}
-
 // Forget drops names whose time is over. The order in which a map is gone through does not show.
 func (c *Counter) Forget() {
 	for i := range c.copies {
--- a/lab/registry/registry.go
+++ b/lab/registry/registry.go
@@ -18,7 +18,6 @@
 	late    stack.Stack
 	silent  int
 	changes []choice.Listed
-	first   int // how many of the changes are the list at the start
 	told    []int
 	due     []float64 // the last change on its way to each arrives then
 	held    []func()  // what waits for the list to speak again
@@ -28,10 +27,10 @@
 // New makes the list of a day with the hosts it starts with; tell is called when an api gateway is told of a change.
 func New(q *event.Queue, d *day.Discovery, gateways int, seed uint64, hosts []choice.Listed,
 	tell func(int, choice.Listed)) *Registry {
-	r := &Registry{q: q, dice: dice.New(seed, "registry"), delay: d.Delay.V(), changes: hosts, first: len(hosts),
+	r := &Registry{q: q, dice: dice.New(seed, "registry"), delay: d.Delay.V(), changes: hosts,
 		told: make([]int, gateways), due: make([]float64, gateways), tell: tell}
 	for i := range r.told {
-		r.told[i] = r.first
+		r.told[i] = len(hosts) // the list at the start
 	}
 	return r
 }
--- a/lab/sockets/standin.go
+++ b/lab/sockets/standin.go
@@ -277,7 +277,8 @@
 			}
 			s.Queue.After(net.Way(zone, 0), func() {
 				s.Called(false)
-				s.Counter.Call(gatewayFar(s, gateway), name, by, life, func(how counter.Outcome, sum float64) {
+				// Every second api gateway sees the copy of a split counter: there are no edges to ask.
+				s.Counter.Call(gateway%2 == 1, name, by, life, func(how counter.Outcome, sum float64) {
 					s.Queue.After(net.Way(0, zone), func() {
 						switch how {
 						case counter.Added:
@@ -301,9 +302,6 @@
 	s.pump.Do(func() { c.end(false) })
 }
 
-// gatewayFar: which api gateways see the copy of a split counter; there are no edges to ask.
-func gatewayFar(s *StandIns, gateway int) bool { return gateway%2 == 1 }
-
 // call reads POST /counters/NAME?by=AMOUNT&expire_ms=LIFE.
 func call(m *http1.Message) (name uint64, by, life float64, ok bool) {
 	path, query, _ := strings.Cut(string(m.Target), "?")
