--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -131,7 +131,7 @@
 }
 
 func change(d *day.Day, set map[string]string) error {
-	for _, key := range sorted(set) {
+	for _, key := range slices.Sorted(maps.Keys(set)) { // faults come in the same order each time
 		if err := d.Set(key, set[key]); err != nil {
 			return badInput{err}
 		}
@@ -139,7 +139,13 @@
 	return nil
 }
 
-func sorted(m map[string]string) []string { return slices.Sorted(maps.Keys(m)) }
+// seeds plans a day for so many seeds, from the first on; at least one.
+func (c *choose) seeds(d *day.Day, decider string, over map[string]string, n int) (plans []runs.Plan) {
+	for i := range max(1, n) {
+		plans = append(plans, runs.Plan{Day: d, Decider: decider, Seed: c.Seed + uint64(i), Over: over})
+	}
+	return plans
+}
 
 // tell writes results in the forms that were asked for.
 func (c *choose) tell(s *streams, title string, rs []*runs.Run) error {
@@ -259,9 +265,7 @@
 		if err := decider(n); err != nil {
 			return err
 		}
-		for i := range max(1, c.Seeds) {
-			plans = append(plans, runs.Plan{Day: d, Decider: n, Seed: c.Seed + uint64(i), Over: c.Set})
-		}
+		plans = append(plans, c.seeds(d, n, c.Set, c.Seeds)...)
 	}
 	rs, err := runs.All(ctx, plans, c.Workers, s.progress("days", len(plans)))
 	if err != nil {
@@ -319,9 +323,7 @@
 			if err := change(x, set); err != nil {
 				return err
 			}
-			for i := range max(1, c.Seeds) {
-				plans = append(plans, runs.Plan{Day: x, Decider: n, Seed: c.Seed + uint64(i), Over: set})
-			}
+			plans = append(plans, c.seeds(x, n, set, c.Seeds)...)
 		}
 	}
 	rs, err := runs.All(ctx, plans, c.Workers, s.progress("days", len(plans)))
--- a/lab/counter/counter.go
+++ b/lab/counter/counter.go
@@ -19,7 +19,6 @@
 	Added Outcome = iota
 	TurnedAway
 	Refused // no connection
-	Nothing // no answer, ever
 )
 
 type sum struct{ value, ends float64 }
--- a/lab/sockets/client.go
+++ b/lab/sockets/client.go
@@ -31,7 +31,6 @@
 	began  func(inv *model.Invocation)
 	ended  func(inv *model.Invocation)
 	judge  bool // the referee hears of answers
-	room   func(inv *model.Invocation) bool
 	flying sync.WaitGroup
 }
 
@@ -52,14 +51,9 @@
 	return nil
 }
 
-// The crowd's door.
+// The crowd's door; what it does not say itself, the day's world does.
 
 func (c *Clients) Admits(gateway int) bool { return c.up[gateway%len(c.up)] }
-func (c *Clients) Asked(n *model.Need)     { c.World.Asked(n) }
-func (c *Clients) Closed(n *model.Need, took float64) {
-	c.World.Closed(n, took)
-}
-func (c *Clients) Tried(inv *model.Invocation) { c.World.Tried(inv) }
 
 // Arrive sends a try. It always counts as taken here; what came of it is told to the crowd later.
 func (c *Clients) Arrive(inv *model.Invocation) bool {
