--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -7,6 +7,7 @@
 	Format     int         `day:"format" min:"1" max:"1" about:"version of this form; 1"`
 	Name       string      `day:"name" about:"what the day is called in reports"`
 	About      string      `day:"about" def:"" about:"one sentence for whoever reads the list of days"`
+	Base       string      `day:"base" def:"" about:"a day that comes with the program; what is not given here is as there"`
 	Length     Span        `day:"length" unit:"s" min:"1s" max:"24h" about:"how long clients come"`
 	Fleet      Fleet       `day:"fleet" about:"sizes"`
 	Network    Network     `day:"network" about:"the way between machines"`
@@ -20,6 +21,8 @@
 	Peers      Peers       `day:"peers" about:"mail between api gateways"`
 	Gateway    Gateway     `day:"gateway" about:"each api gateway"`
 	Troubles   []Trouble   `day:"trouble" about:"what goes wrong, and when; they may overlap"`
+	Strikes    []Strike    `day:"fault" about:"scripts: faults of processes and of the links between them"`
+	Promises   []Promise   `day:"promise" about:"scripts: what has to hold at the end"`
 }
 
 type Fleet struct {
--- a/lab/day/read.go
+++ b/lab/day/read.go
@@ -68,8 +68,20 @@
 }
 
 // Read reads a day; file is what faults call it.
-func Read(file string, text []byte) (*Day, error) {
-	r := &reader{file: file, lines: lines(text)}
+func Read(file string, text []byte) (*Day, error) { return ReadOver(file, text, nil) }
+
+// BaseOf is the day that a file says it is built on; "": none.
+func BaseOf(text []byte) string {
+	var head struct {
+		Base string `toml:"base"`
+	}
+	toml.Unmarshal(text, &head) // what is wrong with the file is found when it is read
+	return head.Base
+}
+
+// ReadOver reads a day of which what is not given is as in another; a list of tables that is given replaces the other's.
+func ReadOver(file string, text []byte, base *Day) (*Day, error) {
+	r := &reader{file: file, lines: lines(text), over: base != nil}
 	var tree map[string]any
 	if err := toml.Unmarshal(text, &tree); err != nil {
 		f := Fault{File: file, What: err.Error()}
@@ -80,10 +92,16 @@
 		return nil, Faults{f}
 	}
 	d := &Day{}
+	if base != nil {
+		d = base.Clone()
+	}
 	r.table("", tree, reflect.ValueOf(d).Elem())
 	if len(r.faults) == 0 {
 		r.whole(d)
 	}
+	if base != nil {
+		d.Base = "" // it is in it now
+	}
 	if len(r.faults) > 0 {
 		slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
 		return nil, r.faults
@@ -95,6 +113,7 @@
 	file   string
 	lines  map[string]int
 	faults Faults
+	over   bool // what is not given stays as it is
 }
 
 // lines finds the line of each key; of an array of tables each table has its number.
@@ -191,6 +210,9 @@
 			return
 		}
 	}
+	if !given && r.over {
+		return
+	}
 	if !given && !hasDef {
 		r.fault(path, "is missing: %s", f.Tag.Get("about"))
 		return
@@ -212,6 +234,12 @@
 		r.fault(path, "a list of tables is wanted: [[%s]]", path)
 		return
 	}
+	if given {
+		to.SetLen(0)
+	}
+	over := r.over
+	r.over = false // what is new has its own defaults
+	defer func() { r.over = over }()
 	for i, x := range all {
 		at := fmt.Sprintf("%s[%d]", path, i)
 		sub, ok := x.(map[string]any)
@@ -426,6 +454,7 @@
 			r.fault(at+".kind", "cut needs two zones or more")
 		}
 	}
+	r.strikes(d)
 }
 
 // each visits all spans of a day with their paths and tags.
@@ -451,6 +480,7 @@
 	c := *d
 	c.Hosts, c.Operations = slices.Clone(d.Hosts), slices.Clone(d.Operations)
 	c.Plans, c.Troubles = slices.Clone(d.Plans), slices.Clone(d.Troubles)
+	c.Strikes, c.Promises = slices.Clone(d.Strikes), slices.Clone(d.Promises)
 	return &c
 }
 
--- a/lab/host/host.go
+++ b/lab/host/host.go
@@ -33,6 +33,10 @@
 	Reset // it went down under the work
 )
 
+func (a Answer) String() string {
+	return [...]string{"answered", "answered with an error", "turned away", "answered with noise", "reset"}[a]
+}
+
 // State is what a host does with what comes.
 type State int
 
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -62,6 +62,9 @@
 	door crowd.Door
 	tell func(gateway int, change choice.Listed)
 
+	// Heard is told all that is noted of invocations, where it is set.
+	Heard func(from int, ref, text string)
+
 	story string   // the invocation whose story is told
 	lines []string // it
 	prog  func(at float64)
@@ -343,6 +346,13 @@
 	})
 }
 
+// SentLate is Sent for a delivery that was held up on the way: when it set out isn't known.
+func (w *World) SentLate(d *model.Delivery) {
+	w.Figures.Deliveries++
+	w.Figures.At(w.Queue.Now()).Sends++
+	w.Referee.Repeated(d)
+}
+
 func (w *World) Reached(d *model.Delivery) {
 	first, beyond := w.Referee.Reached(d)
 	w.Note(d.Inv.Gateway, d.Inv.Ref, fmt.Sprintf("delivery %d reaches host %d", d.Number, d.Host))
@@ -408,6 +418,9 @@
 		words := strings.Fields(text)
 		w.Figures.Logs[strings.TrimRight(strings.Join(words[:min(len(words), 1)], " "), ":")]++
 	}
+	if w.Heard != nil && ref != "" {
+		w.Heard(from, ref, text)
+	}
 	if w.story != "" && ref == w.story {
 		w.lines = append(w.lines, fmt.Sprintf("%10.4f  api gateway %d: %s", w.Queue.Now(), from, text))
 	}
--- a/lab/sockets/client.go
+++ b/lab/sockets/client.go
@@ -31,6 +31,7 @@
 	began  func(inv *model.Invocation)
 	ended  func(inv *model.Invocation)
 	judge  bool // the referee hears of answers
+	rig    Rig
 	flying sync.WaitGroup
 }
 
@@ -65,6 +66,9 @@
 	text := request(inv, c.Day.Fleet.Gateways.N())
 	until := c.pump.start.Add(time.Duration((inv.GiveUp + 0.05) * 1e9))
 	c.flying.Add(1)
+	if c.rig != nil {
+		c.rig.Seen("taken", gateway)
+	}
 	go func() {
 		defer c.flying.Done()
 		status, retryAfter, body, err := c.exchange(gateway, text, until)
@@ -169,6 +173,12 @@
 		how = model.Throttled
 	}
 	room := false
+	if c.rig != nil {
+		c.Note(inv.Gateway, inv.Ref, "its client has: "+model.Endings[how])
+		if unanswered(how) && c.rig.Struck(inv.Gateway, "", inv.Born) { // what was struck owes nothing meanwhile
+			how = model.Broken
+		}
+	}
 	if c.judge {
 		if how == model.Served && !strings.HasPrefix(body, inv.Ref+" ") {
 			c.Referee.Foreign(inv.Ref, fmt.Sprintf("%s was served with %.40q", inv.Ref, body))
@@ -184,4 +194,7 @@
 		c.ended(inv)
 	}
 	c.Crowd.Ended(inv, how, retryAfter, room)
+	if c.rig != nil && !unanswered(how) && how != model.Unreachable {
+		c.rig.Seen("answered", inv.Gateway%len(c.addrs))
+	}
 }
