otterlab fleet: scripts of faults between real processes, on moments or events, with promises

Need: what many processes do together when parts fail could not be provoked or judged. Change: lab/fleet plays a script: api gateway processes, stand-ins, every link over the relay, faults of links and processes at moments or on events (the counter has added and not answered; a delivery is whole at a host), the referee and promises as judges, the story of an invocation with the faults in force, a timeline page. 28 scripts. Package seeded holds thirteen bugs behind the build tag seeded. Not caught: a host's start unheard (cold-crowd), tried with four sizes: other defences keep the hosts up.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -10,12 +10,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"otterseam/http1"
+	"otterseam/seeded"
 )
 
 const (
@@ -81,6 +83,11 @@
 func NewClients(ctx context.Context, group *errgroup.Group, loop *Loop, log zerolog.Logger, buffers *Buffers,
 	listen string, accepts Accepts, most int, ready func() bool) (*Clients, error) {
 	lc := net.ListenConfig{KeepAlive: -1}
+	if seeded.SharesName {
+		lc.Control = func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, 0xf, 1) }) // SO_REUSEPORT
+		}
+	}
 	l, err := lc.Listen(ctx, "tcp", listen)
 	if err != nil {
 		return nil, err
@@ -185,6 +192,15 @@
 // for a while, as the front sends them, each for one request.
 func (cs *Clients) End(limit time.Duration) {
 	cs.ending.Store(true)
+	if seeded.TermCuts {
+		cs.Close()
+		cs.mu.Lock()
+		for c := range cs.open {
+			c.tcp.Close()
+		}
+		cs.mu.Unlock()
+		return
+	}
 	time.Sleep(lateEntry)
 	until := time.Now().Add(limit)
 	for quiet := 0; quiet < 3 && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
@@ -410,6 +426,12 @@
 		default:
 			out = http1.AppendOwn(out, a.status, a.retryAfter, last)
 		}
+		if seeded.AnswerLost && a.status == 429 && int(a.retryAfter*1e6)%5 == 0 {
+			out = nil
+		}
+		if seeded.AnswerTwice && a.reply != nil {
+			out = append(out, out...)
+		}
 		if len(out) > 0 {
 			c.tcp.SetWriteDeadline(time.Now().Add(cs.slowest))
 			if _, err := c.tcp.Write(out); err != nil {
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -17,6 +17,7 @@
 
 	"otterseam/choice"
 	"otterseam/http1"
+	"otterseam/seeded"
 )
 
 const (
@@ -314,6 +315,9 @@
 	tcp.SetDeadline(past)
 	writer.Wait()
 	tcp.Close()
+	if seeded.ResetPanics && len(k.order) > 0 {
+		panic("a counter connection has ended")
+	}
 	k.mu.Lock()
 	lost := append([]*call(nil), k.order...)
 	k.up, k.order = false, k.order[:0]
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -19,6 +19,7 @@
 
 	"otterseam/choice"
 	"otterseam/http1"
+	"otterseam/seeded"
 )
 
 type Discovery struct {
@@ -114,6 +115,12 @@
 	var addrs []string
 	for _, e := range r.Servers {
 		state := states[e.State]
+		if seeded.DrainUnheard && state != "" {
+			state = "active"
+		}
+		if seeded.StartUnheard {
+			e.Started = 0
+		}
 		if _, err := netip.ParseAddrPort(e.Addr); e.ID == "" || state == "" || err != nil && state != "left" {
 			d.log.Warn().Str("host", e.ID).Str("addr", e.Addr).Str("state", e.State).Msg("entry dropped")
 			continue
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -19,6 +19,7 @@
 
 	"otterseam/choice"
 	"otterseam/http1"
+	"otterseam/seeded"
 )
 
 type Hosts struct {
@@ -160,6 +161,9 @@
 	c.on, d.conn = d, c
 	b := hs.buffers.Take(false)
 	b.Bytes = http1.AppendRequest(b.Bytes[:0], &d.inv.request.Message, d.due-hs.loop.now)
+	if seeded.SecondCopy && len(d.inv.Ref) > 0 && d.inv.Ref[0] == '7' {
+		b.Bytes = append(b.Bytes, b.Bytes...)
+	}
 	c.work <- b
 }
 
@@ -169,6 +173,9 @@
 		return
 	}
 	heap.Remove(&hs.loop.due, d.at)
+	if seeded.ResetNeverRan && how == choice.TimedOut {
+		how = choice.NoConnection
+	}
 	d.outcome = how
 	hs.loop.ended = append(hs.loop.ended, d)
 }
@@ -177,7 +184,12 @@
 func (hs *Hosts) withdraw(d *delivery, how choice.Outcome) {
 	if d.conn != nil {
 		d.conn.on = nil
-		d.conn.abandon()
+		switch {
+		case seeded.KeepsWithdrawn:
+			hs.free(d.conn)
+		case !seeded.LeavesOut:
+			d.conn.abandon()
+		}
 		hs.end(d, how)
 		return
 	}
@@ -272,6 +284,9 @@
 		hs.buffers.Give(reply)
 		reply = nil
 	}
+	if seeded.ResetNeverRan && c.outcome == choice.Reset {
+		c.outcome = choice.NoConnection
+	}
 	if d != nil {
 		heap.Remove(&hs.loop.due, d.at)
 		hs.loop.after(d, c.outcome, reply)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,6 +15,7 @@
 	"otterseam/choice"
 	"otterseam/drive"
 	"otterseam/http1"
+	"otterseam/seeded"
 )
 
 // early is how long before a client gives up the last delivery is ended, so that the answer still reaches it.
@@ -190,6 +191,9 @@
 	switch a.Do {
 	case choice.Send:
 		within := inv.giveUp - l.now - early
+		if seeded.EndsLate {
+			within += 0.3
+		}
 		if a.Within > 0 {
 			within = min(within, a.Within)
 		}
@@ -201,6 +205,10 @@
 		l.finish(inv, 429, a.RetryAfter, nil)
 	case choice.GiveUp:
 		status := 502
+		if seeded.Harmless {
+			l.finish(inv, 429, 1, nil)
+			return
+		}
 		if inv.timeout {
 			status = 504
 		}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"otterseam/seeded"
 )
 
 // datagram is the most bytes one may hold.
@@ -53,6 +55,9 @@
 		return nil, err
 	}
 	p.udp, err = net.ListenUDP("udp", at)
+	if seeded.SharesName && err != nil {
+		p.udp, err = nil, nil
+	}
 	return p, err
 }
 
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,227 @@
+// Package fleet plays scripts: api gateway processes, the stand-ins and the links between all of them on loopback, with
+// faults at moments or on events, judged by the referee and by what the script promises. It must never strike what it has
+// not started, nor leave a process behind.
+package fleet
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+
+	"otterseam/lab/day"
+	"otterseam/lab/days"
+	"otterseam/lab/figures"
+	"otterseam/lab/sockets"
+)
+
+//go:embed scripts/*.toml
+var files embed.FS
+
+// Names are the scripts that come with the program, in order.
+func Names() (names []string) {
+	all, _ := fs.Glob(files, "scripts/*.toml") // the pattern is good
+	for _, f := range all {
+		names = append(names, strings.TrimSuffix(strings.TrimPrefix(f, "scripts/"), ".toml"))
+	}
+	return names
+}
+
+// Load reads a script by its name, or from a file.
+func Load(name string) (*day.Day, error) {
+	text, err := files.ReadFile("scripts/" + name + ".toml")
+	file := name + ".toml"
+	if err != nil {
+		if text, err = os.ReadFile(name); errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "./") {
+			return nil, errors.New(name + ": no such file, and no script of that name; there are " + strings.Join(Names(), ", "))
+		} else if err != nil {
+			return nil, err
+		}
+		file = name
+	}
+	d, err := days.Over(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return d, Check(d)
+}
+
+// Check says what of a script can't be played.
+func Check(d *day.Day) error {
+	if err := sockets.Check(d); err != nil {
+		return err
+	}
+	if d.Fleet.Gateways.Hi > 32 {
+		return fmt.Errorf("%s: %.0f api gateways are more processes than one machine should run: at most 32", d.Name, d.Fleet.Gateways.Hi)
+	}
+	return nil
+}
+
+// Options say with what a script is played.
+type Options struct {
+	Gateway string // the program of the api gateway
+	Dir     string // for configurations, folders and logs
+	Memory  float64
+	Env     []string // further variables of the api gateways
+	Tell    func(text string)
+}
+
+// Story is what is known of one thing that was broken.
+type Story struct {
+	Text   string   `json:"text"`
+	Lines  []string `json:"lines,omitempty"`
+	Faults []string `json:"faults,omitempty"` // in force at that time
+}
+
+// Result is a script that was played.
+type Result struct {
+	Script   *day.Day         `json:"-"`
+	Seed     uint64           `json:"seed"`
+	Gateways int              `json:"gateways"`
+	Figures  *figures.Figures `json:"figures"`
+	Spans    []*Span          `json:"faults"`
+	Lines    []Line           `json:"log"`
+	Mail     float64          `json:"mail"`
+	Struck   int              `json:"struck"`
+	Runs     []bool           `json:"runs"` // by api gateway, at the end
+	Kept     []string         `json:"promises"`
+	Broken   []Story          `json:"broken"`
+}
+
+// Play plays a script.
+func Play(ctx context.Context, script *day.Day, seed uint64, o Options) (*Result, error) {
+	if err := Check(script); err != nil {
+		return nil, err
+	}
+	d := script.Draw(seed)
+	n := d.Fleet.Gateways.N()
+	r := newRig(d, seed)
+	r.logs = newLogs(o.Dir, n)
+	defer r.close()
+	res := &Result{Script: d, Seed: seed, Gateways: n, Runs: make([]bool, n)}
+	at := &atEnd{rig: r, res: res}
+	f, w, err := sockets.Play(ctx, d, seed, sockets.Options{Gateway: o.Gateway, Dir: o.Dir, Memory: o.Memory, Env: o.Env,
+		Tell: o.Tell, Rig: at})
+	if r.world != nil {
+		r.logs.end()
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	res.Mail = float64(r.mailed)
+	r.mu.Unlock()
+	res.Figures, res.Spans, res.Lines, res.Struck = f, r.spans, r.logs.lines(), r.struck
+	res.promises(w.Referee.Promise)
+	f.Breaks, f.Broken = w.Referee.All, w.Referee.Breaks
+	for _, b := range w.Referee.Breaks {
+		s := Story{Text: b.String(), Lines: r.kept[b.Ref]}
+		if len(s.Lines) == 0 {
+			s.Lines = r.stories[b.Ref]
+		}
+		for _, x := range r.spans {
+			if b.Ref != "" && x.Begins <= b.At && x.Ends+healing >= b.At {
+				s.Faults = append(s.Faults, x.String())
+			}
+		}
+		res.Broken = append(res.Broken, s)
+	}
+	return res, nil
+}
+
+// atEnd is the rig, which also looks, as the day ends, at who runs.
+type atEnd struct {
+	*rig
+	res *Result
+}
+
+func (a *atEnd) End(g *sockets.Gateways) {
+	for e := range a.res.Runs {
+		a.res.Runs[e] = g.Process(e) != nil
+	}
+}
+
+func (s *Span) String() string {
+	ends := "the end"
+	if s.Ends < forever {
+		ends = fmt.Sprintf("%.2f s", s.Ends)
+	}
+	return fmt.Sprintf("%s of %s from %.2f s to %s", s.Kind, s.What, s.Begins, ends)
+}
+
+// promises checks what the script promises; each that does not hold is broken.
+func (res *Result) promises(broken func(text string)) {
+	for _, p := range res.Script.Promises {
+		x, of := res.figure(p)
+		text := fmt.Sprintf("%s%s: %.4g", p.What, of, x)
+		if x < p.Least.V() || x > p.Most.V() || x != x {
+			broken(fmt.Sprintf("promised: %s, from %g to %g wanted", text, p.Least.V(), p.Most.V()))
+			continue
+		}
+		res.Kept = append(res.Kept, text)
+	}
+}
+
+// figure is the value of a promise's figure, and a word on what it is of.
+func (res *Result) figure(p day.Promise) (x float64, of string) {
+	d, f := res.Script, res.Figures
+	from, until := p.From.V(), min(p.Until.V(), d.Length.V())
+	var sum figures.Share
+	var sends, dials, calls float64
+	for i, s := range f.Seconds {
+		if float64(i) >= from && float64(i) < until {
+			sum.Add(s.Share)
+			sends, dials, calls = sends+s.Sends, dials+s.Dials, calls+s.Calls
+		}
+	}
+	if from > 0 || until < d.Length.V() {
+		of = fmt.Sprintf(" in seconds %g to %g", from, until)
+	}
+	long := max(1e-9, until-from)
+	in, _ := day.Some(p.Edge, res.Gateways) // the reader has checked it
+	switch p.What {
+	case "served":
+		return sum.Served / max(1e-9, sum.Asked), of
+	case "served-value":
+		return sum.Within / long, of
+	case "throttled":
+		return (sum.WithRoom + sum.WithoutRoom) / max(1e-9, sum.Asked), of
+	case "errored":
+		return (sum.Errored + sum.Lost) / max(1e-9, sum.Asked), of
+	case "beyond":
+		return sum.Beyond / max(1e-9, sum.Sent), of
+	case "deliveries":
+		return sends / long, of
+	case "dials":
+		return dials / long, of
+	case "calls":
+		return calls / long, of
+	case "tries":
+		return f.Tries, ""
+	case "mail":
+		return res.Mail / d.Length.V() / float64(res.Gateways), ""
+	case "struck":
+		return float64(res.Struck), ""
+	case "runs":
+		n := 0
+		for _, e := range in {
+			if res.Runs[e] {
+				n++
+			}
+		}
+		return float64(n), ""
+	case "log":
+		n := 0
+		for _, l := range res.Lines {
+			if slices.Contains(in, l.Edge) && strings.Contains(l.Text, p.Text) && (l.At < 0 || l.At >= from && l.At <= until) {
+				n++
+			}
+		}
+		return float64(n), fmt.Sprintf(" %q%s", p.Text, of)
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// built are the programs as they stand, without and with the seeded bugs; built once.
+var built = sync.OnceValues(func() (dir string, err error) {
+	if dir, err = os.MkdirTemp("", "fleet-"); err != nil {
+		return "", err
+	}
+	for name, tags := range map[string]string{"whole": "none", "seeded": "seeded"} {
+		if out, err := exec.Command("go", "build", "-tags", tags, "-o", filepath.Join(dir, name), "otterseam/cmd/otterseam").CombinedOutput(); err != nil {
+			os.Stderr.Write(out)
+			return dir, err
+		}
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := built(); err == nil {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// cores are how many scripts are played at once.
+var cores = make(chan bool, 2)
+
+func script(t *testing.T, name, program string, env []string, sets ...string) *Result {
+	t.Helper()
+	dir, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range sets {
+		key, value, _ := strings.Cut(s, "=")
+		if err := d.Set(key, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cores <- true
+	defer func() { <-cores }()
+	var told []string
+	r, err := Play(context.Background(), d, 1, Options{Gateway: filepath.Join(dir, program), Dir: t.TempDir(), Memory: 64, Env: env,
+		Tell: func(s string) { told = append(told, s) }})
+	if err != nil {
+		t.Fatal(err, told)
+	}
+	return r
+}
+
+// of says whether something broken is of a kind, by how its text begins.
+func (r *Result) of(kind string) bool {
+	for _, b := range r.Broken {
+		if strings.Contains(b.Text, kind) {
+			return true
+		}
+	}
+	return false
+}
+
+// Each bug that was put in on purpose is caught by a script, for the reason it was put in; the stories name the faults.
+func TestSeededBugsAreCaught(t *testing.T) {
+	for _, x := range []struct{ bug, script, want string }{
+		{"ResetNeverRan", "reset-in-answer", "non-idempotent, is sent on again though"},
+		{"DrainUnheard", "drain-told-in-flight", "rule 3"},
+		{"AnswerLost", "quiet", "got no final answer"},
+		{"AnswerTwice", "quiet", "behind it"},
+		{"KeepsWithdrawn", "host-slow", "was served with"},
+		{"LeavesOut", "host-mute", "two deliveries out at once"},
+		{"EndsLate", "host-slow", "rule 1"},
+		{"Harmless", "reset-in-answer", "is throttled though delivery"},
+		{"TermCuts", "ended-under-load", "ended without an answer"},
+		{"SecondCopy", "quiet", "rule 2"},
+		{"SharesName", "twice", "runs beside the first"},
+		{"ResetPanics", "added-not-answered", "has ended by itself"},
+	} {
+		t.Run(x.bug, func(t *testing.T) {
+			t.Parallel()
+			length := "length=3s"
+			if x.script == "twice" { // it is looked for long enough
+				length = "length=5s"
+			}
+			r := script(t, x.script, "seeded", []string{"EDGE_SEEDED=" + x.bug}, length)
+			if !r.of(x.want) {
+				t.Errorf("%s was not caught: %v", x.bug, r.Broken)
+			}
+		})
+	}
+}
+
+// The scripts whose faults strike on an event, and those of processes, with the program as it stands: no rule is broken
+// and the races were really there. How fast answers come is not judged: the machine may be busy.
+func TestScriptsKeepTheRules(t *testing.T) {
+	for name, struck := range map[string]int{"frozen": 2, "twice": 1, "full-disk": 6, "ended-under-load": 2, "killed": 1, "host-slow": 0,
+		"drain-told-in-flight": 3, "added-not-answered": 3, "reset-in-answer": 3, "host-dropped": 3, "clients-cut": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := script(t, name, "whole", nil, "length=4s")
+			for _, b := range r.Broken {
+				if !strings.Contains(b.Text, "gave up") && !strings.Contains(b.Text, "promised: served") {
+					t.Error(b.Text, b.Lines, b.Faults)
+				}
+			}
+			if r.Struck < struck {
+				t.Errorf("%d faults struck, %d are wanted", r.Struck, struck)
+			}
+			if ended := r.Figures.Ended["served"]; ended < r.Figures.Tries/5 {
+				t.Errorf("%.0f of %.0f tries were served", ended, r.Figures.Tries)
+			}
+		})
+	}
+}
+
+// Each script reads, and each kind of fault and each event is in one that comes with the program.
+func TestScriptsCoverTheFaults(t *testing.T) {
+	used := map[string]bool{}
+	for _, n := range Names() {
+		d, err := Load(n)
+		if err != nil {
+			t.Errorf("%s: %v", n, err)
+			continue
+		}
+		if len(d.Promises) == 0 || d.About == "" {
+			t.Errorf("%s promises nothing", n)
+		}
+		for _, s := range d.Strikes {
+			used[s.Kind] = true
+		}
+	}
+	for _, k := range []string{"drop", "stall", "delay", "rate", "double", "disorder", "half-open", "reset", "refuse", "kill", "wipe", "freeze",
+		"term", "twice", "full-disk", "starve"} {
+		if !used[k] {
+			t.Errorf("no script has the fault %s", k)
+		}
+	}
+	if len(Names()) < 20 {
+		t.Errorf("%d scripts", len(Names()))
+	}
+}
+
+// Faults of a script's file come with their line, as those of a day; nothing is started.
+func TestBadScripts(t *testing.T) {
+	good, err := files.ReadFile("scripts/killed.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{`kind = "kill"`, `kind = "rain"`, `fault[0].kind: "rain" is not known; there are drop, stall`},
+		{`kind = "kill"`, `kind = "drop"`, `fault[0].from: "" is no end of a link`},
+		{`on = "delivery"`, `on = "dawn"`, `fault[0].on: "dawn" is no event; there are taken`},
+		{`edge = "1"`, `edge = "7"`, `fault[0].edge: "7": there are 3, from 0`},
+		{`what = "runs"`, `what = "joy"`, `promise[1].what: "joy" is not known`},
+		{`least = 3`, "least = 3\nmost = 1", `can't be kept`},
+		{`base = "links-3"`, `base = "nowhere"`, `base: there is no day of that name to build on`},
+		{`lasts = "1s"`, `lasts = 1`, `fault[0].lasts: 1 is not a time with its unit`},
+	} {
+		path := filepath.Join(t.TempDir(), "s.toml")
+		os.WriteFile(path, []byte(strings.Replace(string(good), x.from, x.to, 1)), 0o644)
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s: %v\nwant %s", x.to, err, x.want)
+		}
+	}
+	if _, err := Load("nonsense"); err == nil || !strings.Contains(err.Error(), "there are added-not-answered") {
+		t.Error(err)
+	}
+}
+
+// The page holds its pictures and nothing from elsewhere.
+func TestPage(t *testing.T) {
+	r := script(t, "killed", "whole", nil, "length=3s")
+	b, err := Page(r)
+	if err != nil || strings.Count(string(b), "<svg") != 2 || strings.Contains(string(b), "src=") || !strings.Contains(string(b), "kill") {
+		t.Errorf("%v, %d bytes", err, len(b))
+	}
+}
--- /dev/null
+++ b/lab/fleet/rig.go
@@ -0,0 +1,442 @@
+package fleet
+
+// This file owns the rig of a script being played: the links between all processes, the faults that wait, strike and
+// end, and who is struck at present. All but the links themselves belongs to the pump's goroutine.
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"otterseam/lab/child"
+	"otterseam/lab/day"
+	"otterseam/lab/dice"
+	"otterseam/lab/play"
+	"otterseam/lab/relay"
+	"otterseam/lab/sockets"
+)
+
+// forever is a clock time at which nothing happens any more.
+const forever = 1e18
+
+// healing is for how long after a fault what it held up may still come, in seconds.
+const healing = 1.0
+
+// rig stands between the processes of one script.
+type rig struct {
+	script *day.Day // drawn
+	seed   uint64
+	world  *play.World
+	fleet  *sockets.Gateways
+	logs   *logs
+
+	mu      sync.Mutex
+	links   map[string]*relay.Link
+	mail    *relay.Mail
+	mailed  int64
+	down    map[int]time.Time // when nobody was found behind a door
+	waiting []*wait
+	spans   []*Span
+	stories map[string][]string
+	kept    map[string][]string // of invocations with which something was wrong
+	struck  int
+	over    bool
+}
+
+// Span is what was struck, and when: a row's bar in the timeline.
+type Span struct {
+	Kind   string  `json:"kind"`
+	What   string  `json:"what"` // a link's name, or an api gateway's
+	Edge   int     `json:"edge"` // -1: none in particular
+	Begins float64 `json:"begins"`
+	Ends   float64 `json:"ends"`
+	to     string
+}
+
+// wait is a fault that waits for an event.
+type wait struct {
+	number int
+	strike *day.Strike
+	by     []int
+	seen   int
+	done   bool
+}
+
+func newRig(script *day.Day, seed uint64) *rig {
+	return &rig{script: script, seed: seed, links: map[string]*relay.Link{}, down: map[int]time.Time{},
+		stories: map[string][]string{}, kept: map[string][]string{}}
+}
+
+func edge(n int) string { return fmt.Sprintf("edge %d", n) }
+
+// link gives the link between two ends, made at its first use.
+func (r *rig) link(from, to string) *relay.Link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := from + ">" + to
+	l := r.links[key]
+	if l == nil {
+		l = relay.NewLink(from, to, r.seed)
+		r.links[key] = l
+	}
+	return l
+}
+
+func (r *rig) Between(e int, to string, each func(c net.Conn)) (string, error) {
+	return r.link(edge(e), to).Inside(each)
+}
+
+func (r *rig) Door(e int, addr string) (string, error) {
+	return r.link("clients", edge(e)).Serve(func() (net.Conn, error) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			r.mu.Lock()
+			r.down[e] = time.Now()
+			r.mu.Unlock()
+		}
+		return c, err
+	})
+}
+
+// Down says that nobody was behind an api gateway's door at a time since a clock time.
+func (r *rig) Down(e int, since float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.down[e].IsZero() && time.Since(r.down[e]).Seconds() <= r.world.Queue.Now()-since+0.05
+}
+
+func (r *rig) Mail(own []string) (known []string, err error) {
+	r.mail, err = relay.NewMail(own, func(from, to int) *relay.Link { return r.link(edge(from), edge(to)) }, func(from, to int) {
+		r.mu.Lock()
+		r.mailed++
+		begun := r.fleet != nil && !r.over
+		r.mu.Unlock()
+		if begun {
+			r.fleet.Do(func() { r.Seen("mail", from) })
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.mail.Addrs(), nil
+}
+
+// close ends all links.
+func (r *rig) close() {
+	r.mu.Lock()
+	r.over = true
+	var all []*relay.Link
+	for _, l := range r.links {
+		all = append(all, l)
+	}
+	r.mu.Unlock()
+	for _, l := range all {
+		l.Close()
+	}
+	if r.mail != nil {
+		r.mail.Close()
+	}
+}
+
+// Begin sets when faults strike, and what they wait for.
+func (r *rig) Begin(w *play.World, g *sockets.Gateways) {
+	r.mu.Lock()
+	r.world, r.fleet = w, g
+	r.mu.Unlock()
+	for i := range r.script.Strikes {
+		s := &r.script.Strikes[i]
+		if s.On == "" {
+			w.Queue.After(s.At.V(), func() { r.strike(i, s) })
+			continue
+		}
+		by, _ := day.Some(s.By, r.script.Fleet.Gateways.N()) // the reader has checked it
+		r.waiting = append(r.waiting, &wait{number: i, strike: s, by: by})
+	}
+	r.logs.begin(r)
+}
+
+// Seen lets faults that wait for an event strike at once, so that they are in force before what follows from it.
+func (r *rig) Seen(event string, e int) { r.seen(event, e, "") }
+
+func (r *rig) seen(event string, e int, line string) {
+	if r.world == nil {
+		return
+	}
+	for _, w := range r.waiting {
+		s := w.strike
+		if w.done || s.On != event || !slices.Contains(w.by, e) || event == "log" && !strings.Contains(line, s.Text) {
+			continue
+		}
+		if w.seen++; w.seen < s.Count.N() {
+			continue
+		}
+		w.done = true
+		if s.At.V() > 0 {
+			r.world.Queue.After(s.At.V(), func() { r.strike(w.number, s) })
+		} else {
+			r.strike(w.number, s)
+		}
+	}
+}
+
+// Struck says whether a fault was in force since a clock time, or a moment before, on an api gateway itself or its way
+// to clients (""), or on its way to a part. What strikes the api gateway holds up all its ways.
+func (r *rig) Struck(e int, to string, since float64) bool {
+	for _, s := range r.spans {
+		if s.Edge == e && s.Ends+healing > since && (s.to == "" && s.excuses() || to != "" && s.to == to) {
+			return true
+		}
+	}
+	return false
+}
+
+// excuses says whether what struck an api gateway may leave clients without an answer.
+func (s *Span) excuses() bool {
+	return !slices.Contains([]string{"term", "twice", "full-disk", "start"}, s.Kind)
+}
+
+// Line keeps what happens to each invocation, for as long as its story may be asked for.
+func (r *rig) Line(e int, ref, text string) {
+	if len(r.stories[ref]) == 0 && r.world != nil {
+		r.world.Queue.After(10, func() { delete(r.stories, ref) })
+	}
+	at := 0.0
+	if r.world != nil {
+		at = r.world.Queue.Now()
+	}
+	if len(r.stories[ref]) < 64 {
+		r.stories[ref] = append(r.stories[ref], fmt.Sprintf("%9.4f s  api gateway %d: %s", at, e, text))
+	}
+	if r.world == nil {
+		return
+	}
+	for _, b := range r.world.Referee.Breaks {
+		if b.Ref == ref && ref != "" {
+			r.kept[ref] = r.stories[ref]
+		}
+	}
+}
+
+// strike lets a fault begin, on all that it is of, and sets when it ends.
+func (r *rig) strike(n int, s *day.Strike) {
+	now, ends := r.world.Queue.Now(), forever
+	if s.Lasts.V() > 0 {
+		ends = now + s.Lasts.V()
+	}
+	later := func(do func()) {
+		if ends < forever {
+			r.world.Queue.After(s.Lasts.V(), do)
+		}
+	}
+	if day.OfLink(s.Kind) {
+		for _, p := range r.ends(s) {
+			r.onLink(s, p[0], p[1], now, ends, later)
+		}
+		return
+	}
+	for _, e := range r.which(n, s) {
+		r.onProcess(s, e, now, ends, later)
+	}
+}
+
+// ends are the two ends of each link that a fault is of.
+func (r *rig) ends(s *day.Strike) (all [][2]string) {
+	gateways := r.script.Fleet.Gateways.N()
+	list := func(end string) (names []string) {
+		what, in, _ := day.End(end, gateways, len(r.world.Hosts)) // the reader has checked it
+		if in == nil {
+			return []string{what}
+		}
+		for _, i := range in {
+			names = append(names, fmt.Sprintf("%s %d", what, i))
+		}
+		return names
+	}
+	for _, from := range list(s.From) {
+		for _, to := range list(s.To) {
+			if from != to {
+				all = append(all, [2]string{from, to})
+			}
+		}
+	}
+	return all
+}
+
+func number(name string) int {
+	n := -1
+	fmt.Sscanf(name, "edge %d", &n)
+	return n
+}
+
+func (r *rig) onLink(s *day.Strike, from, to string, now, ends float64, later func(func())) {
+	l := r.link(from, to)
+	// Datagrams go one way only; the way back is another link.
+	mail := number(from) >= 0 && number(to) >= 0
+	dirs := map[string][]int{"both": {relay.There, relay.Back}, "there": {relay.There}, "back": {relay.Back}}[s.Way]
+	on := []struct {
+		link *relay.Link
+		dir  int
+	}{}
+	for _, d := range dirs {
+		if mail && d == relay.Back {
+			on = append(on, struct {
+				link *relay.Link
+				dir  int
+			}{r.link(to, from), relay.There})
+		} else {
+			on = append(on, struct {
+				link *relay.Link
+				dir  int
+			}{l, d})
+		}
+	}
+	span := &Span{Kind: s.Kind, What: l.Name(), Edge: max(number(from), number(to)), Begins: now, Ends: ends, to: to}
+	if from == "clients" {
+		span.Edge, span.to = number(to), ""
+	}
+	if mail {
+		span.Edge, span.to = -1, "mail"
+	}
+	hit := 1
+	switch s.Kind {
+	case "reset":
+		hit = l.Reset(dirs[0], max(0.05, s.Time.V()))
+		span.Ends = now + max(0.05, s.Time.V())
+	case "half-open":
+		hit = l.HalfOpen(dirs[0])
+		span.Ends = now + 2
+	default:
+		f := faultOf(s, mail)
+		for _, o := range on {
+			o.link.Set(o.dir, f)
+		}
+		later(func() {
+			for _, o := range on {
+				o.link.Clear(o.dir, f)
+			}
+		})
+	}
+	r.note(span, hit > 0)
+}
+
+func faultOf(s *day.Strike, mail bool) *relay.Fault {
+	f := &relay.Fault{}
+	switch s.Kind {
+	case "drop":
+		if f.Hold, f.Closed = true, true; mail && s.Part.V() < 1 {
+			f.Hold, f.Closed, f.Lose = false, false, s.Part.V()
+		}
+	case "stall":
+		f.Hold = true
+	case "delay":
+		f.Delay, f.Jitter = s.Time.V(), s.Jitter.V()
+	case "rate":
+		f.Rate = s.Size.V()
+	case "double":
+		f.Double = s.Part.V()
+	case "disorder":
+		f.Late, f.Delay = s.Part.V(), s.Time.V()
+	case "refuse":
+		f.Refuse = true
+	}
+	return f
+}
+
+func (r *rig) note(s *Span, hit bool) {
+	if !hit {
+		return
+	}
+	r.struck++
+	r.spans = append(r.spans, s)
+}
+
+// which are the api gateways that a fault of processes is of.
+func (r *rig) which(n int, s *day.Strike) (in []int) {
+	gateways := r.script.Fleet.Gateways.N()
+	if s.Edge != "" {
+		in, _ = day.Some(s.Edge, gateways) // the reader has checked it
+		return in
+	}
+	for i, hit := range dice.New(r.seed, "fault", n).Part(gateways, s.Part.V()) {
+		if hit {
+			in = append(in, i)
+		}
+	}
+	return in
+}
+
+func (r *rig) onProcess(s *day.Strike, e int, now, ends float64, later func(func())) {
+	p := r.fleet.Process(e)
+	span := &Span{Kind: s.Kind, What: edge(e), Edge: e, Begins: now, Ends: ends}
+	if s.Kind == "start" {
+		if p == nil {
+			r.fleet.Back(e, 0)
+		}
+		span.Ends = now
+		r.note(span, p == nil)
+		return
+	}
+	if p == nil {
+		return
+	}
+	r.note(span, true)
+	switch s.Kind {
+	case "kill", "wipe":
+		r.fleet.Kill(e)
+		if s.Kind == "wipe" {
+			<-p.Done()
+			p.Wipe()
+		}
+		if ends < forever {
+			r.fleet.Back(e, s.Lasts.V())
+		}
+	case "term":
+		r.fleet.Term(e)
+		if ends < forever {
+			r.fleet.Back(e, s.Lasts.V())
+		}
+	case "freeze":
+		p.Freeze()
+		later(func() {
+			p.Thaw()
+			r.world.Referee.Woke(e, now)
+		})
+	case "starve":
+		period := s.Time.V()
+		if period == 0 {
+			period = 0.02
+		}
+		r.starve(p, period*(1-s.Size.V()), period*s.Size.V(), ends)
+	case "full-disk":
+		p.Limit(int64(s.Size.V()))
+		later(func() { p.Limit(-1) })
+	case "twice":
+		span.Ends = now + 1
+		err := r.fleet.Twice(e, func(err error) {
+			if err == nil {
+				r.world.Referee.Promise(fmt.Sprintf("a second process under the name of api gateway %d runs beside the first", e))
+			}
+		})
+		if err != nil {
+			r.world.Referee.Promise(err.Error())
+		}
+	}
+}
+
+// starve stops a process and lets it go in turn until a clock time.
+func (r *rig) starve(p *child.Child, stopped, runs, ends float64) {
+	if r.world.Queue.Now() >= ends {
+		return
+	}
+	if gone, _, _ := p.Ended(); gone {
+		return
+	}
+	p.Freeze()
+	r.world.Queue.After(stopped, func() {
+		p.Thaw()
+		r.world.Queue.After(runs, func() { r.starve(p, stopped, runs, ends) })
+	})
+}
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -154,6 +154,11 @@
 	}
 }
 
+// Cut: an api gateway that ran all the while has ended a client's connection without an answer.
+func (r *Referee) Cut(inv *model.Invocation) {
+	r.broken(1, inv.Ref, "%s was taken, and its client's connection ended without an answer", inv.Ref)
+}
+
 // Crashed: an api gateway has ended without being asked to.
 func (r *Referee) Crashed(gateway int, how error) {
 	r.broken(0, "", "api gateway %d has ended by itself: %v", gateway, how)
--- a/lab/relay/end.go
+++ b/lab/relay/end.go
@@ -110,6 +110,12 @@
 	if was || out == nil {
 		return nil
 	}
+	out.mu.Lock()
+	gone := out.gone
+	out.mu.Unlock()
+	if gone { // the other end isn't told
+		return nil
+	}
 	if reset {
 		go out.pair.end(true)
 		return nil
--- a/lab/relay/stream.go
+++ b/lab/relay/stream.go
@@ -174,6 +174,7 @@
 	mu    sync.Mutex
 	torn  bool // the next piece is cut and the pair reset
 	mute  bool // what comes is passed to nobody
+	gone  bool // the end that it reads is no more
 }
 
 type item struct {
@@ -237,9 +238,9 @@
 
 // half ends one end; the pair goes on without it until the other end closes.
 func (p *pair) half(dir int) {
-	for _, pp := range p.pipes {
+	for e, pp := range p.pipes { // the pipe that reads an end has its number
 		pp.mu.Lock()
-		pp.mute = true
+		pp.mute, pp.gone = true, e == 1-dir
 		pp.mu.Unlock()
 	}
 	hang(p.ends[1-dir], true)
@@ -260,9 +261,9 @@
 		}
 		if err != nil {
 			pp.mu.Lock()
-			mute := pp.mute
+			mute, gone := pp.mute, pp.gone
 			pp.mu.Unlock()
-			if mute && pp.pair.ends[pp.dir] != from {
+			if gone {
 				return
 			}
 			if !errors.Is(err, io.EOF) && !mute {
--- a/lab/sockets/bench.go
+++ b/lab/sockets/bench.go
@@ -224,6 +224,7 @@
 	g.begun = true
 	s.rig.Begin(w, g)
 	c.pump.resume(ctx, w.Ends())
+	s.rig.End(g)
 	stop() // nobody comes back any more
 	g.end()
 	c.drain()
--- a/lab/sockets/client.go
+++ b/lab/sockets/client.go
@@ -112,6 +112,10 @@
 			last := false
 			err = Messages(k.tcp, true, func(m *http1.Message) bool {
 				status, body = m.Status, string(m.Body)
+				if more := m.Rest(); len(more) > 0 && c.judge {
+					text := fmt.Sprintf("an answer of api gateway %d has %.40q behind it", gateway, more)
+					c.pump.Do(func() { c.Referee.Foreign("", text) })
+				}
 				retryAfter, _ = strconv.ParseFloat(field(m, "retry-after"), 64)
 				last = strings.EqualFold(field(m, "connection"), "close")
 				return false
@@ -175,8 +179,13 @@
 	room := false
 	if c.rig != nil {
 		c.Note(inv.Gateway, inv.Ref, "its client has: "+model.Endings[how])
-		if unanswered(how) && c.rig.Struck(inv.Gateway, "", inv.Born) { // what was struck owes nothing meanwhile
+		switch struck := c.rig.Struck(inv.Gateway, "", inv.Born); {
+		case how == model.Broken && c.rig.Down(inv.Gateway, inv.Born): // its door stands, with nobody behind
+			how = model.Unreachable
+		case unanswered(how) && struck: // what was struck owes nothing meanwhile
 			how = model.Broken
+		case how == model.Broken:
+			c.Referee.Cut(inv)
 		}
 	}
 	if c.judge {
--- a/lab/sockets/gateways.go
+++ b/lab/sockets/gateways.go
@@ -28,10 +28,14 @@
 	Mail(own []string) ([]string, error)
 	// Begin is called when the day begins, on the pump's goroutine, on which it may call g.
 	Begin(w *play.World, g *Gateways)
+	// End is called as the day ends, before its processes are ended.
+	End(g *Gateways)
 	// Seen tells of an event at an api gateway before what follows from it.
 	Seen(event string, edge int)
 	// Struck says that a fault was in force since a clock time on the way of an api gateway to a part, or ("") on itself.
 	Struck(edge int, to string, since float64) bool
+	// Down says that an api gateway could not be reached behind its door since a clock time.
+	Down(edge int, since float64) bool
 	// Line tells of something that happened to an invocation, for its story.
 	Line(edge int, ref, text string)
 }
@@ -118,11 +122,18 @@
 	})
 }
 
-// Term asks one to end: the front sends it nothing more.
+// late is for how long the front goes on sending to one that was asked to end, in seconds.
+const late = 0.2
+
+// Term asks one to end: soon the front sends it nothing more.
 func (g *Gateways) Term(slot int) {
 	if p := g.Process(slot); p != nil {
 		p.Term()
-		g.clients.up[slot] = false
+		g.clients.Queue.After(late, func() {
+			if g.procs[slot] == p {
+				g.clients.up[slot] = false
+			}
+		})
 	}
 }
 
@@ -228,7 +239,9 @@
 func (direct) Door(_ int, addr string) (string, error) { return addr, nil }
 func (direct) Mail(own []string) ([]string, error)     { return own, nil }
 func (direct) Begin(*play.World, *Gateways)            {}
+func (direct) End(*Gateways)                           {}
 func (direct) Seen(string, int)                        {}
 func (direct) Struck(int, string, float64) bool        { return false }
+func (direct) Down(int, float64) bool                  { return false }
 func (direct) Line(int, string, string)                {}
 func unanswered(how model.Ending) bool                 { return how == model.Unanswered || how == model.Broken }
--- a/lab/sockets/standin.go
+++ b/lab/sockets/standin.go
@@ -525,7 +525,7 @@
 	for _, e := range d.Inv.Deliveries {
 		if e != d && !e.Over {
 			s.Queue.After(0.05, func() {
-				if !e.Over && !d.Over {
+				if !e.Over { // it had ended before the next one was sent, or never did
 					s.Referee.Twice(d.Inv)
 				}
 			})
