Membership between api gateways as pure decisions, and a play of it alone at any size

Need: shares follow the list, not who is there. Change: package member: a ring in which each is watched by two, silence judged by the beats missing of late, news to all, a given-up member refutes, marks that grow over lives; shares.go alone divides. otterlab member plays it without hosts at any size.

--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -38,6 +38,7 @@
 	Sockets socketsCmd `cmd:"" help:"Play a day in real time on loopback, with api gateway processes, beside the model."`
 	Standin standinCmd `cmd:"" help:"Stand in for a day's hosts, counter and discovery on loopback."`
 	Fleet   fleetCmd   `cmd:"" help:"Play a script of faults between real processes on loopback, or list the scripts."`
+	Member  memberCmd  `cmd:"" help:"Play membership alone, at any size, and say what it finds, how fast and at what cost."`
 	Load    loadCmd    `cmd:"" help:"Let a day's customers ask api gateways on loopback, in open loop."`
 	Days    daysCmd    `cmd:"" help:"List the days there are, or the form of a day's file."`
 }
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,411 @@
+// Package member knows which api gateways of the list are there: each is watched by the two that stand next to it in the
+// ring of those there, what they find goes to all, and one that hears itself called gone says that it is not. It decides
+// by what it is told and when; it must never do I/O, read a clock, or draw chances that its seed does not give.
+//
+// How to call it. Heard brings a message of a peer; Due gives what is to be sent now, Wait how long until it should be
+// asked again; Is, Count and Apart say what is believed; Said gives lines for the log.
+package member
+
+import (
+	"fmt"
+	"hash/crc32"
+	"math"
+	"strconv"
+)
+
+// watchers are how many watch each; each death is missed only if all of them miss it.
+const watchers = 2
+
+// Letter is a message that is to be sent.
+type Letter struct {
+	To   int // number of an api gateway; All: every one
+	Text string
+}
+
+// All stands for every other api gateway.
+const All = -1
+
+// mark numbers a member's lives and what is said of them: even, it is there; odd, it was given up. A newer one counts.
+type mark uint32
+
+const marks = 1 << 30 // they go round
+
+// newer says whether a says something newer than b. 0 and 1 are of one that has never been heard of.
+func (a mark) newer(b mark) bool {
+	if a <= 1 || b <= 1 {
+		return a > b
+	}
+	return a != b && (a-b)%marks < marks/2
+}
+
+func (a mark) gone() bool { return a&1 == 1 }
+
+// next is the first mark after a that says: there.
+func (a mark) next() mark { return (a + 2 - a&1) % marks }
+
+// peer is what is known of one api gateway.
+type peer struct {
+	mark     mark
+	heard    float64 // the last sign of it that came straight; NaN: none was waited for yet
+	goneAt   float64 // since when it is gone, and longer ago the less it counts; as of then
+	watched  float64 // when I last looked after it
+	beat     float64 // its last beat that came by itself
+	unseen   bool    // nothing has come of it since I look after it
+	asked    float64 // not to be asked again before
+	patience float64 // of me with it: more after I gave it up wrongly
+	mine     float64 // when I gave it up myself; 0: I did not
+}
+
+// Group is one api gateway's knowledge of all.
+type Group struct {
+	me, n   int
+	period  float64 // between beats, in seconds
+	most    float64 // messages a second that may be about membership while much happens
+	peers   []peer
+	seeded  uint32
+	drawn   uint64
+	began   bool
+	last    float64 // when Due was asked last
+	beatAt  float64
+	gap     float64 // mean of periods between beats of late: over 1 by those that did not come
+	from    int     // where the next window of marks begins
+	news    []int   // members of whom all should hear
+	newsAt  float64 // not before
+	again   int     // times the news last sent are to be said once more
+	told    []int   // them
+	loud    float64 // messages to all heard or sent of late, by the second
+	loudAt  float64
+	found   float64 // how many I found of late, as of foundAt
+	foundAt float64
+	away    int // how many are gone
+	letters []Letter
+	said    []string
+	Bad     int // messages that made no sense
+}
+
+// New makes the knowledge of api gateway me of n. mail is how many messages a second one takes in from all for all
+// purposes; part of it is for this, in quiet times.
+func New(me, n int, mail, part float64, seed uint64) *Group {
+	k := float64(min(watchers, n-1))
+	g := &Group{me: me, n: n, most: mail / 2, peers: make([]peer, n), gap: 1.1,
+		period: min(5, max(0.2, 1.2*k/max(0.01, mail*part))), seeded: crc32.ChecksumIEEE(fmt.Appendf(nil, "member %d ", seed))}
+	for i := range g.peers {
+		g.peers[i] = peer{heard: math.NaN(), patience: 1}
+	}
+	return g
+}
+
+func (g *Group) chance() float64 {
+	var digits [20]byte
+	g.drawn++
+	text := strconv.AppendUint(digits[:0], g.drawn, 10)
+	return float64(2654435761*crc32.Update(g.seeded, crc32.IEEETable, text)) / (1 << 32)
+}
+
+func (g *Group) say(text string, args ...any) { g.said = append(g.said, fmt.Sprintf(text, args...)) }
+
+// Said gives the lines for the log since it was last asked.
+func (g *Group) Said() []string {
+	s := g.said
+	g.said = nil
+	return s
+}
+
+// begin sets out at the first moment: a new life, numbered by the clock, with nobody heard of.
+func (g *Group) begin(now float64) {
+	if g.began {
+		return
+	}
+	g.began, g.last, g.loudAt = true, now, now
+	g.peers[g.me].mark = mark(uint64(2*(math.Floor(4*math.Max(0, now))+1)) % marks)
+	g.beatAt = now + g.chance()*g.period
+}
+
+// Wait is how long Due need not be asked, in seconds.
+func (g *Group) Wait(now float64) float64 {
+	next := min(g.beatAt-now, g.period/4)
+	if len(g.news)+g.again > 0 {
+		next = min(next, g.newsAt-now)
+	}
+	return max(0.001, next)
+}
+
+// Due gives what is to be sent now.
+func (g *Group) Due(now float64) []Letter {
+	g.begin(now)
+	if gap := now - g.last - 0.3; gap > 0 {
+		g.slept(now, gap)
+	}
+	g.last = now
+	if now >= g.beatAt {
+		g.beatAt = now + g.period*(0.95+0.1*g.chance())
+		for _, to := range g.ring(1, watchers) {
+			g.send(to, g.beat('b'))
+		}
+	}
+	g.watch(now)
+	g.spread(now)
+	out := g.letters
+	g.letters = nil
+	return out
+}
+
+func (g *Group) send(to int, text string) { g.letters = append(g.letters, Letter{to, text}) }
+
+// slept: this api gateway did not look for so long. Guards against one that is stopped or starved and then takes its own
+// deafness for the others' silence: what it could not hear does not count, and after a long sleep nobody counts as gone
+// for its shares until that is seen again.
+func (g *Group) slept(now, gap float64) {
+	for i := range g.peers {
+		g.peers[i].heard += gap
+		g.peers[i].watched += gap
+		g.peers[i].beat += gap
+		g.peers[i].asked = 0
+	}
+	if gap > 1 {
+		g.say("membership: asleep for %.2f s, nobody counts as gone", gap)
+		g.doubt(now)
+	}
+}
+
+// doubt lets all that are gone count as there again, and less only as time goes on.
+func (g *Group) doubt(now float64) {
+	for i := range g.peers {
+		g.peers[i].goneAt = max(g.peers[i].goneAt, now)
+	}
+}
+
+// ring gives the next so many in a direction that are there.
+func (g *Group) ring(step, most int) (in []int) {
+	for i := 1; i < g.n && len(in) < most; i++ {
+		if k := ((g.me+step*i)%g.n + g.n) % g.n; !g.peers[k].mark.gone() {
+			in = append(in, k)
+		}
+	}
+	return in
+}
+
+// silent is for how long a member has been unusually silent, in periods.
+func (g *Group) silent(now float64, p *peer) float64 { return (now - p.heard) / g.period }
+
+// limit is after how many periods of silence a member is given up: the more messages get lost, the later.
+func (g *Group) limit(p *peer) float64 { return (3.3 + 8*min(0.6, g.missing())) * p.patience }
+
+// missing is the part of the beats of late that did not come.
+func (g *Group) missing() float64 { return 1 - 1/g.gap }
+
+// nudge is after how many periods of silence a member is asked whether it is there, further when those behind it are
+// looked after as well.
+const nudge, further = 1.4, 2.2
+
+// watch looks after those before this one in the ring, and further back the more of them are silent: most of their
+// watchers may have gone with them.
+func (g *Group) watch(now float64) {
+	most := watchers
+	for i, seen := 1, 0; i < g.n && seen < most; i++ {
+		k := (g.me - i + g.n) % g.n
+		p := &g.peers[k]
+		if p.mark.gone() {
+			continue
+		}
+		seen++
+		if now-p.watched > g.period { // newly looked after, which it may not know
+			fresh := now
+			if p.mark == 0 { // nor need it be up yet
+				fresh = now + 2*g.period
+			}
+			if !(p.heard > now-g.period) {
+				p.heard, p.unseen, p.asked = fresh, true, 0
+			}
+		}
+		p.watched = now
+		quiet := g.silent(now, p)
+		if quiet < nudge && !p.unseen {
+			continue
+		}
+		if quiet > further || p.unseen && quiet > 1 {
+			most = min(16, most+2)
+		}
+		if quiet > g.limit(p) {
+			g.giveUp(now, k, quiet)
+		} else if now >= p.asked {
+			p.asked = now + g.period/3
+			g.send(k, g.beat('a'))
+		}
+	}
+}
+
+func (g *Group) giveUp(now float64, k int, quiet float64) {
+	p := &g.peers[k]
+	p.mark, p.mine = p.mark|1, now
+	g.gone(now, k)
+	g.found, g.foundAt = g.found*math.Exp(g.foundAt-now)+1, now
+	g.publish(now, k)
+	g.say("membership: %d is gone, silent %.2f s, %.2f of the beats missing; there are %d of %d", k, quiet*g.period, g.missing(), g.Count(), g.n)
+}
+
+func (g *Group) gone(now float64, k int) {
+	p := &g.peers[k]
+	p.goneAt, p.heard, p.asked = now, math.NaN(), 0
+	g.away++
+}
+
+// publish has all hear of a member soon: the more I found of late, the more others found, and the later I speak.
+func (g *Group) publish(now float64, k int) {
+	for _, x := range g.news {
+		if x == k {
+			return
+		}
+	}
+	if g.news = append(g.news, k); len(g.news) == 1 {
+		g.newsAt = now + g.chance()*min(3, 0.1+0.4*max(0, g.found-1))
+	}
+}
+
+// heardAll counts a message to all, and fades the count.
+func (g *Group) heardAll(now float64) {
+	g.loud, g.loudAt = g.loud*math.Exp(g.loudAt-now)+1, now
+}
+
+// spread says the news, and once more a little later; it holds back while many speak.
+func (g *Group) spread(now float64) {
+	if len(g.news)+g.again == 0 || now < g.newsAt {
+		return
+	}
+	if g.loud*math.Exp(g.loudAt-now) > g.most {
+		g.newsAt = now + 0.3 + 0.5*g.chance()
+		return
+	}
+	if len(g.news) > 0 {
+		n := min(len(g.news), entries)
+		g.told = append(g.told[:0], g.news[:n]...)
+		g.news = append(g.news[:0], g.news[n:]...)
+		g.again = 1
+	} else {
+		g.again--
+	}
+	g.send(All, g.newsText(g.told))
+	g.heardAll(now)
+	g.newsAt = now + 0.3 + 0.3*g.chance()
+}
+
+// Heard brings a message; Due may have an answer to it at once. false: it is not one about membership.
+func (g *Group) Heard(now float64, from int, text string) bool {
+	if len(text) == 0 || text[0] != '!' {
+		return false
+	}
+	g.begin(now)
+	m, ok := read(text, g.n)
+	if !ok || m.who == g.me || from >= 0 && m.who != from { // spoilt or forged: nothing is believed of it
+		g.Bad++
+		return true
+	}
+	g.sign(now, &m)
+	if m.kind == 'n' {
+		g.heardAll(now)
+	}
+	for _, e := range m.entries {
+		g.learn(now, m.who, e)
+	}
+	return true
+}
+
+// sign: a member has spoken for itself.
+func (g *Group) sign(now float64, m *message) {
+	p := &g.peers[m.who]
+	if p.mark.newer(m.mark) { // of a former life, or of one that does not know it was given up, or whose clock went back
+		g.send(m.who, g.newsText([]int{m.who}))
+		return
+	}
+	anew := m.mark.newer(p.mark)
+	was := p.mark
+	if m.kind == 'b' { // how many beats should have come for this one
+		if gap := math.Round((now - p.beat) / g.period); gap >= 1 && gap < 20 && !anew {
+			g.gap += 0.02 * (gap - g.gap)
+		}
+		p.beat = now
+	}
+	p.mark, p.heard, p.asked, p.unseen = m.mark, now, 0, false
+	if p.patience > 1 {
+		p.patience = max(1, p.patience*0.995)
+	}
+	if anew && was != 0 {
+		g.back(now, m.who, was)
+		g.publish(now, m.who)
+		g.sync(m.who)
+	}
+	if m.kind == 'a' {
+		g.send(m.who, g.beat('c'))
+	}
+}
+
+// back: a member that had been given up, or an earlier life of it, is there.
+func (g *Group) back(now float64, k int, was mark) {
+	p := &g.peers[k]
+	if was.gone() {
+		g.away--
+	}
+	if p.mine > 0 && was.gone() && p.mark == was.next() {
+		// Guards against a link that is dead one way: who is refuted waits longer before it says the same again.
+		p.patience = min(8, 2*p.patience)
+	}
+	p.mine = 0
+	g.say("membership: %d is back; there are %d of %d", k, g.Count(), g.n)
+}
+
+// sync tells a member that comes back empty of those that are gone.
+func (g *Group) sync(to int) {
+	var gone []int
+	for i := range g.peers {
+		if g.peers[i].mark.gone() {
+			gone = append(gone, i)
+		}
+	}
+	for len(gone) > 0 {
+		n := min(len(gone), entries)
+		g.send(to, g.newsText(gone[:n]))
+		gone = gone[n:]
+	}
+}
+
+// learn takes what another says of a member.
+func (g *Group) learn(now float64, by int, e entry) {
+	if e.who == g.me {
+		g.ofMe(now, by, e.mark)
+		return
+	}
+	p := &g.peers[e.who]
+	if !e.mark.newer(p.mark) || e.who == by {
+		return
+	}
+	if e.mark.gone() && !math.IsNaN(p.heard) && g.silent(now, p) < nudge {
+		// Everyone may think so but I have just heard it: it shall speak for itself.
+		g.send(e.who, ofOne(g, e))
+		return
+	}
+	was := p.mark
+	p.mark = e.mark
+	if e.mark.gone() {
+		if !was.gone() {
+			g.gone(now, e.who)
+			g.say("membership: %d is gone, says %d; there are %d of %d", e.who, by, g.Count(), g.n)
+		}
+	} else if was.gone() {
+		p.heard = math.NaN()
+		g.back(now, e.who, was)
+	}
+}
+
+// ofMe: somebody has given this api gateway up, or knows a later life of its name. It says so before it acts on shares:
+// those it holds for gone may have gone on without it.
+func (g *Group) ofMe(now float64, by int, m mark) {
+	me := &g.peers[g.me]
+	if !m.newer(me.mark) {
+		return
+	}
+	g.say("membership: given up by %d, nobody counts as gone", by)
+	me.mark = m.next()
+	g.doubt(now)
+	g.publish(now, g.me)
+	g.newsAt = now
+}
