Membership on in run: shares, calls and places divided by who is there; operator's file

Need: seven in ten killed, and the three left go on with three tenths. Change: the module asks member by how many what all do together is divided (shares without a call, calls to the counter, places at hosts); cold budgets and ceilings go on dividing by the list. Mail to one; its sender is known.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,6 @@
 // Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
-// How to call it. New makes an instance; Hosts, Counted, Lost, Told, Gone and Tick tell it what was seen. Take
-// brings an invocation in. While Turn names one, Where says where to send it (or not yet, or never); After
+// How to call it. New makes an instance; Hosts, Counted, Lost, Told, Gone and Tick tell it what was seen.
+// Take brings an invocation in. While Turn names one, Where says where to send it (or not yet, or never); After
 // says what to do once a delivery has ended; Wait how long until the next Tick. The rest leaves through Out.
 // The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
 // throttled if the total passes the limit (the estimate taken off again), and the true cost is settled.
@@ -76,7 +76,7 @@
 	plan                *Plan
 	window              int64
 	name                uint64
-	width               float64
+	first, width, apart float64 // api gateways it comes in through; by how many its share was divided
 	open, held, busy    float64 // open places, means: others' and its own in totals; its own here, at each try
 	room, at, asking    float64 // units that may still be let in, as of at, less those of calls that are out
 	owed, told          float64 // units to add with the next call, and when the last was
@@ -120,7 +120,7 @@
 	ready, line        []*Invocation
 	abroad, most       float64 // deliveries out; how many there may be a host, from all api gateways
 	wait, mean, luck   float64 // of late: answer times over objectives, answer times; a chance
-	all, own           float64 // api gateways; what part of a host or customer one can judge by itself
+	all, live, own     float64 // api gateways; how many shares are divided by; part of a host one can judge alone
 }
 
 func New(at Standing, ops []Operation, ps []Plan, ctr Counter, cold Cold, allow Allowed, out Out) *Gateway {
@@ -128,7 +128,7 @@
 	g := &Gateway{at: at, counter: ctr, cold: cold, allow: allow, out: out, ops: map[string]*operation{},
 		plans: map[string]*Plan{}, byAddr: map[string]*Host{}, customers: map[string]*customer{},
 		names: map[uint64][]*call{}, callRate: 32, callRoom: 8, deniedAt: math.Inf(-1),
-		most: 12, wait: 0.2, all: all, own: min(1, 12/all)}
+		most: 12, wait: 0.2, all: all, live: all, own: min(1, 12/all)}
 	g.seed(at.Seed)
 	for _, o := range ops {
 		g.ops[o.Name] = &operation{Operation: o, mean: o.Objective / 5, base: o.Objective / 8}
@@ -170,7 +170,7 @@
 		g.customers[id] = c
 		g.inOrder = append(g.inOrder, c)
 	}
-	c.width = max(1, float64(a.Width))
+	c.first, c.width = float64(a.First), max(1, float64(a.Width))
 	return c
 }
 
@@ -203,10 +203,18 @@
 	if len(g.line) > 0 || g.abroad > 0 {
 		next = min(next, 0.05)
 	}
-	return max(next, 0.001)
+	return max(min(next, g.at.Peers.Wait(now)), 0.001)
+}
+
+// meet keeps up who of the api gateways is there: what all do together is divided by that, but for the rules.
+func (g *Gateway) meet(now float64) {
+	g.at.Peers.Act(now, g.out.Tell, g.out.Log)
+	g.live = g.at.Peers.Apart(now, 0, int(g.all))
+	g.own = min(1, 12/g.live)
 }
 
 func (g *Gateway) Tick(now float64) {
+	g.meet(now)
 	g.watch(now)
 	g.inOrder = slices.DeleteFunc(g.inOrder, func(c *customer) bool {
 		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear
@@ -375,7 +383,7 @@
 	} else if how == Succeeded && (took > 0.4*g.counter.Limit || g.callRoom < g.callRate/10) {
 		g.callRate += 0.05 + (0.7+0.03*g.callRate)*(0.4-took/g.counter.Limit)
 	}
-	g.callRate = min(2000, max(g.callRate, 0.3+60/g.all))
+	g.callRate = min(2000, max(g.callRate, 0.3+60/g.live))
 	if now-g.deniedAt < 2 != g.crowded {
 		g.crowded = !g.crowded
 		g.out.Log(fmt.Sprintf("counter: last %c in %.3f s, at most %.1f calls a second", how, took, g.callRate))
@@ -462,25 +470,27 @@
 // sees little of a customer, it lends to one far from its quota, and lets in a part of the tries (see over).
 func (g *Gateway) bridge(now float64, inv *Invocation) {
 	c, p := inv.cust, inv.cust.plan
+	width := g.at.Peers.Apart(now, int(c.first), int(c.width))
 	if c.lentAt == 0 {
 		prior := max(1, p.Burst/2)
-		c.share = max(0.5/c.width, (c.mine+prior/c.width)/(c.all+prior))
+		c.share = max(0.5/width, (c.mine+prior/width)/(c.all+prior))
 		// Guards against throttling those far from their quota, as most are, whose traffic comes in unevenly:
 		// no total has said that it is near its quota, nor does what is asked for here alone.
 		if c.partNow(now) == 1 && c.asks < 8*0.3*p.Rate {
 			c.share = min(1, c.share*(2-g.own))
 		}
 		room := max(0, min(p.Burst, c.room+inv.units))
-		if c.lent, c.lentAt = c.share*room, now; room > p.Burst/2 && !inv.repeat {
+		if c.lent, c.lentAt, c.apart = c.share*room, now, width; room > p.Burst/2 && !inv.repeat {
 			c.lent = max(c.lent, min(room, inv.units)) // far from its quota, as most are
 		}
 	}
-	c.lent, c.lentAt = min(c.lent+c.share*p.Rate*(now-c.lentAt), max(c.lent, c.share*p.Burst, inv.units)), now
-	others := c.busy * (c.open + 0.1*(c.width-1)) / (c.held + 0.1) // of both a total holds the same part
+	share := min(1, c.share*c.apart/width) // as it was, and by who has gone or come back since
+	c.lent, c.lentAt = min(c.lent+share*p.Rate*(now-c.lentAt), max(c.lent, share*p.Burst, inv.units)), now
+	others := c.busy * (c.open + 0.1*(width-1)) / (c.held + 0.1) // of both a total holds the same part
 	if g.own < 1 && g.chance() > c.partNow(now) {
 		inv.comeBack = 0.5
 	} else if inv.units > c.lent {
-		inv.comeBack = (inv.units - c.lent) / (c.share * p.Rate)
+		inv.comeBack = (inv.units - c.lent) / (share * p.Rate)
 	} else if p.MaxOut > 0 && float64(c.out)+math.Round(others) > float64(p.MaxOut) {
 		inv.comeBack = inv.op.mean
 	}
@@ -537,7 +547,7 @@
 // fromLine gives what the next free place should take, by billed value for unpressed time, or what lapsed.
 func (g *Gateway) fromLine(now float64) *Invocation {
 	var free []*Host
-	if len(g.line) > 0 && g.abroad < math.Floor(max(1, g.most*float64(len(g.hosts))/g.all)+g.luck) {
+	if len(g.line) > 0 && g.abroad < math.Floor(max(1, g.most*float64(len(g.hosts))/g.live)+g.luck) {
 		free = slices.DeleteFunc(slices.Clone(g.hosts), func(h *Host) bool { return !g.free(now, h) })
 	}
 	best, most := (*Invocation)(nil), 0.0
@@ -712,7 +722,7 @@
 			g.hosts = append(g.hosts, h)
 		}
 		if h.places == 0 || l.Since != h.since { // what was learned of an earlier life is forgotten
-			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = min(4, 12/g.all), 1, 1, 0, 0, false, 0
+			h.places, h.slow, h.best, h.pace, h.fails, h.aside, h.restAt = min(4, 12/g.live), 1, 1, 0, 0, false, 0
 			if h.since = l.Since; l.Weight > 0 { // till it is known: by its size
 				h.slow, h.best = size/l.Weight, size/l.Weight
 			}
@@ -820,7 +830,7 @@
 	// Guards against peers drowning each other: few say the same, and all together half of what one takes in.
 	if g.allow.Peers && now >= g.tellAt && g.chance() < g.own {
 		g.tellAt = now + 2*g.own*g.all/max(1, g.allow.Mail)
-		g.out.Tell(text)
+		g.out.Tell(toAll, text)
 	}
 }
 
@@ -832,7 +842,11 @@
 }
 
 // Told brings a peer's message: "=plan customer" has no room, "-host" asks for word of it, "+host" answers.
-func (g *Gateway) Told(now float64, text string) {
+func (g *Gateway) Told(now float64, from int, text string) {
+	if g.at.Peers.Heard(now, from, text) {
+		g.meet(now)
+		return
+	}
 	if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
 		g.over(now, g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways}), 0.6)
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -295,9 +295,9 @@
 		f.warmUp(20)
 		h := f.g.byAddr["a"]
 		f.g.setAside(f.now, h, "for the story")
-		f.g.Told(f.now, "+nobody")
-		f.g.Told(f.now, "\x00")
-		f.g.Told(f.now, word)
+		f.g.Told(f.now, 0, "+nobody")
+		f.g.Told(f.now, 0, "\x00")
+		f.g.Told(f.now, 0, word)
 		if h.aside != (word == "") {
 			t.Fatalf("aside %v after %q", h.aside, word)
 		}
@@ -315,7 +315,7 @@
 
 func TestAPeerThatAsksHearsOfAGoodAnswer(t *testing.T) {
 	f := newFake(t, Plan{Name: "p"})
-	f.g.Told(f.now, "-a")
+	f.g.Told(f.now, 0, "-a")
 	f.warmUp(4)
 	if len(f.told) != 1 || f.told[0] != "+a" {
 		t.Fatalf("told %q", f.told)
@@ -522,9 +522,9 @@
 	f := newFake(t, Plan{Name: "p"})
 	h := f.g.byAddr["a"]
 	f.g.setAside(f.now, h, "for the story")
-	f.g.Told(f.now, "+a")
+	f.g.Told(f.now, 0, "+a")
 	f.g.setAside(f.now, h, "again")
-	f.g.Told(f.now, "+a")
+	f.g.Told(f.now, 0, "+a")
 	if !h.aside {
 		t.Fatal("back by peers' word although it failed here again")
 	}
@@ -601,9 +601,9 @@
 	}
 	all := let()
 	for range 4 {
-		f.g.Told(f.now, "=p c")
-		f.g.Told(f.now, "=q c") // an unknown plan, and nonsense: dropped
-		f.g.Told(f.now, "= ")
+		f.g.Told(f.now, 0, "=p c")
+		f.g.Told(f.now, 0, "=q c") // an unknown plan, and nonsense: dropped
+		f.g.Told(f.now, 0, "= ")
 		f.wait(1.1)
 	}
 	if cut := let(); all < 190 || cut > all*2/3 || cut == 0 {
@@ -948,7 +948,7 @@
 		f := newFakeOf(t, Plan{Name: "p", Rate: 10, Burst: 60}, 300)
 		f.g.counter.Present = false
 		if known {
-			f.g.Told(f.now, "=p c")
+			f.g.Told(f.now, 0, "=p c")
 			f.wait(1)
 		}
 		let := 0.0
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -27,9 +27,9 @@
 func (f *fake) Count(name uint64, amount, life float64) {
 	f.calls = append(f.calls, fakeCall{name, amount})
 }
-func (f *fake) Cancel(d *Delivery) { f.off = append(f.off, d) }
-func (f *fake) Tell(text string)   { f.told = append(f.told, text) }
-func (f *fake) Log(text string)    { f.logs = append(f.logs, text) }
+func (f *fake) Cancel(d *Delivery)       { f.off = append(f.off, d) }
+func (f *fake) Tell(to int, text string) { f.told = append(f.told, text) }
+func (f *fake) Log(text string)          { f.logs = append(f.logs, text) }
 
 var fakeOps = []Operation{
 	{Name: "read", Objective: 1, Value: 1, Effect: Idempotent},
--- a/choice/values.go
+++ b/choice/values.go
@@ -1,5 +1,10 @@
 package choice
 
+import "otterseam/member"
+
+// toAll is every other api gateway.
+const toAll = member.All
+
 // Effect says whether an operation may run again.
 type Effect int
 
@@ -47,7 +52,8 @@
 type Standing struct {
 	Gateways int
 	Zone     string
-	Seed     uint64 // for its chances
+	Seed     uint64        // for its chances
+	Peers    *member.Group // who of the api gateways is there; nil: the list alone says it
 }
 
 // Allowed is what the deployment lets an api gateway do.
@@ -84,7 +90,7 @@
 type Asked struct {
 	Ref, Operation, Customer, Plan string
 	Units, GiveUp                  float64 // GiveUp: clock time at which its client gives up
-	Width                          int     // api gateways this customer comes in through
+	First, Width                   int     // api gateways this customer comes in through: the first, how many
 	Repeat                         bool    // marked by its client as a repeat
 }
 
@@ -118,6 +124,6 @@
 type Out interface {
 	Count(name uint64, amount, life float64)
 	Cancel(d *Delivery)
-	Tell(text string) // to every other api gateway
+	Tell(to int, text string) // to an api gateway by its number, or to every other one: member.All
 	Log(text string)
 }
--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -24,6 +24,7 @@
 
 	"otterseam/gateway"
 	"otterseam/http1"
+	"otterseam/operator"
 	"otterseam/wire"
 )
 
@@ -87,6 +88,11 @@
 	if err != nil {
 		return err
 	}
+	wishes, err := operator.Read()
+	if err != nil {
+		return err
+	}
+	f.Settings.Members = wishes.Members()
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return fmt.Errorf("configuration: seed: %w", err)
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -39,7 +39,7 @@
 	GiveUp(ref string)
 	Cancel(ref string, number int)
 	Count(name uint64, amount, life float64)
-	Tell(text string)
+	Tell(to int, text string)
 	Log(text string)
 	Wake(nonce uint64, at float64)
 }
@@ -100,8 +100,8 @@
 }
 
 // Told brings a peer's message.
-func (in *Instance) Told(now float64, text string) {
-	in.module.Told(now, text)
+func (in *Instance) Told(now float64, from int, text string) {
+	in.module.Told(now, from, text)
 	in.turns(now)
 }
 
@@ -143,5 +143,5 @@
 
 func (in *Instance) Count(name uint64, amount, life float64) { in.out.Count(name, amount, life) }
 func (in *Instance) Cancel(d *choice.Delivery)               { in.out.Cancel(d.Inv.Ref, d.Number) }
-func (in *Instance) Tell(text string)                        { in.out.Tell(text) }
+func (in *Instance) Tell(to int, text string)                { in.out.Tell(to, text) }
 func (in *Instance) Log(text string)                         { in.out.Log(text) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"otterseam/choice"
 	"otterseam/http1"
+	"otterseam/member"
 )
 
 func TestAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -313,7 +314,7 @@
 		t.Fatal(err)
 	}
 	heard := make(chan string, 10)
-	p.heard = func(text string) { heard <- text }
+	p.heard = func(from int, text string) { heard <- fmt.Sprint(from, text) }
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go p.Write(ctx)
@@ -323,14 +324,18 @@
 	friend.WriteTo([]byte(strings.Repeat("x", 257)), at)
 	friend.WriteTo([]byte("\x00\xff nonsense"), at)
 	friend.WriteTo([]byte("+h0"), at)
-	if a, b := <-heard, <-heard; a != "\x00\xff nonsense" || b != "+h0" {
+	if a, b := <-heard, <-heard; a != "1\x00\xff nonsense" || b != "1+h0" {
 		t.Fatalf("heard %q, %q", a, b)
 	}
-	p.send("-h0")
+	p.send(7, "to nobody")
+	p.send(1, "to one")
+	p.send(member.All, "-h0")
 	b := make([]byte, 300)
 	friend.SetReadDeadline(time.Now().Add(3 * time.Second))
-	if n, _, _ := friend.ReadFrom(b); string(b[:n]) != "-h0" {
-		t.Fatalf("the peer got %q", b[:n])
+	for _, want := range []string{"to one", "-h0"} {
+		if n, _, _ := friend.ReadFrom(b); string(b[:n]) != want {
+			t.Fatalf("the peer got %q", b[:n])
+		}
 	}
 }
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -159,7 +159,7 @@
 	l.refs[0][inv.Ref] = true
 	inv.giveUp = l.now + inv.Limit
 	inv.in = l.module.Take(l.now, choice.Asked{Ref: inv.Ref, Operation: inv.Operation, Customer: inv.Customer,
-		Plan: inv.Plan, Units: inv.Units, GiveUp: inv.giveUp, Width: inv.Width, Repeat: inv.Repeat})
+		Plan: inv.Plan, Units: inv.Units, GiveUp: inv.giveUp, First: inv.First, Width: inv.Width, Repeat: inv.Repeat})
 	l.inHand[inv.in] = inv
 }
 
@@ -257,8 +257,8 @@
 	}
 }
 
-func (l *Loop) Tell(text string) { l.peers.send(text) }
-func (l *Loop) Log(text string)  { l.log.Info().Msg(text) }
+func (l *Loop) Tell(to int, text string) { l.peers.send(to, text) }
+func (l *Loop) Log(text string)          { l.log.Info().Msg(text) }
 
 // deliveries is a heap by due time.
 type deliveries []*delivery
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"otterseam/member"
 	"otterseam/seeded"
 )
 
@@ -18,15 +19,22 @@
 type Peers struct {
 	loop  *Loop
 	udp   *net.UDPConn
-	to    []netip.AddrPort
-	known map[netip.AddrPort]bool
-	lines chan string
-	heard func(text string)
+	to    []netip.AddrPort       // what reaches all others
+	one   []netip.AddrPort       // each by its number
+	known map[netip.AddrPort]int // by address
+	lines chan line
+	heard func(from int, text string)
+}
+
+// line is a message to an api gateway by its number, or to all others.
+type line struct {
+	to   int
+	text string
 }
 
 // NewPeers opens the socket; with no address to listen on there are no peers, and nothing is sent.
 func NewPeers(loop *Loop, listen string, me int, peers []string, all string) (*Peers, error) {
-	p := &Peers{loop: loop, known: map[netip.AddrPort]bool{}, lines: make(chan string, 16)}
+	p := &Peers{loop: loop, known: map[netip.AddrPort]int{}, lines: make(chan line, 32)}
 	p.heard = p.toLoop
 	if listen == "" {
 		return p, nil
@@ -36,10 +44,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if i == me {
+		if p.one = append(p.one, a); i == me {
 			continue
 		}
-		if p.known[a] = true; all == "" {
+		if p.known[a] = i; all == "" {
 			p.to = append(p.to, a)
 		}
 	}
@@ -61,13 +69,13 @@
 	return p, err
 }
 
-// send hands a message over for all peers; a crowd of them is thinned out here, as the network would.
-func (p *Peers) send(text string) {
+// send hands a message over for a peer or all; a crowd of them is thinned out here, as the network would.
+func (p *Peers) send(to int, text string) {
 	if p.udp == nil || len(text) > datagram {
 		return
 	}
 	select {
-	case p.lines <- text:
+	case p.lines <- line{to, text}:
 	default:
 	}
 }
@@ -82,10 +90,17 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case text := <-p.lines:
-			for _, a := range p.to {
+		case l := <-p.lines:
+			to := p.to
+			if l.to != member.All {
+				to = nil
+				if l.to >= 0 && l.to < len(p.one) {
+					to = p.one[l.to : l.to+1]
+				}
+			}
+			for _, a := range to {
 				p.udp.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-				p.udp.WriteToUDPAddrPort([]byte(text), a)
+				p.udp.WriteToUDPAddrPort([]byte(l.text), a)
 			}
 		}
 	}
@@ -106,17 +121,18 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		if n == 0 || n > datagram || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+		who, ok := p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if n == 0 || n > datagram || !ok {
 			continue
 		}
-		p.heard(string(b[:n]))
+		p.heard(who, string(b[:n]))
 	}
 }
 
 // toLoop passes a message on unless the loop is behind: the crowd of them must not hold up what matters more.
-func (p *Peers) toLoop(text string) {
+func (p *Peers) toLoop(from int, text string) {
 	select {
-	case p.loop.queue <- func() { p.loop.module.Told(p.loop.now, text) }:
+	case p.loop.queue <- func() { p.loop.module.Told(p.loop.now, from, text) }:
 	default:
 	}
 }
--- a/lab/edge/edge.go
+++ b/lab/edge/edge.go
@@ -27,7 +27,7 @@
 	Ended(now float64, ref string, number int, e choice.Ended)
 	Gone(now float64, ref string)
 	Ring(now float64, nonce uint64)
-	Told(now float64, text string)
+	Told(now float64, from int, text string)
 	Counted(now float64, name uint64, how choice.Outcome, sum, took float64)
 	Settle(now float64)
 }
@@ -43,7 +43,7 @@
 	Answered(inv *model.Invocation, how model.Ending) (room bool)
 	// Client brings an answer to its client.
 	Client(inv *model.Invocation, how model.Ending, retryAfter float64, room bool)
-	Mail(from int, text string)
+	Mail(from, to int, text string) // to an api gateway, or to all others: member.All
 	Note(from int, ref, text string)
 	Called(missed bool)
 	Dialled()
@@ -149,7 +149,7 @@
 		n := inv.Need
 		e.around.Note(e.Slot, inv.Ref, "taken")
 		e.Mind.Take(now, choice.Asked{Ref: inv.Ref, Operation: n.Op.Name, Customer: n.Cust.Key, Plan: n.Cust.Plan.Name,
-			Units: n.Units, GiveUp: inv.GiveUp, Width: n.Cust.Width, Repeat: inv.Repeat})
+			Units: n.Units, GiveUp: inv.GiveUp, First: n.Cust.First, Width: n.Cust.Width, Repeat: inv.Repeat})
 	})
 	return true
 }
@@ -198,9 +198,9 @@
 	}
 }
 
-func (e *Edge) Mailed(text string) {
+func (e *Edge) Mailed(from int, text string) {
 	if e.Alive {
-		e.hear(func(now float64) { e.Mind.Told(now, text) })
+		e.hear(func(now float64) { e.Mind.Told(now, from, text) })
 	}
 }
 
@@ -525,9 +525,9 @@
 	})
 }
 
-// Tell mails a text to all peers; Log notes a line; Wake sets the timer.
-func (e *Edge) Tell(text string) { e.around.Mail(e.Slot, text) }
-func (e *Edge) Log(text string)  { e.around.Note(e.Slot, "", text) }
+// Tell mails a text to a peer or all; Log notes a line; Wake sets the timer.
+func (e *Edge) Tell(to int, text string) { e.around.Mail(e.Slot, to, text) }
+func (e *Edge) Log(text string)          { e.around.Note(e.Slot, "", text) }
 
 func (e *Edge) Wake(nonce uint64, at float64) {
 	life := e.life
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -99,6 +100,9 @@
 	}
 	d := script.Draw(seed)
 	n := d.Fleet.Gateways.N()
+	for e := range n { // of an earlier play in the same folder
+		os.Remove(filepath.Join(o.Dir, fmt.Sprintf("edge-%d.log", e)))
+	}
 	r := newRig(d, seed)
 	r.logs = newLogs(o.Dir, n)
 	defer r.close()
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"otterseam/lab/day"
 )
 
 // built are the programs as they stand, without and with the seeded bugs; built once.
@@ -125,6 +127,29 @@
 	}
 }
 
+// Eight of twelve are killed while the counter is away: with membership the four left find that out and serve what they
+// would have refused; without it they don't.
+func TestTheFourLeftServeForTwelve(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.json")
+	os.WriteFile(path, []byte(`{"membership":{"on":true}}`), 0o644)
+	var served [2]float64
+	for i, env := range [][]string{nil, {"EDGE_OPERATOR=" + path}} {
+		r := script(t, "eight-of-twelve", "whole", env)
+		served[i], _ = r.figure(day.Promise{What: "served", From: day.Span{Lo: 8, Hi: 8}, Until: day.Span{Lo: 13, Hi: 13}})
+		for _, b := range r.Broken {
+			if !strings.Contains(b.Text, "gave up") && !strings.Contains(b.Text, "promised") {
+				t.Error(b.Text, b.Lines)
+			}
+		}
+		if off := i == 0; off != r.of("membership: 4 of 12") {
+			t.Errorf("on %v: %v", !off, r.Broken)
+		}
+	}
+	if served[1] < 1.2*served[0] {
+		t.Errorf("served without and with: %.3f", served)
+	}
+}
+
 // Each script reads, and each kind of fault and each event is in one that comes with the program.
 func TestScriptsCoverTheFaults(t *testing.T) {
 	used := map[string]bool{}
--- a/lab/muster/muster.go
+++ b/lab/muster/muster.go
@@ -61,6 +61,7 @@
 	held   []func()
 	died   float64
 	born   float64
+	seen   int
 	knows  []bool // that k is dead
 }
 
@@ -134,14 +135,7 @@
 	o.alive, o.life, o.born = true, o.life+1, w.q.Now()
 	w.lives++
 	o.group = member.New(i, w.Members, w.Mail, w.Part, w.Seed+uint64(w.lives)*7919)
-	o.knows = make([]bool, w.Members)
-	if w.q.Now() > 1001 {
-		for j, x := range w.all {
-			if j != i && x.alive && x.knows[i] { // who believes it gone: until when?
-				x.knows[i] = true
-			}
-		}
-	}
+	o.knows, o.seen = make([]bool, w.Members), 0
 	w.turn(i, o.life)
 }
 
@@ -218,15 +212,10 @@
 // note takes down what a member believes anew.
 func (w *play) note(i int) {
 	o, now := w.all[i], w.q.Now()
-	said := o.group.Said()
-	if debug != nil {
-		for _, s := range said {
-			debug(now, i, s)
-		}
-	}
-	if len(said) == 0 {
+	if o.group.Changes == o.seen {
 		return
 	}
+	o.seen = o.group.Changes
 	for k, x := range w.all {
 		gone := o.group.Is(now, k) == member.Gone
 		if gone == o.knows[k] {
@@ -346,4 +335,3 @@
 	}
 	return r
 }
-var debug func(at float64, i int, s string)
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -21,6 +21,7 @@
 	"otterseam/lab/post"
 	"otterseam/lab/referee"
 	"otterseam/lab/registry"
+	"otterseam/member"
 	"otterseam/wire"
 )
 
@@ -401,13 +402,13 @@
 	w.Crowd.Ended(inv, how, retryAfter, room)
 }
 
-func (w *World) Mail(from int, text string) {
+func (w *World) Mail(from, to int, text string) {
 	if !w.Day.Peers.Allowed {
 		return
 	}
-	for to, e := range w.Edges {
-		if to != from && e.Alive && !w.net.Cut(w.Edges[from].Zone, e.Zone) {
-			w.post.Send(to, text, func() { e.Mailed(text) })
+	for i, e := range w.Edges {
+		if (to == member.All && i != from || i == to) && e.Alive && !w.net.Cut(w.Edges[from].Zone, e.Zone) {
+			w.post.Send(i, text, func() { e.Mailed(from, text) })
 		}
 	}
 }
--- a/lab/policy/policy.go
+++ b/lab/policy/policy.go
@@ -16,8 +16,8 @@
 	"otterseam/lab/play"
 )
 
-// Names are the deciders that New knows beside a program's path.
-var Names = []string{"module", "random", "share", "design", "omniscient"}
+// Names are the deciders that New knows beside a program's path; members is the module with membership on.
+var Names = []string{"module", "members", "random", "share", "design", "omniscient"}
 
 // New gives a decider by its name.
 func New(name string) (play.Decider, error) {
@@ -35,8 +35,11 @@
 func (d decider) End()         {}
 
 func (d decider) Mind(w *play.World, slot int, seed uint64, out drive.Out) (edge.Mind, error) {
-	if d == "module" {
+	if d == "module" || d == "members" {
 		s := play.Settings(w.Day, slot)
+		if d == "members" {
+			s.Members = 0.1
+		}
 		return drive.New(out, func(o choice.Out) (*choice.Gateway, error) { return s.Module(seed, o) })
 	}
 	b := &plain{kind: string(d), w: w, out: out, dice: dice.New(seed, "policy"), hosts: map[string]choice.Listed{},
@@ -68,7 +71,7 @@
 type share struct{ level, at, before, last float64 }
 
 func (p *plain) Settle(float64)             {}
-func (p *plain) Told(float64, string)       {}
+func (p *plain) Told(float64, int, string)  {}
 func (p *plain) Ring(float64, uint64)       {}
 func (p *plain) Gone(_ float64, ref string) { delete(p.invs, ref) }
 
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -17,6 +17,7 @@
 	"otterseam/drive"
 	"otterseam/lab/edge"
 	"otterseam/lab/play"
+	"otterseam/member"
 )
 
 // Process decides by a program's answers.
@@ -130,16 +131,16 @@
 	if a.Repeat {
 		options = 2
 	}
-	m.put("JOB_IN", a.Ref, a.Width, a.Units, a.Operation, a.Customer, a.GiveUp, a.Plan, options, 0)
+	m.put("JOB_IN", a.Ref, a.Width, a.Units, a.Operation, a.Customer, a.GiveUp, a.Plan, options, a.First)
 }
 
 func (m *mind) Ended(now float64, ref string, number int, e choice.Ended) {
 	m.put("VERDICT", ref, e.Over, 0, e.Took, "", e.Units, number, string(e.How), nil)
 }
 
-func (m *mind) Gone(now float64, ref string)   { m.put("HANGUP", ref) }
-func (m *mind) Ring(now float64, nonce uint64) { m.put("BELL", nonce) }
-func (m *mind) Told(now float64, text string)  { m.put("MESSAGE", 0, text) }
+func (m *mind) Gone(now float64, ref string)            { m.put("HANGUP", ref) }
+func (m *mind) Ring(now float64, nonce uint64)          { m.put("BELL", nonce) }
+func (m *mind) Told(now float64, from int, text string) { m.put("MESSAGE", from, text) }
 func (m *mind) Counted(now float64, name uint64, how choice.Outcome, sum, took float64) {
 	m.put("SUM", string(how), sum, name, took)
 }
@@ -239,9 +240,13 @@
 			out.Wake(n, x)
 		}
 	case "ANNOUNCE":
-		var to any
-		if read(&to, &text) {
-			out.Tell(text)
+		var one *int
+		if read(&one, &text) {
+			to := member.All
+			if one != nil {
+				to = *one
+			}
+			out.Tell(to, text)
 		}
 	case "TRACE":
 		if read(&text) {
--- a/lab/runs/rules_test.go
+++ b/lab/runs/rules_test.go
@@ -25,7 +25,7 @@
 }
 
 func (d *wicked) Settle(float64)                                            {}
-func (d *wicked) Told(float64, string)                                      {}
+func (d *wicked) Told(float64, int, string)                                 {}
 func (d *wicked) Ring(float64, uint64)                                      {}
 func (d *wicked) Gone(float64, string)                                      {}
 func (d *wicked) Counted(float64, uint64, choice.Outcome, float64, float64) {}
--- a/lab/sockets/bench.go
+++ b/lab/sockets/bench.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.rig = s.rig
+	c.rig = o.Rig
 	w.Heard = s.rig.Line
 	s.base = float64(time.Now().UnixNano()) / 1e9
 	s.lost = func(ref string) {
--- a/member/member.go
+++ b/member/member.go
@@ -11,6 +11,7 @@
 	"hash/crc32"
 	"math"
 	"strconv"
+	"strings"
 )
 
 // watchers are how many watch each; each death is missed only if all of them miss it.
@@ -79,8 +80,12 @@
 	foundAt float64
 	away    int // how many are gone
 	letters []Letter
-	said    []string
+	left    []int // who was given up, and who is back, since the last line for the log
+	came    []int
+	note    string // something else that the log should hear
+	saidAt  float64
 	Bad     int // messages that made no sense
+	Changes int // of what is believed of anyone
 }
 
 // New makes the knowledge of api gateway me of n. mail is how many messages a second one takes in from all for all
@@ -102,13 +107,38 @@
 	return float64(2654435761*crc32.Update(g.seeded, crc32.IEEETable, text)) / (1 << 32)
 }
 
-func (g *Group) say(text string, args ...any) { g.said = append(g.said, fmt.Sprintf(text, args...)) }
+// Act sends what is due and logs what is new.
+func (g *Group) Act(now float64, tell func(to int, text string), log func(text string)) {
+	for _, l := range g.Due(now) {
+		tell(l.To, l.Text)
+	}
+	if line := g.Said(now); line != "" {
+		log(line)
+	}
+}
 
-// Said gives the lines for the log since it was last asked.
-func (g *Group) Said() []string {
-	s := g.said
-	g.said = nil
-	return s
+// Said gives a line for the log, "" where there is nothing new: one for all that changed within half a second, so that a
+// death of hundreds is a few lines.
+func (g *Group) Said(now float64) string {
+	if g == nil || now-g.saidAt < 0.5 || len(g.left)+len(g.came) == 0 && g.note == "" {
+		return ""
+	}
+	g.saidAt = now
+	var b strings.Builder
+	fmt.Fprintf(&b, "membership: %d of %d are there; %.2f of the beats missing", g.Count(), g.n, g.missing())
+	some := func(what string, in []int) {
+		if len(in) > 0 {
+			fmt.Fprintf(&b, "; %s %d:", what, len(in))
+			for _, k := range in[:min(8, len(in))] {
+				fmt.Fprintf(&b, " %d", k)
+			}
+		}
+	}
+	some("gone", g.left)
+	some("back", g.came)
+	b.WriteString(g.note)
+	g.left, g.came, g.note = g.left[:0], g.came[:0], ""
+	return b.String()
 }
 
 // begin sets out at the first moment: a new life, numbered by the clock, with nobody heard of.
@@ -123,6 +153,9 @@
 
 // Wait is how long Due need not be asked, in seconds.
 func (g *Group) Wait(now float64) float64 {
+	if g == nil {
+		return 1
+	}
 	next := min(g.beatAt-now, g.period/4)
 	if len(g.news)+g.again > 0 {
 		next = min(next, g.newsAt-now)
@@ -132,6 +165,9 @@
 
 // Due gives what is to be sent now.
 func (g *Group) Due(now float64) []Letter {
+	if g == nil {
+		return nil
+	}
 	g.begin(now)
 	if gap := now - g.last - 0.3; gap > 0 {
 		g.slept(now, gap)
@@ -163,7 +199,7 @@
 		g.peers[i].asked = 0
 	}
 	if gap > 1 {
-		g.say("membership: asleep for %.2f s, nobody counts as gone", gap)
+		g.note += fmt.Sprintf("; asleep for %.2f s, nobody counts as gone", gap)
 		g.doubt(now)
 	}
 }
@@ -227,7 +263,7 @@
 			most = min(16, most+2)
 		}
 		if quiet > g.limit(p) {
-			g.giveUp(now, k, quiet)
+			g.giveUp(now, k)
 		} else if now >= p.asked {
 			p.asked = now + g.period/3
 			g.send(k, g.beat('a'))
@@ -235,19 +271,20 @@
 	}
 }
 
-func (g *Group) giveUp(now float64, k int, quiet float64) {
+func (g *Group) giveUp(now float64, k int) {
 	p := &g.peers[k]
 	p.mark, p.mine = p.mark|1, now
 	g.gone(now, k)
 	g.found, g.foundAt = g.found*math.Exp(g.foundAt-now)+1, now
 	g.publish(now, k)
-	g.say("membership: %d is gone, silent %.2f s, %.2f of the beats missing; there are %d of %d", k, quiet*g.period, g.missing(), g.Count(), g.n)
 }
 
 func (g *Group) gone(now float64, k int) {
 	p := &g.peers[k]
 	p.goneAt, p.heard, p.asked = now, math.NaN(), 0
 	g.away++
+	g.Changes++
+	g.left = append(g.left, k)
 }
 
 // publish has all hear of a member soon: the more I found of late, the more others found, and the later I speak.
@@ -291,7 +328,7 @@
 
 // Heard brings a message; Due may have an answer to it at once. false: it is not one about membership.
 func (g *Group) Heard(now float64, from int, text string) bool {
-	if len(text) == 0 || text[0] != '!' {
+	if g == nil || len(text) == 0 || text[0] != '!' {
 		return false
 	}
 	g.begin(now)
@@ -350,7 +387,8 @@
 		p.patience = min(8, 2*p.patience)
 	}
 	p.mine = 0
-	g.say("membership: %d is back; there are %d of %d", k, g.Count(), g.n)
+	g.Changes++
+	g.came = append(g.came, k)
 }
 
 // sync tells a member that comes back empty of those that are gone.
@@ -388,7 +426,6 @@
 	if e.mark.gone() {
 		if !was.gone() {
 			g.gone(now, e.who)
-			g.say("membership: %d is gone, says %d; there are %d of %d", e.who, by, g.Count(), g.n)
 		}
 	} else if was.gone() {
 		p.heard = math.NaN()
@@ -403,7 +440,7 @@
 	if !m.newer(me.mark) {
 		return
 	}
-	g.say("membership: given up by %d, nobody counts as gone", by)
+	g.note += fmt.Sprintf("; given up by %d, nobody counts as gone", by)
 	me.mark = m.next()
 	g.doubt(now)
 	g.publish(now, g.me)
--- a/member/shares.go
+++ b/member/shares.go
@@ -56,9 +56,10 @@
 // are left, not 0.3. Those who come back count at once, and begin by dividing by all: with survivors that have not heard
 // of it yet, at most root(x) + 1 - x, 1.25. Whatever is believed, no share is more than twice its listed part.
 func (g *Group) Apart(now float64, first, width int) float64 {
-	if width = min(width, g.n); width <= 1 || g.away == 0 {
+	if g == nil || width <= 1 || g.away == 0 {
 		return float64(max(1, width))
 	}
+	width = min(width, g.n)
 	sum := 0.0
 	for i := range width {
 		sum += g.counts(now, (first+i)%g.n)
--- a/wire/start.go
+++ b/wire/start.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"otterseam/choice"
+	"otterseam/member"
 )
 
 // Start holds the start-up settings, as the line protocol and the configuration of an api gateway both carry them;
@@ -36,6 +37,8 @@
 	} `json:"extra"`
 	Plans    []Plan `json:"plans"`
 	Registry string `json:"registry_mode"`
+	// Members is the part of the mail that membership may use in quiet times, as the operator wishes it; 0: it is off.
+	Members float64 `json:"-"`
 }
 
 // Class is an operation as the settings have it.
@@ -80,7 +83,11 @@
 		plans = append(plans, choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, MaxOut: t.MaxOut,
 			CeilingRate: t.NeverOver, CeilingBurst: t.HardBurst})
 	}
-	return choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality, Seed: seed}, ops, plans,
+	var peers *member.Group
+	if s.Members > 0 && s.Caps.PeerMessages && s.Balancers > 1 && s.Slot >= 0 && s.Slot < s.Balancers && s.Extra.Mail > 0 {
+		peers = member.New(s.Slot, s.Balancers, s.Extra.Mail, s.Members, seed)
+	}
+	return choice.New(choice.Standing{Gateways: s.Balancers, Zone: s.Locality, Seed: seed, Peers: peers}, ops, plans,
 		choice.Counter{Present: s.Extra.Counter, Limit: s.Extra.Limit, Settles: s.Extra.Settles, Most: s.Extra.Most},
 		choice.Cold{Share: s.Contract.Start, Warm: s.Contract.Warm, Factor: s.Contract.Factor},
 		choice.Allowed{Deliveries: s.Caps.TryLimit, Cancel: s.Caps.Cancel,
--- a/wirehost/host.go
+++ b/wirehost/host.go
@@ -10,12 +10,18 @@
 
 	"otterseam/choice"
 	"otterseam/drive"
+	"otterseam/member"
+	"otterseam/operator"
 	"otterseam/wire"
 )
 
 // Run answers every batch on in until it ends.
 func Run(in io.Reader, out io.Writer) error {
-	p := &process{gateways: map[int]*instance{}, lists: map[int][]choice.Listed{}}
+	wishes, err := operator.Read()
+	if err != nil {
+		return err
+	}
+	p := &process{members: wishes.Members(), gateways: map[int]*instance{}, lists: map[int][]choice.Listed{}}
 	r := bufio.NewReaderSize(in, 1<<20)
 	for {
 		line, err := r.ReadBytes('\n')
@@ -41,6 +47,7 @@
 }
 
 type process struct {
+	members  float64 // part of the mail for membership, as the operator wishes
 	gateways map[int]*instance
 	lists    map[int][]choice.Listed
 	reply    wire.Reply
@@ -76,6 +83,7 @@
 		}
 		if c, ok := m.(*wire.Create); ok {
 			in := &instance{reply: &p.reply}
+			c.Start.Members = p.members
 			if err := in.create(c); err != nil {
 				return err
 			}
@@ -131,7 +139,7 @@
 	switch m := m.(type) {
 	case *wire.JobIn:
 		in.Take(now, choice.Asked{Ref: m.Ref, Operation: m.Class, Customer: m.Client,
-			Plan: m.Plan, Units: m.Units, GiveUp: m.Deadline, Width: m.Width, Repeat: m.Options&2 != 0})
+			Plan: m.Plan, Units: m.Units, GiveUp: m.Deadline, First: m.First, Width: m.Width, Repeat: m.Options&2 != 0})
 	case *wire.Verdict:
 		in.Ended(now, m.Ref, m.Attempt, choice.Ended{How: choice.Outcome(m.How[0]),
 			Over: m.Done, Took: m.Delay, Units: m.Actual})
@@ -140,7 +148,7 @@
 	case *wire.Bell:
 		in.Ring(now, m.Nonce)
 	case *wire.Message:
-		in.Told(now, m.Data)
+		in.Told(now, m.From, m.Data)
 	case *wire.Sum:
 		in.Counted(now, m.Name, choice.Outcome(m.How[0]), m.Sum, m.Delay)
 	}
@@ -155,8 +163,14 @@
 func (in *instance) GiveUp(ref string)                       { in.reply.Put("SURRENDER", ref) }
 func (in *instance) Wake(nonce uint64, at float64)           { in.reply.Put("SCHEDULE", nonce, at) }
 func (in *instance) Cancel(ref string, number int)           { in.reply.Put("CALL_OFF", ref, number) }
-func (in *instance) Tell(text string)                        { in.reply.Put("ANNOUNCE", nil, text) }
-func (in *instance) Log(text string)                         { in.reply.Put("TRACE", text) }
+func (in *instance) Tell(to int, text string) {
+	if to == member.All {
+		in.reply.Put("ANNOUNCE", nil, text)
+	} else {
+		in.reply.Put("ANNOUNCE", to, text)
+	}
+}
+func (in *instance) Log(text string) { in.reply.Put("TRACE", text) }
 func (in *instance) Count(name uint64, amount, life float64) {
 	in.reply.Put("BUMP", name, amount, life)
 }
