--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,8 @@
 // Package choice decides everything an api gateway decides; values.go holds the plain types of its interface.
-// How to call it. New makes an instance; Hosts, Counted, Lost, Told, Gone and Tick tell it what was seen.
-// Take brings an invocation in. While Turn names one, Where says where to send it (or not yet, or never); After
-// says what to do once a delivery has ended; Wait how long until the next Tick. The rest leaves through Out.
+// How to call it. New makes an instance; Hosts, Counted, Lost, Told, Gone, Tick and Meet tell what was seen,
+// and that time has passed. Take brings an invocation in. While Turn names one, Where says where to send it
+// (or not yet, or never); After what to do once a delivery has ended; Wait and Meets how long until the next
+// Tick and Meet. The rest leaves through Out.
 // The design decides the ordinary path: the estimate is added to the customer's count, the invocation is
 // throttled if the total passes the limit (the estimate taken off again), and the true cost is settled.
 // Beside it stand:
@@ -120,7 +121,7 @@
 	ready, line        []*Invocation
 	abroad, most       float64 // deliveries out; how many there may be a host, from all api gateways
 	wait, mean, luck   float64 // of late: answer times over objectives, answer times; a chance
-	all, live, own     float64 // api gateways; how many shares are divided by; part of a host one can judge alone
+	all, live, own     float64 // api gateways; by how many shares divide; part of a host one judges alone
 }
 
 func New(at Standing, ops []Operation, ps []Plan, ctr Counter, cold Cold, allow Allowed, out Out) *Gateway {
@@ -203,18 +204,19 @@
 	if len(g.line) > 0 || g.abroad > 0 {
 		next = min(next, 0.05)
 	}
-	return max(min(next, g.at.Peers.Wait(now)), 0.001)
+	return max(next, 0.001)
 }
 
-// meet keeps up who of the api gateways is there: what all do together is divided by that, but for the rules.
-func (g *Gateway) meet(now float64) {
+// Meet keeps up who of the api gateways is there: what all do is divided by that, but for the rules.
+func (g *Gateway) Meet(now float64) {
 	g.at.Peers.Act(now, g.out.Tell, g.out.Log)
 	g.live = g.at.Peers.Apart(now, 0, int(g.all))
 	g.own = min(1, 12/g.live)
 }
 
+func (g *Gateway) Meets(now float64) float64 { return g.at.Peers.Wait(now) }
+
 func (g *Gateway) Tick(now float64) {
-	g.meet(now)
 	g.watch(now)
 	g.inOrder = slices.DeleteFunc(g.inOrder, func(c *customer) bool {
 		much := math.Abs(c.owed) > c.plan.Burst/4 || c.standing > c.out // the others should hear
@@ -844,10 +846,8 @@
 // Told brings a peer's message: "=plan customer" has no room, "-host" asks for word of it, "+host" answers.
 func (g *Gateway) Told(now float64, from int, text string) {
 	if g.at.Peers.Heard(now, from, text) {
-		g.meet(now)
-		return
-	}
-	if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
+		g.Meet(now)
+	} else if plan, key, ok := strings.Cut(strings.TrimPrefix(text, "="), " "); ok && g.plans[plan] != nil {
 		g.over(now, g.customer(now, Asked{Plan: plan, Customer: key, Width: g.at.Gateways}), 0.6)
 		return
 	}
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -2,7 +2,11 @@
 // the line protocol and the laboratory all go by it. It must never open a socket, read a clock or decide anything.
 package drive
 
-import "otterseam/choice"
+import (
+	"math"
+
+	"otterseam/choice"
+)
 
 // Turns asks the module about each invocation whose turn it is, until there is none.
 func Turns(m *choice.Gateway, now float64, act func(*choice.Invocation, choice.Answer)) {
@@ -11,7 +15,8 @@
 	}
 }
 
-// Timer is the one timer of an api gateway: the sooner of what the module asked for.
+// Timer is one of an api gateway's two timers, for the module's ticks and for what api gateways say to each other, whose
+// rhythm is another: the sooner of what was asked for.
 type Timer struct {
 	at float64 // clock time in seconds; 0: not set
 }
@@ -22,10 +27,10 @@
 // Rang takes the timer back.
 func (t *Timer) Rang() { t.at = 0 }
 
-// Next asks the module how long it can wait. It gives when to ring, in clock seconds, and whether that is news.
-func (t *Timer) Next(m *choice.Gateway, now float64) (at float64, news bool) {
-	next := now + m.Wait(now)
-	if t.at > 0 && t.at <= next {
+// Next takes how long it can wait. It gives when to ring, in clock seconds, and whether that is news.
+func (t *Timer) Next(wait, now float64) (at float64, news bool) {
+	next := now + wait
+	if t.at > 0 && t.at <= next || math.IsInf(next, 1) {
 		return t.at, false
 	}
 	t.at = next
@@ -50,12 +55,14 @@
 	module *choice.Gateway
 	invs   map[string]*choice.Invocation
 	timer  Timer
-	nonce  uint64
+	meets  Timer
+	nonce  uint64 // of the last ring asked for: even for ticks, odd for meetings
+	met    uint64
 }
 
 // New makes an instance whose module is made by start, with the instance as its way out.
 func New(out Out, start func(choice.Out) (*choice.Gateway, error)) (*Instance, error) {
-	in := &Instance{out: out, invs: map[string]*choice.Invocation{}}
+	in := &Instance{out: out, invs: map[string]*choice.Invocation{}, met: 1}
 	var err error
 	in.module, err = start(in)
 	return in, err
@@ -92,6 +99,13 @@
 
 // Ring tells that a timer fell due; one that has been overtaken by a sooner one makes the module look all the same.
 func (in *Instance) Ring(now float64, nonce uint64) {
+	if nonce%2 == 1 {
+		if nonce == in.met {
+			in.meets.Rang()
+			in.module.Meet(now)
+		}
+		return
+	}
 	if nonce == in.nonce {
 		in.timer.Rang()
 	}
@@ -113,10 +127,14 @@
 
 // Settle ends a batch of what was told at one moment: the timer is set anew if it must ring sooner.
 func (in *Instance) Settle(now float64) {
-	if at, news := in.timer.Next(in.module, now); news {
-		in.nonce++
+	if at, news := in.timer.Next(in.module.Wait(now), now); news {
+		in.nonce += 2
 		in.out.Wake(in.nonce, at)
 	}
+	if at, news := in.meets.Next(in.module.Meets(now), now); news {
+		in.met += 2
+		in.out.Wake(in.met, at)
+	}
 }
 
 func (in *Instance) turns(now float64) { Turns(in.module, now, in.act) }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -85,7 +85,7 @@
 	}()
 	l.module, l.hosts, l.counter, l.peers = module, hosts, counter, peers
 	timer, set := time.NewTimer(time.Hour), 0.0
-	var tick drive.Timer
+	var tick, meet drive.Timer
 	for {
 		select {
 		case <-ctx.Done():
@@ -109,7 +109,14 @@
 			l.forget()
 		}
 		l.turns()
-		next, _ := tick.Next(l.module, l.now)
+		if meet.Due(l.now) {
+			l.module.Meet(l.now)
+			meet.Rang()
+		}
+		next, _ := tick.Next(l.module.Wait(l.now), l.now)
+		if at, _ := meet.Next(l.module.Meets(l.now), l.now); at > 0 {
+			next = min(next, at)
+		}
 		if len(l.due) > 0 {
 			next = min(next, l.due[0].due)
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -154,7 +154,7 @@
 // Wait is how long Due need not be asked, in seconds.
 func (g *Group) Wait(now float64) float64 {
 	if g == nil {
-		return 1
+		return math.Inf(1)
 	}
 	next := min(g.beatAt-now, g.period/4)
 	if len(g.news)+g.again > 0 {
