--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run try
+.PHONY: build test race lint fuzz run try hunt
 
 build:
 	@sh -ec "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
@@ -16,6 +16,12 @@
 fuzz:
 	go test -fuzz FuzzMessage -fuzztime 60s ./http1
 
+# faults between real processes at moments drawn by seeds; SEED and SEEDS may be given
+SEED ?= 1
+SEEDS ?= 20
+hunt: build
+	bin/otterlab fleet hunt --seed $(SEED) --seeds $(SEEDS) --env EDGE_OPERATOR=$(CURDIR)/deploy/operator.json
+
 # needs EDGE_CONFIG
 run: build
 	GODEBUG=schedtrace=2000000000 bin/otterseam
