--- a/member/member.go
+++ b/member/member.go
@@ -74,6 +74,9 @@
 	newsAt  float64 // not before
 	again   int     // times the news last sent are to be said once more
 	told    []int   // them
+	heardAt float64 // when anybody was heard last
+	deaf    bool    // nobody is
+	asks    float64 // questions that may be asked now, as of last
 	loud    float64 // messages to all heard or sent of late, by the second
 	loudAt  float64
 	found   float64 // how many I found of late, as of foundAt
@@ -146,7 +149,7 @@
 	if g.began {
 		return
 	}
-	g.began, g.last, g.loudAt = true, now, now
+	g.began, g.last, g.loudAt, g.heardAt = true, now, now, now
 	g.peers[g.me].mark = mark(uint64(2*(math.Floor(4*math.Max(0, now))+1)) % marks)
 	g.beatAt = now + g.chance()*g.period
 }
@@ -172,12 +175,16 @@
 	if gap := now - g.last - 0.3; gap > 0 {
 		g.slept(now, gap)
 	}
+	g.asks = min(16, g.asks+8/g.period*(now-g.last))
 	g.last = now
+	g.listen(now)
 	if now >= g.beatAt {
 		g.beatAt = now + g.period*(0.95+0.1*g.chance())
 		for _, to := range g.ring(1, watchers) {
 			g.send(to, g.beat('b'))
 		}
+		// All of a round carry the same window: else each of two watchers would see every second one only.
+		g.from = (g.from + min(window, g.n)) % g.n
 	}
 	g.watch(now)
 	g.spread(now)
@@ -188,22 +195,41 @@
 
 func (g *Group) send(to int, text string) { g.letters = append(g.letters, Letter{to, text}) }
 
+// listen notes whether anybody is heard at all. Guards against a member whose own link is dead, or mail that nobody gets:
+// all others at once are seldom gone, so while none is heard nobody is given up, and who is gone counts as there.
+func (g *Group) listen(now float64) {
+	deaf := now-g.heardAt > 3*g.period
+	if deaf != g.deaf {
+		g.deaf = deaf
+		if deaf {
+			g.note += "; nobody is heard, so nobody counts as gone"
+		}
+	}
+	if deaf {
+		g.doubt(now)
+	}
+}
+
 // slept: this api gateway did not look for so long. Guards against one that is stopped or starved and then takes its own
 // deafness for the others' silence: what it could not hear does not count, and after a long sleep nobody counts as gone
 // for its shares until that is seen again.
 func (g *Group) slept(now, gap float64) {
-	for i := range g.peers {
-		g.peers[i].heard += gap
-		g.peers[i].watched += gap
-		g.peers[i].beat += gap
-		g.peers[i].asked = 0
-	}
+	g.heardAt += gap
+	g.shift(gap)
 	if gap > 1 {
 		g.note += fmt.Sprintf("; asleep for %.2f s, nobody counts as gone", gap)
 		g.doubt(now)
 	}
 }
 
+// shift lets a time in which nothing could be heard not count as anybody's silence.
+func (g *Group) shift(gap float64) {
+	for i := range g.peers {
+		p := &g.peers[i]
+		p.heard, p.watched, p.beat, p.asked = p.heard+gap, p.watched+gap, p.beat+gap, 0
+	}
+}
+
 // doubt lets all that are gone count as there again, and less only as time goes on.
 func (g *Group) doubt(now float64) {
 	for i := range g.peers {
@@ -262,9 +288,10 @@
 		if quiet > further || p.unseen && quiet > 1 {
 			most = min(16, most+2)
 		}
-		if quiet > g.limit(p) {
+		if quiet > g.limit(p) && !g.deaf {
 			g.giveUp(now, k)
-		} else if now >= p.asked {
+		} else if now >= p.asked && g.asks >= 1 {
+			g.asks--
 			p.asked = now + g.period/3
 			g.send(k, g.beat('a'))
 		}
@@ -337,6 +364,11 @@
 		g.Bad++
 		return true
 	}
+	if g.deaf { // what it could not hear does not count
+		g.shift(now - g.heardAt)
+		g.asks = 16
+	}
+	g.heardAt, g.deaf = now, false
 	g.sign(now, &m)
 	if m.kind == 'n' {
 		g.heardAll(now)
--- a/member/text.go
+++ b/member/text.go
@@ -63,7 +63,6 @@
 	for i := range n {
 		b = put(b, uint32(g.peers[(g.from+i)%g.n].mark), 5)
 	}
-	g.from = (g.from + n) % g.n
 	return string(b)
 }
 
