--- a/lab/sockets/client.go
+++ b/lab/sockets/client.go
@@ -102,9 +102,9 @@
 // exchange sends a request and reads its answer. A connection at rest that turns out to be closed is replaced once, as
 // clients do.
 func (c *Clients) exchange(gateway int, text string, until time.Time) (status int, retryAfter float64, body string, err error) {
-	for range 2 {
+	for again := range 2 { // the second time on a new one: others at rest may have been closed with the first
 		var k *client
-		if k, err = c.take(gateway, until); err != nil {
+		if k, err = c.take(gateway, until, again > 0); err != nil {
 			return 0, 0, "", err
 		}
 		k.tcp.SetDeadline(until)
@@ -139,9 +139,12 @@
 	return 0, 0, "", err
 }
 
-func (c *Clients) take(gateway int, until time.Time) (*client, error) {
+func (c *Clients) take(gateway int, until time.Time, fresh bool) (*client, error) {
 	c.mu.Lock()
 	for k := range c.idle[gateway] {
+		if fresh {
+			break
+		}
 		delete(c.idle[gateway], k)
 		c.mu.Unlock()
 		return k, nil
