--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -128,6 +128,7 @@
 	Cost       Span `day:"cost" unit:"s" min:"0s" max:"100ms" def:"20us" about:"CPU time for each thing it hears, on a whole core"`
 	Core       Span `day:"core" unit:"share" min:"0.01" max:"1" def:"0.5" about:"part of a core that it gets"`
 	Grace      Span `day:"grace" unit:"s" min:"0s" max:"1m" def:"250ms" about:"new work to a draining host may go on for so long"`
+	Clock      Span `day:"clock" unit:"s" min:"0s" max:"24h" def:"0s" about:"what their clock says as the day begins: the windows of quotas lie by it; on sockets it is the true time"`
 	Notice     Span `day:"notice" unit:"s" min:"0s" max:"1m" def:"2s" about:"invocations go on coming to a dead one for so long"`
 }
 
--- a/lab/play/play.go
+++ b/lab/play/play.go
@@ -248,7 +248,9 @@
 	}
 	e := w.Edges[slot]
 	w.starts++
-	mind, err := w.decider.Mind(w, slot, dice.New(w.Seed, "mind", slot, int(w.starts)).Uint64()>>1, e)
+	mind, err := edge.Shifted(w.Day.Gateway.Clock.V(), e, func(out drive.Out) (edge.Mind, error) {
+		return w.decider.Mind(w, slot, dice.New(w.Seed, "mind", slot, int(w.starts)).Uint64()>>1, out)
+	})
 	if err != nil {
 		w.err = err
 		w.Queue.Stop()
