--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"otterseam/member"
 )
 
 var ten = Plan{Name: "p", Rate: 2, Burst: 10}
@@ -963,3 +965,46 @@
 		}
 	}
 }
+
+// Without a call a customer's quota is shared by who is there: with half of the four gone for good, each lets in the root of
+// two times its part, and the hard ceiling goes on being divided by all four.
+func TestSharesByWhoIsThere(t *testing.T) {
+	letIn := func(p Plan, peers *member.Group) (n int) {
+		f := newFakeOf(t, p, 4)
+		f.g.at.Peers = peers
+		f.g.counter.Present = false
+		for range 400 {
+			f.wait(0.05)
+			inv := f.take(1, 4)
+			if len(inv.Deliveries) > 0 {
+				n++
+				f.g.After(f.now, inv.Deliveries[0], Ended{How: Succeeded, Over: true, Took: 0.01})
+			}
+		}
+		return n
+	}
+	half := func() *member.Group { // one of four that has heard of one other only
+		me, other := member.New(0, 4, 60, 0.1, 1), member.New(1, 4, 60, 0.1, 2)
+		for now := 980.0; now < 1000; now += 0.05 {
+			for _, l := range other.Due(now) {
+				me.Heard(now, 1, l.Text)
+			}
+			for _, l := range me.Due(now) {
+				other.Heard(now, 0, l.Text)
+			}
+		}
+		return me
+	}
+	if n := half().Count(); n != 2 {
+		t.Fatalf("%d are there", n)
+	}
+	p := Plan{Name: "p", Rate: 20, Burst: 20}
+	alone, two := letIn(p, nil), letIn(p, half())
+	if r := float64(two) / float64(alone); r < 1.3 || r > 1.5 {
+		t.Errorf("%d let in by the list, %d by who is there", alone, two)
+	}
+	p = Plan{Name: "p", CeilingRate: 20, CeilingBurst: 20}
+	if alone, two = letIn(p, nil), letIn(p, half()); alone != two {
+		t.Errorf("under a ceiling %d and %d", alone, two)
+	}
+}
--- a/cmd/otterseam/main_test.go
+++ b/cmd/otterseam/main_test.go
@@ -42,6 +42,11 @@
 			t.Errorf("%s: want an error that names %s, got %v", text, want, err)
 		}
 	}
+	configure(t, whole("127.0.0.1:0", "1"))
+	t.Setenv("EDGE_OPERATOR", "/no/such/file")
+	if err := run(zerolog.Nop()); err == nil || !strings.Contains(err.Error(), "operator's file") {
+		t.Errorf("an operator's file that is missing: %v", err)
+	}
 	t.Setenv("EDGE_CONFIG", "")
 	if err := run(zerolog.Nop()); err == nil {
 		t.Error("started without a configuration")
