--- a/lab/fleet/page.go
+++ b/lab/fleet/page.go
@@ -124,6 +124,12 @@
 		if err := bar(l.At, l.At+0.012, float64(l.Edge)-0.42, 0.07, grey); err != nil {
 			return "", err
 		}
+		var there, all int // what it believes of the others stands above its line
+		if n, _ := fmt.Sscanf(l.Text, "membership: %d of %d", &there, &all); n == 2 {
+			if err := label(l.At, float64(l.Edge)-0.34, fmt.Sprint(there)); err != nil {
+				return "", err
+			}
+		}
 	}
 	return svg(p, vg.Length(4+r.Gateways)*vg.Centimeter)
 }
