A healed cut is found again; what got to a closed connection was told to nobody

Seen: a cut of halves stayed believed for good (all pairs wrong 20 s after it healed): each side sent the other nothing; my story had a restart in it that hid that.

--- a/lab/relay/end.go
+++ b/lab/relay/end.go
@@ -134,7 +134,7 @@
 	return len(b), nil
 }
 
-// Mark has done called once all that was written before it has passed the link.
+// Mark has done called once all that was written before it has passed the link, if the other end is there to read it.
 func (s Side) Mark(done func()) { s.send(item{mark: done, came: time.Now()}) }
 
 func (s Side) LocalAddr() net.Addr              { return s.addr }
--- a/lab/relay/stream.go
+++ b/lab/relay/stream.go
@@ -164,6 +164,7 @@
 	mu    sync.Mutex
 	done  int
 	over  bool
+	shut  [2]bool // this end has closed, or sends no more
 }
 
 // pipe carries one direction of a pair. What waits in it has an end: the sender is not read on past it.
@@ -260,6 +261,9 @@
 			return
 		}
 		if err != nil {
+			pp.pair.mu.Lock()
+			pp.pair.shut[pp.dir] = true
+			pp.pair.mu.Unlock()
 			pp.mu.Lock()
 			mute, gone := pp.mute, pp.gone
 			pp.mu.Unlock()
@@ -310,7 +314,12 @@
 		pp.mu.Unlock()
 		switch {
 		case i.mark != nil:
-			i.mark()
+			p.mu.Lock()
+			heard := !p.shut[1-pp.dir] // else it was written to nobody
+			p.mu.Unlock()
+			if heard {
+				i.mark()
+			}
 		case torn && len(i.bytes) > 0:
 			to.Write(i.bytes[:len(i.bytes)/2])
 			time.Sleep(2 * time.Millisecond) // a reset at once would take back what was written
--- a/member/member.go
+++ b/member/member.go
@@ -76,6 +76,8 @@
 	told    []int   // them
 	heardAt float64 // when anybody was heard last
 	deaf    bool    // nobody is
+	reached float64 // when one of those that are gone was asked last
+	spacing float64 // of the usual time until the next
 	asks    float64 // questions that may be asked now, as of last
 	loud    float64 // messages to all heard or sent of late, by the second
 	loudAt  float64
@@ -187,6 +189,7 @@
 		g.from = (g.from + min(window, g.n)) % g.n
 	}
 	g.watch(now)
+	g.reach(now)
 	g.spread(now)
 	out := g.letters
 	g.letters = nil
@@ -298,6 +301,25 @@
 	}
 }
 
+// reach asks one of those that are gone now and then. Guards against a cut that has healed and of which neither side would
+// hear, since each sends the other nothing.
+func (g *Group) reach(now float64) {
+	if g.away == 0 {
+		return
+	}
+	each := max(4*g.period, float64(g.Count())/(2*float64(g.away))) // all together ask each of them twice a second at most
+	if now < g.reached+g.spacing*each {
+		return
+	}
+	g.reached, g.spacing = now, 0.5+g.chance()
+	for i, k := 0, int(g.chance()*float64(g.n)); i < g.n; i, k = i+1, (k+1)%g.n {
+		if g.peers[k].mark.gone() {
+			g.send(k, g.beat('a'))
+			return
+		}
+	}
+}
+
 func (g *Group) giveUp(now float64, k int) {
 	p := &g.peers[k]
 	p.mark, p.mine = p.mark|1, now
@@ -400,8 +422,10 @@
 	}
 	if anew && was != 0 {
 		g.back(now, m.who, was)
-		g.publish(now, m.who)
-		g.sync(m.who)
+		if m.kind != 'n' { // what it says to all, all hear: they must not all answer
+			g.publish(now, m.who)
+			g.sync(m.who)
+		}
 	}
 	if m.kind == 'a' {
 		g.send(m.who, g.beat('c'))
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -138,6 +138,13 @@
 	if x.share > math.Sqrt2+1e-9 || x.share < 1.3 {
 		t.Errorf("shares of %.3f", x.share)
 	}
+	x.cut = func(int, int) bool { return false }
+	x.run(12)
+	if x.wrong() != 0 {
+		t.Errorf("%d wrong 12 s after it healed", x.wrong())
+	}
+	x.cut = func(a, b int) bool { return a%2 != b%2 }
+	x.run(15)
 	x.all[3] = nil
 	x.run(1)
 	x.cut = func(int, int) bool { return false }
