--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -130,6 +130,7 @@
 // Eight of twelve are killed while the counter is away: with membership the four left find that out and serve what they
 // would have refused; without it they don't.
 func TestTheFourLeftServeForTwelve(t *testing.T) {
+	t.Parallel()
 	path := filepath.Join(t.TempDir(), "operator.json")
 	os.WriteFile(path, []byte(`{"membership":{"on":true}}`), 0o644)
 	var served [2]float64
@@ -150,6 +151,19 @@
 	}
 }
 
+// Two halves whose mail is cut give each other up, and find each other again once it has healed.
+func TestAHealedCutIsFound(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "operator.json")
+	os.WriteFile(path, []byte(`{"membership":{"on":true}}`), 0o644)
+	r := script(t, "mail-cut", "whole", []string{"EDGE_OPERATOR=" + path})
+	for _, b := range r.Broken {
+		if !strings.Contains(b.Text, "gave up") && !strings.Contains(b.Text, "promised: served") {
+			t.Error(b.Text, b.Lines)
+		}
+	}
+}
+
 // Each script reads, and each kind of fault and each event is in one that comes with the program.
 func TestScriptsCoverTheFaults(t *testing.T) {
 	used := map[string]bool{}
