--- a/lab/fleet/page.go
+++ b/lab/fleet/page.go
@@ -14,8 +14,8 @@
 	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"otterseam/lab/report"
 )
 
 var page = template.Must(template.New("page").Parse(`<!doctype html><meta charset="utf-8"><title>{{.Name}}</title>
@@ -52,17 +52,6 @@
 	return b.Bytes(), err
 }
 
-func svg(p *plot.Plot, height vg.Length) (template.HTML, error) {
-	c := vgsvg.New(22*vg.Centimeter, height)
-	p.Draw(draw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
-		return "", err
-	}
-	text := b.String()
-	return template.HTML(text[max(0, strings.Index(text, "<svg")):]), nil // the XML head has no place within a page
-}
-
 func picture(title, y string, r *Result) *plot.Plot {
 	plot.DefaultFont = font.Font{Typeface: "Liberation", Variant: "Sans"}
 	p := plot.New()
@@ -131,7 +120,7 @@
 			}
 		}
 	}
-	return svg(p, vg.Length(4+r.Gateways)*vg.Centimeter)
+	return report.SVG(p, 22*vg.Centimeter, vg.Length(4+r.Gateways)*vg.Centimeter)
 }
 
 // fate draws what became of the value asked for, second by second.
@@ -165,5 +154,5 @@
 	}
 	p.Legend.Top, p.Legend.TextStyle.Font.Size = true, 8
 	p.Y.Min, p.Y.Max = 0, 1.25
-	return svg(p, 6*vg.Centimeter)
+	return report.SVG(p, 22*vg.Centimeter, 6*vg.Centimeter)
 }
--- a/lab/report/html.go
+++ b/lab/report/html.go
@@ -27,7 +27,8 @@
 var colours = []color.RGBA{{0x3b, 0x8e, 0x5a, 255}, {0xb9, 0xc8, 0x4a, 255}, {0xe0, 0x8b, 0x2c, 255}, {0xf3, 0xd0, 0x8f, 255},
 	{0xb0, 0x3a, 0x5b, 255}, {0x6d, 0x4a, 0x8f, 255}, {0x22, 0x22, 0x22, 255}, {0x2a, 0x6f, 0xb5, 255}}
 
-func svg(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
+// SVG draws a picture as part of a page.
+func SVG(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
 	c := vgsvg.New(width, height)
 	p.Draw(draw.New(c))
 	var b bytes.Buffer
@@ -106,7 +107,7 @@
 	}
 	troubles(p, r, 1)
 	p.Y.Min, p.Y.Max = 0, 1.45 // room for the legend
-	return svg(p, 22*vg.Centimeter, 8.5*vg.Centimeter)
+	return SVG(p, 22*vg.Centimeter, 8.5*vg.Centimeter)
 }
 
 func line(p *plot.Plot, name string, c color.Color, r *runs.Run, of func(s figures.Second) float64) error {
@@ -145,7 +146,7 @@
 	}
 	troubles(p, r, max(top, 1e-9))
 	p.Y.Min, p.Y.Max = 0, max(top*1.3, 1e-9)
-	return svg(p, 10.8*vg.Centimeter, 6*vg.Centimeter)
+	return SVG(p, 10.8*vg.Centimeter, 6*vg.Centimeter)
 }
 
 // pictures draws one run.
@@ -212,7 +213,7 @@
 	}
 	p.NominalX(labels...)
 	p.Y.Min, p.Y.Max = 0, 1.35
-	return svg(p, 22*vg.Centimeter, 7*vg.Centimeter)
+	return SVG(p, 22*vg.Centimeter, 7*vg.Centimeter)
 }
 
 // sweep draws a figure against the one key whose values differ, a line for each set of the other changes.
@@ -266,7 +267,7 @@
 		}
 	}
 	p.Y.Min, p.Y.Max = min(0, lo), max(hi, 0.01)*1.3
-	return svg(p, 10.8*vg.Centimeter, 7*vg.Centimeter)
+	return SVG(p, 10.8*vg.Centimeter, 7*vg.Centimeter)
 }
 
 // swept is the key whose values differ most.
--- a/lab/sockets/gateways.go
+++ b/lab/sockets/gateways.go
@@ -244,4 +244,6 @@
 func (direct) Struck(int, string, float64) bool        { return false }
 func (direct) Down(int, float64) bool                  { return false }
 func (direct) Line(int, string, string)                {}
-func unanswered(how model.Ending) bool                 { return how == model.Unanswered || how == model.Broken }
+
+// unanswered: its client got nothing.
+func unanswered(how model.Ending) bool { return how == model.Unanswered || how == model.Broken }
