--- a/lab/sockets/standin.go
+++ b/lab/sockets/standin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -165,14 +166,24 @@
 	return st
 }
 
-// free finds an address on loopback that nobody holds at the moment.
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// free finds an address on loopback that nobody holds at the moment, for streams and datagrams. It lies below the ports
+// that systems give to outgoing connections: one of those could be gone before the api gateway listens.
+func free() (addr string, err error) {
+	for range 50 {
+		addr = fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		var l net.Listener
+		var p net.PacketConn
+		if l, err = net.Listen("tcp", addr); err != nil {
+			continue
+		}
+		p, err = net.ListenPacket("udp", addr)
+		l.Close()
+		if err == nil {
+			p.Close()
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // Discovery.
