--- a/lab/relay/end.go
+++ b/lab/relay/end.go
@@ -137,12 +137,6 @@
 // Mark has done called once all that was written before it has passed the link, if the other end is there to read it.
 func (s Side) Mark(done func()) { s.send(item{mark: done, came: time.Now()}) }
 
-func (s Side) LocalAddr() net.Addr              { return s.addr }
-func (s Side) RemoteAddr() net.Addr             { return s.addr }
-func (s Side) SetDeadline(time.Time) error      { return nil }
-func (s Side) SetReadDeadline(time.Time) error  { return nil }
-func (s Side) SetWriteDeadline(time.Time) error { return nil }
-
 // Inside listens for the connections of a link and hands the stand-in's side of each to it.
 func (l *Link) Inside(each func(c net.Conn)) (string, error) {
 	return l.Serve(func() (net.Conn, error) {
--- a/member/text.go
+++ b/member/text.go
@@ -54,11 +54,15 @@
 	entries []entry
 }
 
+// head begins a message of a kind, with room for so many bytes more: who says it, in which life.
+func (g *Group) head(kind byte, more int) []byte {
+	b := append(make([]byte, 0, 9+more), '!', kind)
+	return put(put(b, uint32(g.me), 2), uint32(g.peers[g.me].mark), 5)
+}
+
 // beat is a sign of life, with some of what is known of the others.
 func (g *Group) beat(kind byte) string {
-	b := append(make([]byte, 0, 16+5*window), '!', kind)
-	b = put(put(b, uint32(g.me), 2), uint32(g.peers[g.me].mark), 5)
-	b = put(b, uint32(g.from), 2)
+	b := put(g.head(kind, 2+5*window), uint32(g.from), 2)
 	n := min(window, g.n)
 	for i := range n {
 		b = put(b, uint32(g.peers[(g.from+i)%g.n].mark), 5)
@@ -68,8 +72,7 @@
 
 // newsText says what is known of some members.
 func (g *Group) newsText(of []int) string {
-	b := append(make([]byte, 0, 16+7*len(of)), '!', 'n')
-	b = put(put(b, uint32(g.me), 2), uint32(g.peers[g.me].mark), 5)
+	b := g.head('n', 7*len(of))
 	for _, k := range of {
 		b = put(put(b, uint32(k), 2), uint32(g.peers[k].mark), 5)
 	}
@@ -78,9 +81,7 @@
 
 // ofOne passes on to a member what another said of it.
 func ofOne(g *Group, e entry) string {
-	b := append([]byte(nil), '!', 'n')
-	b = put(put(b, uint32(g.me), 2), uint32(g.peers[g.me].mark), 5)
-	return string(put(put(b, uint32(e.who), 2), uint32(e.mark), 5))
+	return string(put(put(g.head('n', 7), uint32(e.who), 2), uint32(e.mark), 5))
 }
 
 // read reads a message among n members; what makes no sense is no message.
