--- a/lab/fleet/rig.go
+++ b/lab/fleet/rig.go
@@ -271,26 +271,23 @@
 	return n
 }
 
+// way is one direction of a link.
+type way struct {
+	link *relay.Link
+	dir  int
+}
+
 func (r *rig) onLink(s *day.Strike, from, to string, now, ends float64, later func(func())) {
 	l := r.link(from, to)
 	// Datagrams go one way only; the way back is another link.
 	mail := number(from) >= 0 && number(to) >= 0
 	dirs := map[string][]int{"both": {relay.There, relay.Back}, "there": {relay.There}, "back": {relay.Back}}[s.Way]
-	on := []struct {
-		link *relay.Link
-		dir  int
-	}{}
+	var on []way
 	for _, d := range dirs {
 		if mail && d == relay.Back {
-			on = append(on, struct {
-				link *relay.Link
-				dir  int
-			}{r.link(to, from), relay.There})
+			on = append(on, way{r.link(to, from), relay.There})
 		} else {
-			on = append(on, struct {
-				link *relay.Link
-				dir  int
-			}{l, d})
+			on = append(on, way{l, d})
 		}
 	}
 	span := &Span{Kind: s.Kind, What: l.Name(), Edge: max(number(from), number(to)), Begins: now, Ends: ends, to: to}
