--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,7 +60,7 @@
 	cell, fails          int  // fails: bad endings since the last good one
 	listed, aside, asked bool // active in the list; set aside here; by a peer that asks for word of it
 	out                  []*Delivery
-	since, coldNext, let float64 // its last start; while cold nothing new, nothing let go before it has grown so far
+	since, coldNext, let float64 // its last start; cold: nothing new, nothing let go before it has grown so far
 	places, restAt       float64 // how many deliveries this instance may have out there; nothing new before
 	slow, best           float64 // time of its answers over their operation's base; the least of it
 	pace, odd            float64 // mean gap between good answers times deliveries out; how odd its silence is
@@ -660,11 +660,13 @@
 	return a
 }
 
-// Goes looks once more at a delivery that waited for a connection, as it is let go. Guards against hosts that left or started
-// anew meanwhile, and against all that waited for a cold one going out together, however far apart they were chosen.
+// Goes looks once more at a delivery that waited for a connection, as it is let go. Guards against hosts that left
+// or started anew meanwhile, repeats whose token's time is over, and against all that waited for a cold host going
+// out together, however far apart they were chosen.
 func (g *Gateway) Goes(now float64, d *Delivery) bool {
-	h, grown := d.Host, g.grown(now, d.Host)
-	if !h.listed || h.since != d.since || g.warmth(now, h) < 1 && grown < h.let {
+	h, grown, inv := d.Host, g.grown(now, d.Host), d.Inv
+	if !h.listed || h.since != d.since || inv.mayRun != d && !inv.repeatable(now) ||
+		g.warmth(now, h) < 1 && grown < h.let {
 		return false
 	}
 	h.let = grown + g.coldGap()/2
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1056,3 +1056,25 @@
 		t.Fatal("the next one does not go when its time has come")
 	}
 }
+
+// A repeat of what carries a token may wait for its connection until the token's time is over.
+func TestARepeatIsNotLetGoAfterItsTokensTime(t *testing.T) {
+	f := newFake(t, Plan{Name: "p"})
+	f.g.Hosts(f.now, []Listed{{Addr: "a", Zone: "z", State: "active"}, {Addr: "b", Zone: "z", State: "active"}}, true)
+	inv := f.takeOp("mark", 1, 1)
+	first := inv.Deliveries[0]
+	if !f.g.Goes(f.now, first) {
+		t.Fatal("the first one does not go")
+	}
+	f.now += 0.3
+	f.ends(inv, Reset)
+	f.wait(0.1)
+	f.wantSent(inv, 2)
+	again := inv.Deliveries[1]
+	if f.now = first.sent + 1.99; !f.g.Goes(f.now, again) {
+		t.Error("a repeat in time does not go")
+	}
+	if f.now = first.sent + 2; f.g.Goes(f.now, again) {
+		t.Error("a repeat goes as its token is forgotten")
+	}
+}
--- a/cmd/otterseam/main.go
+++ b/cmd/otterseam/main.go
@@ -85,6 +85,13 @@
 }
 
 func run(log zerolog.Logger) error {
+	// From here on no signal ends the process by itself. Each kind has a place of its own: however often one comes, the other
+	// is not lost, and a configuration that is replaced while the one before is taken up is read after it.
+	end, reread := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reread, syscall.SIGHUP)
+	defer signal.Stop(end)
+	defer signal.Stop(reread)
 	f, err := read()
 	if err != nil {
 		return err
@@ -114,10 +121,6 @@
 	// Of the descriptors a rest is kept for the counter, discovery, peers and the runtime.
 	clientsMost, hostsMost := max(8, (sockets-40)*55/100), max(8, (sockets-40)*40/100)
 
-	// From here on no signal ends the process by itself; SIGHUP did, before the configuration could be replaced.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	root, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(root)
@@ -159,7 +162,7 @@
 	group.Go(clients.Accept)
 	group.Go(clients.Reap)
 	log.Info().Str("listen", f.Listen).Int("hosts", len(f.Known.Servers)).Msg("up")
-	end := sync.OnceFunc(func() {
+	shutdown := sync.OnceFunc(func() {
 		group.Go(func() error {
 			clients.Shutdown(longest(f.Settings) + 200*time.Millisecond)
 			loop.Quiet(ctx, 100*time.Millisecond)
@@ -173,13 +176,11 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					reload(ctx, log, loop, discovery)
-					continue
-				}
+			case <-reread:
+				reload(ctx, log, loop, discovery)
+			case s := <-end:
 				log.Info().Str("signal", s.String()).Msg("ending")
-				end()
+				shutdown()
 			}
 		}
 	})
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -26,7 +26,17 @@
 	return c
 }
 
-// arrived waits until n bytes that were sent stand unread in the system, or have been read.
+// resting waits until a connection has been answered on and rests.
+func (w *world) resting(c *client) {
+	w.t.Helper()
+	w.wait(func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.rests(time.Now())
+	})
+}
+
+// unread says that bytes stand in the system.
 func unread(c *client) bool { return !quiet(c.tcp) }
 
 // end reads to the end of a connection; a reset is none.
@@ -124,6 +134,7 @@
 		t.Fatalf("got %d", status)
 	}
 	c, late := w.only(), make(chan bool)
+	w.resting(c)
 	k.on("read", func() { // woken by the bytes, it has not read them
 		if c.closeIdle(time.Now().Add(newConnection), lingerTimeout) {
 			t.Error("closed with a request unread")
@@ -148,6 +159,7 @@
 	}
 	h.next(t)
 	c := w.only()
+	w.resting(c)
 	k.on("shut", func() { // decided, not yet done
 		io.WriteString(tcp, invoke("pay", 900, "x"))
 		for !unread(c) {
--- a/keeper/store_test.go
+++ b/keeper/store_test.go
@@ -15,6 +15,7 @@
 
 	"otterseam/hold"
 	"otterseam/keep"
+	"otterseam/lab/leak"
 )
 
 func entries(from, to, term uint64) (all []*pb.Entry) {
@@ -93,6 +94,7 @@
 
 // A keeper ends and starts again on its disk: it is the same one, and has all that it wrote.
 func TestStartsAgainOnItsDisk(t *testing.T) {
+	leak.Check(t)
 	dir := t.TempDir()
 	id, want := written(t, dir)
 	s, saved, err := OpenStore(dir, time.Now())
@@ -111,6 +113,7 @@
 // Bytes of the file are flipped, anywhere: either nothing is different, or none of it is believed and the keeper has another
 // life, so that it never votes as if it remembered.
 func TestFlippedBytes(t *testing.T) {
+	leak.Check(t)
 	from := t.TempDir()
 	id, want := written(t, from)
 	text, err := os.ReadFile(filepath.Join(from, "held.db"))
@@ -158,6 +161,7 @@
 
 // The newest write is lost as a whole, and the file looks well: the count beside it says that a later one was made.
 func TestRolledBack(t *testing.T) {
+	leak.Check(t)
 	dir := t.TempDir()
 	id, _ := written(t, dir)
 	var n [8]byte
@@ -180,6 +184,7 @@
 
 // Without a disk each process is another one.
 func TestWithoutDisk(t *testing.T) {
+	leak.Check(t)
 	a, _, err := OpenStore("", time.Now())
 	if err != nil {
 		t.Fatal(err)
--- a/lab/leak/leak.go
+++ b/lab/leak/leak.go
@@ -2,6 +2,7 @@
 package leak
 
 import (
+	"net"
 	"os"
 	"runtime"
 	"strings"
@@ -18,6 +19,9 @@
 // than now. It is to be called before what may leak is made.
 func Check(t testing.TB) {
 	t.Helper()
+	if l, err := net.Listen("tcp", "127.0.0.1:0"); err == nil { // what the runtime keeps for sockets is there from now on
+		l.Close()
+	}
 	goroutines, descriptors := runtime.NumGoroutine(), open()
 	t.Cleanup(func() {
 		var g, d int
--- a/lab/sockets/pump.go
+++ b/lab/sockets/pump.go
@@ -16,12 +16,23 @@
 	in    chan func()
 	start time.Time
 	late  float64 // the most that an event came late, in seconds
+	ended chan struct{}
 }
 
-func newPump(q *event.Queue) *pump { return &pump{q: q, in: make(chan func(), 4096)} }
+func newPump(q *event.Queue) *pump {
+	return &pump{q: q, in: make(chan func(), 4096), ended: make(chan struct{})}
+}
+
+// Do has f called on the pump's goroutine, at the present moment of the day; not after the end.
+func (p *pump) Do(f func()) {
+	select {
+	case p.in <- f:
+	case <-p.ended:
+	}
+}
 
-// Do has f called on the pump's goroutine, at the present moment of the day.
-func (p *pump) Do(f func()) { p.in <- f }
+// end lets those go who wait for a pump that does not run any more.
+func (p *pump) end() { close(p.ended) }
 
 func (p *pump) now() float64 { return time.Since(p.start).Seconds() }
 
--- a/lab/sockets/server.go
+++ b/lab/sockets/server.go
@@ -49,9 +49,10 @@
 	through func()
 }
 
-func newConn(tcp net.Conn) *conn {
+func newConn(tcp net.Conn, gone func(*conn)) *conn {
 	c := &conn{tcp: tcp, out: make(chan piece, 256)}
 	go func() {
+		defer gone(c)
 		for p := range c.out {
 			tcp.SetWriteDeadline(time.Now().Add(2 * time.Second))
 			if _, err := tcp.Write(p.bytes); err != nil {
