Stray bytes on a counter connection end it; what others sent amiss is told in a few lines a second

Cause: read from counter.read: bytes that came while no call was out were kept, and what completed them was taken for the answer to the next call; each later answer then was that of the call behind its own. Bytes are read under the lock of the order now, and what comes before the oldest call was handed to the system ends the connection. A word in between (1xx) is passed over; it spoilt the call.

Ruled out: that the counter's usual odd answers changed; TestOddAnswersOfTheCounter asks for the log line too.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -418,12 +418,16 @@
 func (c *client) judge(b *Buffer, bad error) (status int, call http1.Call) {
 	switch {
 	case errors.Is(bad, errNoRoom):
+		c.refused(503, bad.Error())
 		return 503, call
 	case errors.Is(bad, http1.ErrHeadTooLong):
+		c.refused(431, bad.Error())
 		return 431, call
 	case errors.Is(bad, http1.ErrBodyTooLong):
+		c.refused(413, bad.Error())
 		return 413, call
 	case bad != nil:
+		c.refused(400, bad.Error())
 		return 400, call
 	case string(b.Target) == http1.HealthPath:
 		if c.clients.ready() && !c.clients.ending.Load() {
@@ -433,11 +437,13 @@
 	}
 	call, ok := http1.ReadCall(&b.Message)
 	if !ok || string(b.Method) == "GET" && len(b.Body) > 0 {
+		c.refused(400, "a field is missing, malformed or given twice, or a body where none may be")
 		return 400, call
 	}
 	// What makes no sense by the settings is malformed too: counted or sent, it would be load on one customer's name.
 	limit, ok := c.clients.accepts(call.Operation, string(b.Method), call.Plan, call.Units, call.Width, call.First)
 	if !ok {
+		c.refused(400, "an operation, method, plan, units or set that the settings do not know")
 		return 400, call
 	}
 	if limit > 0 {
@@ -446,6 +452,11 @@
 	return 0, call
 }
 
+// refused says what was wrong with a request.
+func (c *client) refused(status int, why string) {
+	c.clients.loop.bad.Warn().Stringer("client", c.tcp.RemoteAddr()).Int("status", status).Str("why", why).Msg("request refused")
+}
+
 // answered waits for the answer that is owed, and tells the loop if the client leaves before it.
 func (c *client) answered() (a answer, ok bool) {
 	ended := c.ended
--- a/gateway/counter.go
+++ b/gateway/counter.go
@@ -69,6 +69,7 @@
 
 type counterConn struct {
 	counter *Counter
+	addr    string
 	ctx     context.Context
 	stop    context.CancelFunc
 	pause   *damp.Pause   // before it dials again
@@ -80,8 +81,9 @@
 	tcp     net.Conn // while it is up
 	mute    bool     // its oldest call was overtaken long ago
 	pending []byte
-	added   int64
-	written int64
+	added   int64 // bytes of calls so far
+	handed  int64 // of them, handed to the system
+	written int64 // of them, taken by it
 	order   []*call
 }
 
@@ -113,7 +115,7 @@
 	}
 	c.addr, c.old, c.conns = addr, append(c.old, c.conns...), nil
 	for range counterConns {
-		k := &counterConn{counter: c, wake: make(chan struct{}, 1), pause: c.Pauses.New(0.01)}
+		k := &counterConn{counter: c, addr: addr, wake: make(chan struct{}, 1), pause: c.Pauses.New(0.01)}
 		k.ctx, k.stop = context.WithCancel(c.ctx)
 		c.conns = append(c.conns, k)
 		c.group.Go(func() error { return k.run(addr) })
@@ -326,7 +328,7 @@
 // live uses one connection until it ends, and closes it; it says whether any call was answered.
 func (k *counterConn) live(ctx context.Context, tcp net.Conn) (answered bool) {
 	k.mu.Lock()
-	k.up, k.pending, k.added, k.written, k.order = true, k.pending[:0], 0, 0, k.order[:0]
+	k.up, k.pending, k.added, k.handed, k.written, k.order = true, k.pending[:0], 0, 0, 0, k.order[:0]
 	k.tcp, k.mute = tcp, false
 	k.mu.Unlock()
 	done := make(chan struct{})
@@ -369,6 +371,7 @@
 		}
 		k.mu.Lock()
 		going, k.pending = k.pending, going[:0]
+		k.handed += int64(len(going))
 		k.mu.Unlock()
 		if len(going) == 0 {
 			continue
@@ -386,24 +389,44 @@
 
 // read reads answers, each for the oldest call in the order, until the connection ends or an answer makes no sense.
 func (k *counterConn) read(ctx context.Context, tcp net.Conn) (answered bool) {
+	raw, err := rawOf(tcp)
+	if err != nil {
+		return false
+	}
 	var b http1.Message
 	b.Begin(make([]byte, http1.Small), true)
 	for {
 		tcp.SetReadDeadline(time.Now().Add(time.Second))
 		if len(b.Space()) == 0 { // no total is that long
-			if x := k.oldest(); x != nil {
-				x.spoilt = true
-			}
+			k.spoil(b.Status, http1.ErrBodyTooLong)
 			return true
 		}
-		n, err := tcp.Read(b.Space())
+		n, stray := 0, false
+		bad := raw.Read(func(fd uintptr) bool {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			var again bool
+			n, again, err = receive(fd, b.Space())
+			stray = n > 0 && (len(k.order) == 0 || k.order[0].until > k.handed)
+			return !again
+		})
+		// Guards against bytes that nobody asked for: what follows them would be taken for the answer to the next call, and
+		// each later answer for that of the call behind its own.
+		if stray {
+			k.counter.loop.bad.Warn().Str("counter", k.addr).Msg("bytes that no call was made for")
+			return answered
+		}
 		for whole, bad := b.Got(n); whole || bad != nil; whole, bad = b.Got(n) {
+			if bad == nil && b.Status < 200 { // only a word in between
+				n = b.Next()
+				continue
+			}
 			x := k.oldest()
 			if x == nil {
 				return answered
 			}
 			if bad != nil || !x.read(&b) {
-				x.spoilt = true
+				k.spoil(b.Status, bad)
 				return true
 			}
 			k.mu.Lock()
@@ -416,6 +439,9 @@
 				return answered
 			}
 		}
+		if err == nil {
+			err = bad
+		}
 		if ne, ok := err.(net.Error); ok && ne.Timeout() && ctx.Err() == nil && !k.stuck() {
 			continue
 		}
@@ -425,6 +451,14 @@
 	}
 }
 
+// spoil: the oldest call has an answer that makes no sense, so it was added.
+func (k *counterConn) spoil(status int, why error) {
+	if x := k.oldest(); x != nil {
+		x.spoilt = true
+	}
+	k.counter.loop.bad.Warn().Str("counter", k.addr).Int("status", status).AnErr("why", why).Msg("answer not used, the call counts as added")
+}
+
 func (k *counterConn) oldest() *call {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"syscall"
@@ -63,6 +64,9 @@
 		}
 	}
 	h.none(t)
+	if n := w.log.count("request refused"); n < 1 || n > 2*badLines { // some of them: a flood must not become one of lines
+		t.Errorf("%d lines say that a request was refused", n)
+	}
 }
 
 func TestHalfARequestIsNotWaitedForWithoutEnd(t *testing.T) {
@@ -210,6 +214,9 @@
 			t.Errorf("%s: %d", name, status)
 		}
 		w.wait(func() bool { return len(w.loop.counter.names) == 0 })
+		if name != "absent" && name != "silent" && name != "ended" && name != "turned" && !w.log.has("answer not used") {
+			t.Errorf("%s: the log does not say", name)
+		}
 	}
 }
 
@@ -265,6 +272,43 @@
 	}
 }
 
+// Half an answer that no call was made for: what completes it would be the answer to the next call, and that one's to the
+// one behind it.
+func TestBytesThatNoCallWasMadeForAreNoTotal(t *testing.T) {
+	l := newRawHost(t)
+	w := start(t, nil)
+	w.wait(func() bool { w.counter.Use(l.Addr().String()); return true })
+	for range counterConns {
+		c := l.next(t)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n1e")
+		if closed(c) {
+			c.Close() // as it should
+			continue
+		}
+		t.Error("a connection with half an answer on it stands")
+	}
+	go func() { // it is made anew, and answers with a word in between
+		for {
+			select {
+			case <-w.clients.ctx.Done():
+				return
+			case c := <-l.conns:
+				t.Cleanup(func() { c.Close() })
+				go messages(c, false, func(m *http1.Message) bool {
+					io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n"+ok("7"))
+					return true
+				})
+			}
+		}
+	}()
+	w.wait(func() bool { return w.counter.place() != nil })
+	w.wait(func() bool { w.counter.add(5, 1, 1); return true })
+	w.wait(func() bool { return w.counter.newest > 0 })
+	if !w.log.has("no call was made for") {
+		t.Error("the log does not say")
+	}
+}
+
 func TestCallsOnOneNameStayOnOneConnection(t *testing.T) {
 	w := start(t, func(m *http1.Message, n int) string { return "" })
 	w.wait(func() bool {
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -75,6 +75,7 @@
 
 	raw     syscall.RawConn
 	in      *Buffer        // reader's: the answer on its way in; nil: nothing has come
+	bad     error          // reader's: what was wrong with it
 	outcome choice.Outcome // of the delivery, set before told to the loop
 	reply   *Buffer
 	reuse   bool
@@ -398,6 +399,9 @@
 		}); bad != nil {
 			how, reuse = c.broken(), false
 		}
+		if c.bad != nil {
+			c.hosts.loop.bad.Warn().Str("host", c.host.id).Err(c.bad).Msg("answer not used")
+		}
 		if how != 0 {
 			c.outcome, c.reply, c.reuse = how, c.in, reuse
 			c.in = nil
@@ -435,6 +439,7 @@
 		c.in = c.hosts.buffers.Take(true)
 	}
 	if len(c.in.Space()) == 0 && !c.hosts.buffers.Grow(c.in, c.hosts.buffers.most) {
+		c.bad = errNoRoom
 		return c.answered(choice.Failed, false), false, true
 	}
 	n, again, err := receive(fd, c.in.Space())
@@ -451,6 +456,7 @@
 		}
 		return c.answered(how, false), false, true
 	case !c.written:
+		c.bad = errStray
 		return c.answered(0, false), false, true
 	}
 	whole, bad := c.in.Got(n)
@@ -460,7 +466,7 @@
 		}
 		whole, bad = c.in.Got(n)
 	}
-	if bad != nil {
+	if c.bad = bad; bad != nil {
 		return c.answered(choice.Failed, false), false, true
 	}
 	if !whole {
@@ -470,6 +476,8 @@
 	return c.answered(meaning(c.in), reuse), reuse, true
 }
 
+var errStray = errors.New("bytes that no request was written for")
+
 func meaning(b *Buffer) choice.Outcome {
 	switch {
 	case b.Status == 200:
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -21,12 +21,16 @@
 // early is how long before a client gives up the last delivery is ended, so that the answer still reaches it.
 const early = 0.008
 
+// badLines is how many lines a second tell of what others sent that makes no sense: a flood of it must not become one of lines.
+const badLines = 5
+
 // past is a deadline that ends whatever waits on a connection.
 var past = time.Unix(1, 0)
 
 type Loop struct {
 	queue   chan func()
 	log     zerolog.Logger
+	bad     zerolog.Logger // what others sent that makes no sense, a few lines a second
 	module  *choice.Gateway
 	hosts   *Hosts
 	counter *Counter
@@ -59,7 +63,7 @@
 
 func NewLoop(log zerolog.Logger) *Loop {
 	now := time.Now()
-	return &Loop{queue: make(chan func(), 1024), log: log, inHand: map[*choice.Invocation]*invocation{},
+	return &Loop{queue: make(chan func(), 1024), log: log, bad: log.Sample(&zerolog.BurstSampler{Burst: badLines, Period: time.Second}), inHand: map[*choice.Invocation]*invocation{},
 		refs: [2]map[string]bool{{}, {}},
 		base: float64(now.UnixNano()) / 1e9, start: now}
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -104,6 +104,12 @@
 	return strings.Contains(l.b.String(), part)
 }
 
+func (l *lines) count(part string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.b.String(), part)
+}
+
 func entry(id, addr, state string) string {
 	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","state":%q,"weight":1,"started_ms":0}`, id, addr, state)
 }
