--- /dev/null
+++ b/tier/agent/agent.go
@@ -0,0 +1,59 @@
+// Package agent is the process beside each proxy that keeps the link to control. It follows what control distributes and feeds
+// it to the proxy over loopback, so that a proxy that starts finds a view at once and control serves one subscriber a machine.
+package agent
+
+import (
+	"context"
+	"net"
+	"strings"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"otterseam/tier/codes"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+	"otterseam/tier/rpc"
+	"otterseam/tier/settings"
+)
+
+// Agent is the agent process.
+type Agent struct {
+	settings *settings.Settings
+	seeds    *settings.Seeds
+	view     *feed.View
+	log      *logrus.Entry
+}
+
+// New makes an agent.
+func New(s *settings.Settings, log *logrus.Entry) (*Agent, error) {
+	if err := settings.Require(map[string]string{"seeds": strings.Join(s.Seeds, ",")}); err != nil {
+		return nil, err
+	}
+	return &Agent{settings: s, seeds: settings.NewSeeds(s), view: feed.NewView(), log: log}, nil
+}
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.settings.AgentAddress())
+	if err != nil {
+		return oops.Wrapf(err, "internal_ports")
+	}
+	defer listener.Close()
+	publisher := &feed.Publisher{View: a.view}
+	go rpc.Serve(listener, func(message rpc.Message) {
+		if message.Kind == feed.KindSubscribe {
+			publisher.Handle(message)
+		} else {
+			message.Answer(codes.Malformed, nil)
+		}
+	})
+	subscriber := &feed.Subscriber{View: a.view, Addresses: a.controlAddresses}
+	subscriber.Run(ctx)
+	return nil
+}
+
+// controlAddresses lists where control may be: the members that the view names and the seeds.
+func (a *Agent) controlAddresses() []string {
+	return append(directory.ControlAddresses(a.view), a.seeds.Addresses()...)
+}
--- /dev/null
+++ b/tier/balance/balance.go
@@ -0,0 +1,115 @@
+// Package balance chooses hosts. It is pure: what this gateway has sent, what hosts told of their load and how requests ended
+// go in, the host to send to comes out.
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportTrust is how long a host's own word of its load counts.
+	reportTrust = 400 * time.Millisecond
+	firstPause  = 300 * time.Millisecond
+	longPause   = 5 * time.Second
+	nearBonus   = 0.06 // of the load that a host in the own zone is taken to be below its true one
+	stickyLoad  = 0.85 // up to which the host that knows the prompt is preferred
+	stickyBonus = 0.35
+)
+
+// Host is what is known of one host.
+type Host struct {
+	ID       string
+	Zone     string
+	Slots    int
+	Draining bool
+
+	open      int // requests of this gateway there
+	told      float64
+	toldAt    time.Time
+	failures  int
+	pausedTil time.Time
+}
+
+// Begin counts a request sent.
+func (h *Host) Begin() { h.open++ }
+
+// End counts a request ended.
+func (h *Host) End() { h.open-- }
+
+// Open is how many requests of this gateway are at the host.
+func (h *Host) Open() int { return h.open }
+
+// Told takes the host's word of its load: requests running and waiting.
+func (h *Host) Told(running, waiting int, now time.Time) {
+	h.told = float64(running + waiting)
+	h.toldAt = now
+}
+
+// Succeeded notes an answer.
+func (h *Host) Succeeded() {
+	h.failures = 0
+	h.pausedTil = time.Time{}
+}
+
+// Failed notes a request that broke off or could not be sent; the host is avoided for a time that grows.
+func (h *Host) Failed(now time.Time) {
+	h.failures++
+	pause := firstPause << min(h.failures-1, 4)
+	h.pausedTil = now.Add(min(pause, longPause))
+}
+
+// Full notes that the host turned a request away.
+func (h *Host) Full(now time.Time) {
+	h.told = math.Max(h.told, float64(h.slots()))
+	h.toldAt = now
+}
+
+func (h *Host) slots() int { return max(h.Slots, 1) }
+
+// load is the share of the host's slots that is taken, as far as is known here.
+func (h *Host) load(now time.Time) float64 {
+	busy := float64(h.open)
+	if now.Sub(h.toldAt) < reportTrust {
+		busy = math.Max(busy, h.told)
+	}
+	return busy / float64(h.slots())
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Zone      string          // of this gateway
+	Preferred string          // the host that holds the earlier turns, if known
+	Tried     map[string]bool // hosts that this request has been sent to
+	Chance    func() float64
+}
+
+// Choose returns the host to send to, or nil if there is none. Hosts that failed lately are used only when no other is left.
+func Choose(hosts []*Host, request Request, now time.Time) *Host {
+	if best := choose(hosts, request, now, false); best != nil {
+		return best
+	}
+	return choose(hosts, request, now, true)
+}
+
+func choose(hosts []*Host, request Request, now time.Time, paused bool) *Host {
+	var best *Host
+	bestScore := math.Inf(1)
+	for _, host := range hosts {
+		if host.Draining || request.Tried[host.ID] || (!paused && now.Before(host.pausedTil)) {
+			continue
+		}
+		score := host.load(now) + request.Chance()*0.02
+		if host.Zone == request.Zone {
+			score -= nearBonus
+		}
+		if host.ID == request.Preferred && host.load(now) < stickyLoad {
+			score -= stickyBonus
+		}
+		if score < bestScore {
+			best = host
+			bestScore = score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/tier/control/elector.go
@@ -0,0 +1,340 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/controlclient"
+	"otterseam/tier/groups"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+)
+
+// controlGroup is the number of the group that holds the control state.
+const controlGroup uint32 = 0
+
+const (
+	witnessValue    = "witness"
+	callTimeout     = 350 * time.Millisecond
+	proposeTimeout  = 1200 * time.Millisecond
+	suspectAfter    = 500 // milliseconds without the primary
+	stickyFor       = 350 // a witness that heard the primary so lately helps nobody to replace it
+	suspectRankStep = 120 // milliseconds that each further candidate waits
+)
+
+// prepareMode tells a witness why it is asked.
+type prepareMode uint8
+
+const (
+	prepareBySelf     prepareMode = iota // the primary itself, or a founder
+	prepareOnSilence                     // the primary is not heard
+	prepareOnTransfer                    // the primary asked for it
+)
+
+// Elector is a control process's part in the register: its witness, and what it knows of the group.
+type Elector struct {
+	host    *groups.Host
+	clients *rpc.Clients
+	address string
+	log     *logrus.Entry
+
+	mu      sync.Mutex
+	witness register.Witness
+	known   register.Record // the newest record seen, accepted here or told
+	round   uint64
+	led     bool // whether this process has become primary in its present life
+}
+
+func newElector(host *groups.Host, clients *rpc.Clients, address string, log *logrus.Entry) (*Elector, error) {
+	e := &Elector{host: host, clients: clients, address: address, log: log}
+	content, err := host.Values.Read(witnessValue)
+	if err != nil {
+		return nil, err
+	}
+	if content != nil {
+		if e.witness, err = register.DecodeWitness(content); err != nil {
+			return nil, err
+		}
+		e.known = e.witness.Value
+	}
+	return e, nil
+}
+
+// hasLed tells whether this process has become primary in its present life.
+func (e *Elector) hasLed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.led
+}
+
+// Known is the newest record seen.
+func (e *Elector) Known() register.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
+// Learn takes a record told by another process.
+func (e *Elector) Learn(record register.Record) {
+	e.mu.Lock()
+	if record.Epoch > e.known.Epoch {
+		e.known = record
+	}
+	known := e.known
+	e.mu.Unlock()
+	for _, member := range known.Voters() {
+		e.host.SetAddress(member.ID, member.Address)
+	}
+}
+
+// primaryHeardLately tells whether this process has a primary, itself or one heard.
+func (e *Elector) primaryHeardLately(span int64) bool {
+	heard := false
+	e.host.With(controlGroup, func(g *replica.Group) {
+		heard = groups.Now()-g.PrimaryHeard() < span && !g.IsPrimary()
+	})
+	return heard
+}
+
+// handlePrepare answers a prepare for this process's witness.
+func (e *Elector) handlePrepare(message rpc.Message) {
+	d := codec.NewDecoder(message.Payload)
+	to := d.Uint64()
+	mode := prepareMode(d.Uint8())
+	ballot := register.DecodeBallot(d)
+	if d.Err() != nil {
+		message.Answer(codes.Malformed, nil)
+		return
+	}
+	if to != e.host.Identity {
+		message.Answer(codes.WrongIdentity, nil)
+		return
+	}
+	if mode == prepareOnSilence && e.primaryHeardLately(stickyFor) {
+		message.Answer(codes.PrimaryAlive, nil)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	given := e.vote(func(w *register.Witness) bool { return w.Prepare(ballot) })
+	message.Answer(codes.OK, e.promise(given))
+}
+
+// handleAccept answers an accept for this process's witness.
+func (e *Elector) handleAccept(message rpc.Message) {
+	d := codec.NewDecoder(message.Payload)
+	to := d.Uint64()
+	ballot := register.DecodeBallot(d)
+	record := register.DecodeRecord(d)
+	if d.Err() != nil {
+		message.Answer(codes.Malformed, nil)
+		return
+	}
+	if to != e.host.Identity {
+		message.Answer(codes.WrongIdentity, nil)
+		return
+	}
+	e.mu.Lock()
+	given := e.vote(func(w *register.Witness) bool { return w.Accept(ballot, record) })
+	answer := e.promise(given)
+	e.mu.Unlock()
+	if given {
+		e.Learn(record)
+	}
+	message.Answer(codes.OK, answer)
+}
+
+// vote changes the witness and makes the change durable before it counts; the lock is held.
+func (e *Elector) vote(change func(*register.Witness) bool) bool {
+	next := e.witness
+	if !change(&next) {
+		return false
+	}
+	if err := e.host.Values.Write(witnessValue, next.Encode()); err != nil {
+		e.log.WithError(err).Error("witness could not be written; no vote is given")
+		return false
+	}
+	e.witness = next
+	return true
+}
+
+func (e *Elector) promise(given bool) []byte {
+	var enc codec.Encoder
+	enc.Bool(given)
+	register.EncodeBallot(&enc, e.witness.Promised)
+	register.EncodeBallot(&enc, e.witness.Accepted)
+	register.EncodeRecord(&enc, e.witness.Value)
+	return enc.Bytes
+}
+
+func decodePromise(data []byte) (register.Promise, error) {
+	d := codec.NewDecoder(data)
+	p := register.Promise{
+		Given: d.Bool(), Promised: register.DecodeBallot(d), Accepted: register.DecodeBallot(d), Value: register.DecodeRecord(d),
+	}
+	return p, d.Err()
+}
+
+// witnessTransport reaches the witnesses of other processes, and this one's, over rpc.
+type witnessTransport struct {
+	elector *Elector
+	mode    prepareMode
+}
+
+// Prepare asks a witness for its promise.
+func (t witnessTransport) Prepare(ctx context.Context, to register.Member, ballot register.Ballot) (register.Promise, error) {
+	var e codec.Encoder
+	e.Uint64(to.ID)
+	e.Uint8(uint8(t.mode))
+	register.EncodeBallot(&e, ballot)
+	return t.call(ctx, to, controlclient.KindPrepare, e.Bytes)
+}
+
+// Accept asks a witness to take a value.
+func (t witnessTransport) Accept(ctx context.Context, to register.Member, ballot register.Ballot, value register.Record) (register.Promise, error) {
+	var e codec.Encoder
+	e.Uint64(to.ID)
+	register.EncodeBallot(&e, ballot)
+	register.EncodeRecord(&e, value)
+	return t.call(ctx, to, controlclient.KindAccept, e.Bytes)
+}
+
+func (t witnessTransport) call(ctx context.Context, to register.Member, kind rpc.Kind, payload []byte) (register.Promise, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := t.elector.clients.To(to.Address).Call(call, kind, payload)
+	if err != nil {
+		return register.Promise{}, err
+	}
+	return decodePromise(answer)
+}
+
+// propose changes the register. One proposal at a time runs in a process.
+func (e *Elector) propose(ctx context.Context, mode prepareMode, start register.Record, change register.Change) (register.Record, error) {
+	e.mu.Lock()
+	round := max(e.round, e.witness.Promised.Round)
+	e.mu.Unlock()
+	attempt, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	record, round, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, start, round, change)
+	e.mu.Lock()
+	e.round = max(e.round, round)
+	e.mu.Unlock()
+	if err == nil {
+		e.Learn(record)
+	}
+	return record, err
+}
+
+var errNotWanted = errors.New("another record has been decided meanwhile")
+
+// TakeOver makes this process primary in place of the one of the suspected epoch.
+func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, gone func(uint64) bool, floor func(members int) int) error {
+	start := e.Known()
+	took := false
+	record, err := e.propose(ctx, mode, start, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+		took = false
+		if current.Epoch != suspected || !current.IsInSync(e.host.Identity) {
+			return current, false
+		}
+		took = true
+		return successor(current, e.host.Identity, gone, floor(len(current.Members))), true
+	})
+	if err != nil {
+		return err
+	}
+	if !took {
+		return errNotWanted
+	}
+	e.lead(record)
+	return nil
+}
+
+// successor is the record of the next epoch: a new primary, and the in-sync set without the old one unless too few remain.
+// Replicas whose disk is gone leave the set in any case.
+func successor(current register.Record, primary uint64, gone func(uint64) bool, floor int) register.Record {
+	next := current
+	next.Epoch++
+	next.Primary = primary
+	next.InSync = nil
+	for _, id := range current.InSync {
+		if id == primary || !gone(id) {
+			next.InSync = append(next.InSync, id)
+		}
+	}
+	if current.Primary != primary && len(next.InSync) > floor {
+		next.InSync = register.Without(next.InSync, current.Primary)
+	}
+	return next
+}
+
+// lead has the replica act on a record that this process has decided.
+func (e *Elector) lead(record register.Record) {
+	e.mu.Lock()
+	e.led = true
+	e.mu.Unlock()
+	e.log.WithFields(logrus.Fields{"epoch": record.Epoch, "in_sync": len(record.InSync), "members": len(record.Members)}).Info("primary of control")
+	e.host.SetView(controlGroup, viewOf(record))
+}
+
+func viewOf(record register.Record) replica.View {
+	view := replica.View{Epoch: record.Epoch, Primary: record.Primary, InSync: record.InSync}
+	for _, member := range record.Members {
+		view.Replicas = append(view.Replicas, member.ID)
+	}
+	return view
+}
+
+// Adjust changes the record while this process is its primary: members, or the in-sync set.
+func (e *Elector) Adjust(ctx context.Context, change func(register.Record) (register.Record, bool)) error {
+	adjusted := false
+	record, err := e.propose(ctx, prepareBySelf, e.Known(), func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+		adjusted = false
+		if current.Primary != e.host.Identity {
+			return current, false
+		}
+		next, wanted := change(current)
+		if !wanted {
+			return current, false
+		}
+		adjusted = true
+		next.Epoch = current.Epoch + 1
+		return next, true
+	})
+	if err != nil {
+		return err
+	}
+	if adjusted {
+		e.lead(record)
+	}
+	return nil
+}
+
+// Found decides the first record.
+func (e *Elector) Found(ctx context.Context, members []register.Member) error {
+	first := register.Record{Members: members}
+	founded := false
+	record, err := e.propose(ctx, prepareBySelf, first, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+		founded = false
+		if current.Known() {
+			return current, false
+		}
+		founded = true
+		next := register.Record{Epoch: 1, Primary: e.host.Identity, Members: members}
+		for _, member := range members {
+			next.InSync = append(next.InSync, member.ID)
+		}
+		return next, true
+	})
+	if err == nil && founded {
+		e.lead(record)
+	}
+	return err
+}
--- /dev/null
+++ b/tier/feed/view.go
@@ -0,0 +1,261 @@
+// Package feed distributes what control has decided. A view is a set of items, each with the revision that last changed it;
+// subscribers get a snapshot and then the changes, and a view never goes back to an older revision of an item. The same view
+// stands in control, in each agent and in each proxy.
+package feed
+
+import (
+	"sort"
+	"sync"
+
+	"otterseam/tier/codec"
+)
+
+// Section groups items of one kind.
+type Section uint8
+
+// The sections of a view.
+const (
+	SectionConfig Section = iota + 1
+	SectionHost
+	SectionStore
+	SectionShard
+	SectionControl
+	sectionPublicEnd
+	// SectionHistory holds hashes of configurations that were taken; it is not distributed.
+	SectionHistory
+	// SectionRetire holds the store machines that are to be emptied; it is not distributed.
+	SectionRetire
+)
+
+// Item is one piece of what was decided.
+type Item struct {
+	Section  Section
+	Key      string
+	Revision uint64
+	Deleted  bool
+	Data     []byte
+}
+
+type itemKey struct {
+	section Section
+	key     string
+}
+
+// Update carries the items that changed after From, up to Revision. Whole says that it replaces all items.
+type Update struct {
+	Revision uint64
+	Whole    bool
+	Items    []Item
+}
+
+// tombstonesKept bounds how many deleted items are remembered for subscribers that lag.
+const tombstonesKept = 512
+
+// View is a set of items with a revision. It may be used from several goroutines.
+type View struct {
+	mu       sync.Mutex
+	items    map[itemKey]Item
+	revision uint64
+	// forgotten is the newest revision whose deletion is no longer remembered: subscribers that lag behind it get all.
+	forgotten uint64
+	changed   chan struct{}
+}
+
+// NewView makes an empty view.
+func NewView() *View {
+	return &View{items: map[itemKey]Item{}, changed: make(chan struct{})}
+}
+
+// Revision is the newest revision.
+func (v *View) Revision() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.revision
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Put sets an item at a revision.
+func (v *View) Put(section Section, key string, revision uint64, data []byte) {
+	v.set(Item{Section: section, Key: key, Revision: revision, Data: data})
+}
+
+// Delete removes an item at a revision.
+func (v *View) Delete(section Section, key string, revision uint64) {
+	v.set(Item{Section: section, Key: key, Revision: revision, Deleted: true})
+}
+
+func (v *View) set(item Item) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.items[itemKey{item.Section, item.Key}] = item
+	v.revision = max(v.revision, item.Revision)
+	if item.Deleted {
+		v.forgetTombstones()
+	}
+	v.notify()
+}
+
+func (v *View) forgetTombstones() {
+	var dead []Item
+	for _, item := range v.items {
+		if item.Deleted {
+			dead = append(dead, item)
+		}
+	}
+	if len(dead) <= tombstonesKept {
+		return
+	}
+	sort.Slice(dead, func(i, j int) bool { return dead[i].Revision < dead[j].Revision })
+	for _, item := range dead[:len(dead)-tombstonesKept/2] {
+		v.forgotten = max(v.forgotten, item.Revision)
+		delete(v.items, itemKey{item.Section, item.Key})
+	}
+}
+
+// Get returns an item's data.
+func (v *View) Get(section Section, key string) ([]byte, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	item, found := v.items[itemKey{section, key}]
+	return item.Data, found && !item.Deleted
+}
+
+// All returns the live items of a section in the order of their keys.
+func (v *View) All(section Section) []Item {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var items []Item
+	for key, item := range v.items {
+		if key.section == section && !item.Deleted {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items
+}
+
+// Since returns what a subscriber at a revision lacks of the public sections.
+func (v *View) Since(revision uint64) Update {
+	return v.since(revision, func(section Section) bool { return section < sectionPublicEnd })
+}
+
+// Export returns everything, for a snapshot.
+func (v *View) Export() Update {
+	return v.since(0, func(Section) bool { return true })
+}
+
+func (v *View) since(revision uint64, include func(Section) bool) Update {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	update := Update{Revision: v.revision, Whole: revision == 0 || revision < v.forgotten}
+	for _, item := range v.items {
+		if !include(item.Section) || (update.Whole && item.Deleted) {
+			continue
+		}
+		if update.Whole || item.Revision > revision {
+			update.Items = append(update.Items, item)
+		}
+	}
+	sort.Slice(update.Items, func(i, j int) bool { return update.Items[i].Revision < update.Items[j].Revision })
+	return update
+}
+
+// Merge takes an update and returns the items that changed. Updates older than the view change nothing.
+func (v *View) Merge(update Update) []Item {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if update.Revision < v.revision {
+		return nil
+	}
+	var changed []Item
+	if update.Whole {
+		changed = v.removeMissing(update)
+	}
+	for _, item := range update.Items {
+		key := itemKey{item.Section, item.Key}
+		if held, found := v.items[key]; found && held.Revision >= item.Revision {
+			continue
+		}
+		v.items[key] = item
+		changed = append(changed, item)
+	}
+	moved := update.Revision > v.revision
+	v.revision = update.Revision
+	if moved || len(changed) > 0 {
+		v.notify()
+	}
+	return changed
+}
+
+func (v *View) removeMissing(update Update) []Item {
+	present := make(map[itemKey]bool, len(update.Items))
+	for _, item := range update.Items {
+		present[itemKey{item.Section, item.Key}] = true
+	}
+	var changed []Item
+	for key, item := range v.items {
+		if present[key] || item.Deleted {
+			continue
+		}
+		item.Deleted = true
+		item.Data = nil
+		item.Revision = update.Revision
+		v.items[key] = item
+		changed = append(changed, item)
+	}
+	return changed
+}
+
+// Restore replaces the whole view, as a snapshot says.
+func (v *View) Restore(update Update) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.items = map[itemKey]Item{}
+	for _, item := range update.Items {
+		v.items[itemKey{item.Section, item.Key}] = item
+	}
+	v.revision = update.Revision
+	v.forgotten = update.Revision
+	v.notify()
+}
+
+const smallestItem = 1 + 4 + 8 + 1 + 4
+
+// Encode is the update's form on the wire and on disk.
+func (u Update) Encode() []byte {
+	var e codec.Encoder
+	e.Uint64(u.Revision)
+	e.Bool(u.Whole)
+	e.Uint32(uint32(len(u.Items)))
+	for _, item := range u.Items {
+		e.Uint8(uint8(item.Section))
+		e.String(item.Key)
+		e.Uint64(item.Revision)
+		e.Bool(item.Deleted)
+		e.Blob(item.Data)
+	}
+	return e.Bytes
+}
+
+// DecodeUpdate reads an update.
+func DecodeUpdate(message []byte) (Update, error) {
+	d := codec.NewDecoder(message)
+	u := Update{Revision: d.Uint64(), Whole: d.Bool()}
+	for range d.Count(smallestItem) {
+		u.Items = append(u.Items, Item{
+			Section: Section(d.Uint8()), Key: d.String(), Revision: d.Uint64(), Deleted: d.Bool(), Data: d.Blob(),
+		})
+	}
+	return u, d.Err()
+}
--- /dev/null
+++ b/tier/groups/host.go
@@ -0,0 +1,429 @@
+// Package groups carries out what replicas decide: it keeps the replicas of many groups in one process, makes their writes
+// durable in group commits, sends their messages and hands results to those who wait for them.
+package groups
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+	"otterseam/tier/storage"
+)
+
+// KindReplica is a message between replicas.
+const KindReplica rpc.Kind = 10
+
+const (
+	tickEvery     = 40 * time.Millisecond
+	writeRetry    = 100 * time.Millisecond
+	identityValue = "identity"
+)
+
+// Now is the steady clock in milliseconds, as the replicas count it.
+func Now() int64 { return time.Since(started).Milliseconds() + clockBase }
+
+var started = time.Now()
+
+// clockBase keeps the steady clock away from 0, which stands for "never".
+const clockBase = 1 << 20
+
+type waiter struct {
+	epoch  uint64
+	result chan any
+}
+
+type hosted struct {
+	id      uint32
+	group   *replica.Group
+	waiters map[uint64]waiter
+}
+
+// pendingWrite is a write of a group, or the note that the group is no longer held.
+type pendingWrite struct {
+	group   *hosted
+	write   replica.Write
+	dropped bool
+}
+
+// Host holds the replicas of a process.
+type Host struct {
+	Identity uint64
+	Values   *storage.Values
+
+	journal    *storage.Journal
+	found      map[uint32]*storage.Log
+	clients    *rpc.Clients
+	log        *logrus.Entry
+	heartbeats bool
+
+	mu        sync.Mutex
+	groups    map[uint32]*hosted
+	addresses map[uint64]string
+	queue     []pendingWrite
+	wake      chan struct{}
+}
+
+// Open reads the folder. A process whose folder holds no identity draws one: it is a new member, whatever its address.
+func Open(dir string, clients *rpc.Clients, log *logrus.Entry, heartbeats bool) (*Host, error) {
+	values, err := storage.OpenValues(filepath.Join(dir, "values"))
+	if err != nil {
+		return nil, oops.Wrapf(err, "data_dir")
+	}
+	journal, records, err := storage.OpenJournal(filepath.Join(dir, "journal"))
+	if err != nil {
+		return nil, oops.Wrapf(err, "journal")
+	}
+	h := &Host{
+		Values:     values,
+		journal:    journal,
+		found:      storage.Fold(records),
+		clients:    clients,
+		log:        log,
+		heartbeats: heartbeats,
+		groups:     map[uint32]*hosted{},
+		addresses:  map[uint64]string{},
+		wake:       make(chan struct{}, 1),
+	}
+	if h.Identity, err = identity(values); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func identity(values *storage.Values) (uint64, error) {
+	content, err := values.Read(identityValue)
+	if err != nil {
+		return 0, err
+	}
+	if len(content) == 8 {
+		return binary.BigEndian.Uint64(content), nil
+	}
+	drawn := rand.Uint64() | 1
+	return drawn, values.Write(identityValue, binary.BigEndian.AppendUint64(nil, drawn))
+}
+
+// Found lists the groups whose state is on disk and not yet open.
+func (h *Host) Found() []uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []uint32
+	for id := range h.found {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// OpenGroup makes the replica of a group from what is on disk.
+func (h *Host) OpenGroup(id uint32, machine replica.StateMachine, options replica.Options) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.groups[id] != nil {
+		return nil
+	}
+	var base replica.Snapshot
+	var entries []replica.Entry
+	if log := h.found[id]; log != nil {
+		base = replica.Snapshot{Index: log.SnapshotIndex, Epoch: log.SnapshotEpoch, State: log.Snapshot}
+		for _, record := range log.Entries {
+			entries = append(entries, replica.Entry{Index: record.Index, Epoch: record.Epoch, Data: record.Data})
+		}
+		delete(h.found, id)
+	}
+	group, err := replica.NewGroup(h.Identity, machine, base, entries, options)
+	if err != nil {
+		return oops.Wrapf(err, "group %d", id)
+	}
+	h.groups[id] = &hosted{id: id, group: group, waiters: map[uint64]waiter{}}
+	return nil
+}
+
+// DropGroup forgets a group's replica and its disk state.
+func (h *Host) DropGroup(id uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[id]; g != nil {
+		g.failWaiters()
+		delete(h.groups, id)
+		h.queue = append(h.queue, pendingWrite{group: g, dropped: true})
+		h.wakeWriter()
+	}
+}
+
+// Has tells whether a replica of the group is open.
+func (h *Host) Has(id uint32) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.groups[id] != nil
+}
+
+// SetAddress tells where a replica is reached.
+func (h *Host) SetAddress(identity uint64, address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addresses[identity] = address
+}
+
+// With runs a function on a group under the lock and carries out what follows.
+func (h *Host) With(id uint32, use func(*replica.Group)) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g := h.groups[id]
+	if g == nil {
+		return false
+	}
+	use(g.group)
+	h.carryOut(g)
+	return true
+}
+
+// SetView tells a group's view.
+func (h *Host) SetView(id uint32, view replica.View) {
+	h.With(id, func(g *replica.Group) { g.SetView(view, Now()) })
+}
+
+// IsPrimary tells whether commands for the group are taken here.
+func (h *Host) IsPrimary(id uint32) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g := h.groups[id]
+	return g != nil && g.group.IsReady()
+}
+
+// Submit proposes a command and waits until it is committed. NotPrimary says that it was not proposed; Timeout that it may
+// or may not be committed.
+func (h *Host) Submit(ctx context.Context, id uint32, command []byte) (any, error) {
+	h.mu.Lock()
+	g := h.groups[id]
+	if g == nil || !g.group.IsReady() {
+		h.mu.Unlock()
+		return nil, codes.NotPrimary
+	}
+	index := g.group.Propose(command, Now())
+	result := make(chan any, 1)
+	g.waiters[index] = waiter{epoch: g.group.View().Epoch, result: result}
+	h.carryOut(g)
+	h.mu.Unlock()
+	select {
+	case got, open := <-result:
+		if !open {
+			return nil, codes.Timeout
+		}
+		return got, nil
+	case <-ctx.Done():
+		h.mu.Lock()
+		delete(g.waiters, index)
+		h.mu.Unlock()
+		return nil, codes.Timeout
+	}
+}
+
+func (g *hosted) failWaiters() {
+	for index, waiting := range g.waiters {
+		close(waiting.result)
+		delete(g.waiters, index)
+	}
+}
+
+// carryOut does what a group's events ask for; the lock is held.
+func (h *Host) carryOut(g *hosted) {
+	output := g.group.Take()
+	if output.Dropped {
+		g.failWaiters()
+	}
+	for _, write := range output.Writes {
+		h.queue = append(h.queue, pendingWrite{group: g, write: write})
+	}
+	if len(output.Writes) > 0 {
+		h.wakeWriter()
+	}
+	for _, out := range output.Messages {
+		h.sendMessage(g.id, out)
+	}
+	for _, applied := range output.Applied {
+		if waiting, found := g.waiters[applied.Index]; found {
+			delete(g.waiters, applied.Index)
+			waiting.result <- applied.Result
+		}
+	}
+	g.group.Trim()
+}
+
+func (h *Host) wakeWriter() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Host) sendMessage(group uint32, out replica.Outgoing) {
+	address := h.addresses[out.To]
+	if address == "" {
+		return
+	}
+	var e codec.Encoder
+	e.Uint32(group)
+	e.Uint64(h.Identity)
+	e.Uint64(out.To)
+	out.Message.Encode(&e)
+	h.clients.To(address).Send(KindReplica, e.Bytes)
+}
+
+// HandleMessage takes a message between replicas. Those for another identity, or for a group that is not held, are dropped.
+// unknown is called for a group that is not open.
+func (h *Host) HandleMessage(payload []byte, unknown func(group uint32)) {
+	d := codec.NewDecoder(payload)
+	id := d.Uint32()
+	from := d.Uint64()
+	to := d.Uint64()
+	message := replica.DecodeMessage(d)
+	if d.Err() != nil || to != h.Identity {
+		return
+	}
+	if !h.Has(id) && unknown != nil {
+		unknown(id)
+	}
+	h.With(id, func(g *replica.Group) { g.Step(from, message, Now()) })
+}
+
+// Run writes and ticks until the context ends.
+func (h *Host) Run(ctx context.Context) {
+	go h.writeLoop(ctx)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.tick()
+		}
+	}
+}
+
+func (h *Host) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := Now()
+	for _, g := range h.groups {
+		g.group.Tick(now, h.heartbeats)
+		h.carryOut(g)
+	}
+}
+
+func (h *Host) writeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.wake:
+		}
+		for h.writeOnce(ctx) {
+		}
+	}
+}
+
+// writeOnce makes all that is queued durable in one commit.
+func (h *Host) writeOnce(ctx context.Context) bool {
+	h.mu.Lock()
+	queue := h.queue
+	h.queue = nil
+	h.mu.Unlock()
+	if len(queue) == 0 {
+		return false
+	}
+	records := recordsOf(queue)
+	for {
+		err := h.journal.Append(records)
+		if err == nil {
+			break
+		}
+		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Error("journal write failed; nothing is acknowledged")
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(writeRetry):
+		}
+	}
+	h.reportDurable(queue)
+	if h.journal.WantsRewrite() {
+		h.rewrite()
+	}
+	return true
+}
+
+func recordsOf(queue []pendingWrite) []storage.Record {
+	var records []storage.Record
+	for _, pending := range queue {
+		if pending.dropped {
+			records = append(records, storage.Record{Kind: storage.RecordDrop, Group: pending.group.id})
+		}
+		if snapshot := pending.write.Snapshot; snapshot != nil {
+			records = append(records, snapshotRecord(pending.group.id, *snapshot))
+		}
+		for _, entry := range pending.write.Entries {
+			records = append(records, entryRecord(pending.group.id, entry))
+		}
+	}
+	return records
+}
+
+func snapshotRecord(group uint32, s replica.Snapshot) storage.Record {
+	return storage.Record{Kind: storage.RecordSnapshot, Group: group, Index: s.Index, Epoch: s.Epoch, Data: s.State}
+}
+
+func entryRecord(group uint32, e replica.Entry) storage.Record {
+	return storage.Record{Kind: storage.RecordEntry, Group: group, Index: e.Index, Epoch: e.Epoch, Data: e.Data}
+}
+
+func (h *Host) reportDurable(queue []pendingWrite) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := Now()
+	touched := map[*hosted]bool{}
+	for _, pending := range queue {
+		if snapshot := pending.write.Snapshot; snapshot != nil {
+			pending.group.group.Durable(snapshot.Index, snapshot.Epoch, now)
+		}
+		if n := len(pending.write.Entries); n > 0 {
+			last := pending.write.Entries[n-1]
+			pending.group.group.Durable(last.Index, last.Epoch, now)
+		}
+		touched[pending.group] = true
+	}
+	for g := range touched {
+		h.carryOut(g)
+	}
+}
+
+// rewrite replaces the journal by the present state of all groups.
+func (h *Host) rewrite() {
+	h.mu.Lock()
+	var records []storage.Record
+	for id, g := range h.groups {
+		snapshot, entries := g.group.CompactionState()
+		records = append(records, snapshotRecord(id, snapshot))
+		for _, entry := range entries {
+			records = append(records, entryRecord(id, entry))
+		}
+	}
+	for id, log := range h.found {
+		records = append(records, storage.Record{
+			Kind: storage.RecordSnapshot, Group: id, Index: log.SnapshotIndex, Epoch: log.SnapshotEpoch, Data: log.Snapshot,
+		})
+		records = append(records, log.Entries...)
+	}
+	h.mu.Unlock()
+	if err := h.journal.Rewrite(records); err != nil {
+		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("journal could not be written anew; the old one stays")
+	}
+}
--- /dev/null
+++ b/tier/placement/placement.go
@@ -0,0 +1,251 @@
+// Package placement decides which store machines hold which shards: where replicas are placed, who leads and which replicas
+// may be dropped from an in-sync set. It is pure: the state of the machines and the time go in, the next view comes out.
+package placement
+
+import (
+	"hash/crc32"
+	"sort"
+	"strconv"
+
+	"otterseam/tier/directory"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+// ShardCount is how many shards an installation is founded with.
+const ShardCount = 24
+
+// Machine is a store machine as control sees it now.
+type Machine struct {
+	Store    directory.Store
+	Alive    bool // its session holds
+	Away     bool // silent for so long that its replicas are placed elsewhere
+	Leaving  bool // it is about to stop: it leads nothing
+	Retiring bool // it is to be emptied
+}
+
+// Cluster is what placement decides from.
+type Cluster struct {
+	Machines map[uint64]Machine
+	Tolerate int // machines whose loss at once has to be borne
+}
+
+// Copies is how many replicas a shard has where there are enough machines: after the loss of as many as are tolerated, one
+// more than those is left, so that none has to be taken out of the in-sync set below that.
+func (c Cluster) Copies() int { return 2*c.Tolerate + 1 }
+
+// floor is how many replicas stay in the in-sync set although their machine is silent.
+func (c Cluster) floor(replicas int) int {
+	return max(1, min(c.Copies(), replicas)-c.Tolerate)
+}
+
+// Found places a new shard. It reports false while too few machines are alive.
+func (c Cluster) Found(id uint32) (directory.Shard, bool) {
+	desired := c.Desired(id)
+	if len(desired) <= c.Tolerate {
+		return directory.Shard{}, false
+	}
+	for _, each := range desired {
+		if !c.Machines[each].Alive {
+			return directory.Shard{}, false
+		}
+	}
+	primary := c.Machines[desired[0]].Store
+	view := replica.View{Epoch: 1, Primary: primary.Identity, InSync: desired, Replicas: desired}
+	return directory.Shard{ID: id, View: view, PrimaryBoot: primary.Boot}, true
+}
+
+// Desired lists the machines that should hold a shard, the preferred primary first: by rendezvous hashing, each zone once
+// before any zone twice.
+func (c Cluster) Desired(shard uint32) []uint64 {
+	var candidates []Machine
+	for _, machine := range c.Machines {
+		if !machine.Retiring && !machine.Away {
+			candidates = append(candidates, machine)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := weight(shard, candidates[i].Store), weight(shard, candidates[j].Store)
+		if a != b {
+			return a > b
+		}
+		return candidates[i].Store.Identity < candidates[j].Store.Identity
+	})
+	want := min(c.Copies(), len(candidates))
+	var chosen []uint64
+	for perZone := 1; len(chosen) < want; perZone++ {
+		chosen = spread(candidates, perZone, want)
+	}
+	return chosen
+}
+
+// spread takes candidates in order, so many from each zone at most.
+func spread(candidates []Machine, perZone, want int) []uint64 {
+	used := map[string]int{}
+	var chosen []uint64
+	for _, machine := range candidates {
+		if len(chosen) < want && used[machine.Store.Zone] < perZone {
+			used[machine.Store.Zone]++
+			chosen = append(chosen, machine.Store.Identity)
+		}
+	}
+	return chosen
+}
+
+func weight(shard uint32, store directory.Store) uint32 {
+	key := strconv.FormatUint(uint64(shard), 10) + "/" + store.Node + "/" + strconv.FormatUint(store.Identity, 16)
+	return mix(crc32.ChecksumIEEE([]byte(key)))
+}
+
+// mix spreads the bits of a checksum, which alone is linear in its input.
+func mix(x uint32) uint32 {
+	x ^= x >> 16
+	x *= 0x7feb352d
+	x ^= x >> 15
+	x *= 0x846ca68b
+	return x ^ x>>16
+}
+
+// Next returns the shard as it should become, and whether it differs. At most one step of a move is taken at a time.
+func (c Cluster) Next(shard directory.Shard) (directory.Shard, bool) {
+	desired := c.Desired(shard.ID)
+	view := shard.View
+	next := view
+	next.InSync = c.remaining(view)
+	if len(next.InSync) == 0 {
+		return shard, false
+	}
+	next.Replicas = c.replicas(next, desired)
+	next.InSync = onlyIn(next.InSync, next.Replicas)
+	primary := c.primary(shard, next, desired)
+	if primary == 0 {
+		return shard, false
+	}
+	next.Primary = primary
+	boot := c.Machines[primary].Store.Boot
+	if next.Primary == view.Primary && boot == shard.PrimaryBoot && same(next.InSync, view.InSync) && same(next.Replicas, view.Replicas) {
+		return shard, false
+	}
+	next.Epoch = view.Epoch + 1
+	return directory.Shard{ID: shard.ID, View: next, PrimaryBoot: boot}, true
+}
+
+// remaining is the in-sync set without replicas whose disk is gone and, down to the floor, without silent ones.
+func (c Cluster) remaining(view replica.View) []uint64 {
+	var known []uint64
+	for _, id := range view.InSync {
+		if _, exists := c.Machines[id]; exists {
+			known = append(known, id)
+		}
+	}
+	floor := c.floor(len(view.Replicas))
+	rest := known
+	for _, id := range known {
+		if !c.Machines[id].Alive && len(rest) > floor {
+			rest = register.Without(rest, id)
+		}
+	}
+	return rest
+}
+
+// replicas adds machines that should hold the shard, and removes others once all that should are in sync.
+func (c Cluster) replicas(view replica.View, desired []uint64) []uint64 {
+	var replicas []uint64
+	for _, id := range view.Replicas {
+		_, exists := c.Machines[id]
+		if exists && (register.Contains(desired, id) || !allIn(view.InSync, desired) || id == view.Primary) {
+			replicas = append(replicas, id)
+		}
+	}
+	for _, id := range desired {
+		if !register.Contains(replicas, id) && c.Machines[id].Alive {
+			replicas = append(replicas, id)
+		}
+	}
+	return replicas
+}
+
+func onlyIn(ids, allowed []uint64) []uint64 {
+	var rest []uint64
+	for _, id := range ids {
+		if register.Contains(allowed, id) {
+			rest = append(rest, id)
+		}
+	}
+	return rest
+}
+
+func allIn(set, wanted []uint64) bool {
+	for _, id := range wanted {
+		if !register.Contains(set, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// primary chooses who leads: the present primary while it can, else an in-sync replica that is alive.
+func (c Cluster) primary(shard directory.Shard, next replica.View, desired []uint64) uint64 {
+	present := c.Machines[next.Primary]
+	moved := !register.Contains(desired, next.Primary) && allIn(next.InSync, desired)
+	fits := register.Contains(next.InSync, next.Primary) && present.Alive && present.Store.Boot == shard.PrimaryBoot
+	if fits && !moved && !present.Leaving {
+		return next.Primary
+	}
+	best := uint64(0)
+	bestScore := -1
+	for _, id := range next.InSync {
+		machine := c.Machines[id]
+		if !machine.Alive {
+			continue
+		}
+		score := 0
+		if !machine.Leaving {
+			score += 4
+		}
+		if register.Contains(desired, id) {
+			score += 2
+		}
+		if len(desired) > 0 && desired[0] == id {
+			score++
+		}
+		if score > bestScore {
+			best = id
+			bestScore = score
+		}
+	}
+	if best == 0 && fits {
+		return next.Primary
+	}
+	return best
+}
+
+// MayDrop tells whether a replica may be taken out of the in-sync set because its primary does not hear it.
+func (c Cluster) MayDrop(view replica.View, id uint64) bool {
+	if !register.Contains(view.InSync, id) {
+		return true
+	}
+	return len(view.InSync)-1 >= c.floor(len(view.Replicas))
+}
+
+// Empty tells whether a machine holds no shard any more.
+func Empty(shards map[uint32]directory.Shard, identity uint64) bool {
+	for _, shard := range shards {
+		if register.Contains(shard.View.Replicas, identity) || register.Contains(shard.View.InSync, identity) {
+			return false
+		}
+	}
+	return true
+}
+
+func same(a, b []uint64) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/tier/proxy/hosts.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"otterseam/tier/balance"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+	"otterseam/tier/upstream"
+)
+
+// target is a host with its connections.
+type target struct {
+	balance.Host
+	address string
+	service string
+	pool    *upstream.Pool
+}
+
+// hostTable holds the hosts by service.
+type hostTable struct {
+	mu        sync.Mutex
+	zone      string
+	byID      map[string]*target
+	byService map[string][]*balance.Host
+}
+
+func newHostTable(zone string) *hostTable {
+	return &hostTable{zone: zone, byID: map[string]*target{}, byService: map[string][]*balance.Host{}}
+}
+
+// update follows the hosts that changed in the view.
+func (t *hostTable) update(items []feed.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for _, item := range items {
+		if item.Section != feed.SectionHost {
+			continue
+		}
+		changed = true
+		if item.Deleted {
+			t.remove(item.Key)
+		} else if host, err := directory.DecodeHost(item.Data); err == nil {
+			t.put(host)
+		}
+	}
+	if changed {
+		t.rebuild()
+	}
+}
+
+func (t *hostTable) remove(id string) {
+	if held := t.byID[id]; held != nil {
+		held.pool.Close()
+		delete(t.byID, id)
+	}
+}
+
+func (t *hostTable) put(host directory.Host) {
+	held := t.byID[host.ID]
+	if held == nil || held.address != host.Address {
+		t.remove(host.ID)
+		held = &target{address: host.Address, pool: upstream.NewPool(host.Address)}
+		held.ID = host.ID
+		t.byID[host.ID] = held
+	}
+	held.service = host.Service
+	held.Zone = host.Zone
+	held.Slots = host.Slots
+	held.Draining = host.Draining
+}
+
+func (t *hostTable) rebuild() {
+	t.byService = map[string][]*balance.Host{}
+	for _, held := range t.byID {
+		t.byService[held.service] = append(t.byService[held.service], &held.Host)
+	}
+}
+
+// choose takes a host for a request and counts the request there.
+func (t *hostTable) choose(service, preferred string, tried map[string]bool) *target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	request := balance.Request{Zone: t.zone, Preferred: preferred, Tried: tried, Chance: rand.Float64}
+	chosen := balance.Choose(t.byService[service], request, time.Now())
+	if chosen == nil {
+		return nil
+	}
+	chosen.Begin()
+	return t.byID[chosen.ID]
+}
+
+// outcome is how a request at a host ended.
+type outcome uint8
+
+const (
+	outcomeAnswered outcome = iota
+	outcomeFull
+	outcomeFailed
+	outcomeAbandoned // by the client
+)
+
+// done counts a request off.
+func (t *hostTable) done(host *target, how outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	host.End()
+	switch how {
+	case outcomeAnswered:
+		host.Succeeded()
+	case outcomeFull:
+		host.Full(time.Now())
+	case outcomeFailed:
+		host.Failed(time.Now())
+	}
+}
+
+// told takes a host's load header: running, waiting, slots.
+func (t *hostTable) told(host *target, header string) {
+	parts := strings.Split(header, ",")
+	if len(parts) < 2 {
+		return
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
+	waiting, waitingErr := strconv.Atoi(strings.TrimSpace(parts[1]))
+	if err != nil || waitingErr != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	host.Told(running, waiting, time.Now())
+}
+
+// sweep closes connections that have rested for too long.
+func (t *hostTable) sweep() {
+	t.mu.Lock()
+	pools := make([]*upstream.Pool, 0, len(t.byID))
+	for _, held := range t.byID {
+		pools = append(pools, held.pool)
+	}
+	t.mu.Unlock()
+	for _, pool := range pools {
+		pool.Sweep()
+	}
+}
--- /dev/null
+++ b/tier/proxy/proxy.go
@@ -0,0 +1,267 @@
+// Package proxy is the data plane: it takes requests of clients, finds their route, charges the budgets of agent programs, and
+// sends them to hosts. It serves from the view that the agent on its machine feeds it.
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"otterseam/tier/codes"
+	"otterseam/tier/control"
+	"otterseam/tier/feed"
+	"otterseam/tier/opconfig"
+	"otterseam/tier/settings"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 256 << 10
+	retryAfter        = "0.2"
+	sweepEvery        = time.Second
+	// drainFor is how long a proxy that is to stop keeps taking connections: the platform asks once a second and takes a
+	// gateway out after two misses.
+	drainFor = 3500 * time.Millisecond
+	// graceMargin is how long before the platform kills the process its last answers are given up.
+	graceMargin = 400 * time.Millisecond
+)
+
+// Proxy is a proxy process.
+type Proxy struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	view     *feed.View
+	hosts    *hostTable
+	programs *programClient
+	table    atomic.Pointer[opconfig.Table]
+	stopping atomic.Bool
+	work     sync.WaitGroup // settlements that nobody waits for
+}
+
+// New makes a proxy.
+func New(s *settings.Settings, log *logrus.Entry) (*Proxy, error) {
+	required := map[string]string{"listen.front": s.ListenFront, "listen.readiness": s.ListenReadiness}
+	if err := settings.Require(required); err != nil {
+		return nil, err
+	}
+	view := feed.NewView()
+	return &Proxy{settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view)}, nil
+}
+
+// Run serves until the context ends, and then ends in order.
+func (p *Proxy) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", p.settings.ListenFront)
+	if err != nil {
+		return oops.Wrapf(err, "listen.front")
+	}
+	readiness, err := net.Listen("tcp", p.settings.ListenReadiness)
+	if err != nil {
+		return oops.Wrapf(err, "listen.readiness")
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	agentAddress := []string{p.settings.AgentAddress()}
+	subscriber := &feed.Subscriber{View: p.view, Addresses: func() []string { return agentAddress }, Changed: p.update}
+	go subscriber.Run(background)
+	go p.sweep(background)
+	go func() { _ = http.Serve(readiness, p.readinessRoutes()) }()
+	server := &http.Server{
+		Handler:           http.HandlerFunc(p.serve),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	go func() { _ = server.Serve(front) }()
+	<-ctx.Done()
+	return p.stop(server)
+}
+
+// stop takes no more work once the platform sends none, and ends when the last answer has.
+func (p *Proxy) stop(server *http.Server) error {
+	p.stopping.Store(true)
+	limit, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Grace-graceMargin)
+	defer cancel()
+	select {
+	case <-limit.Done():
+	case <-time.After(min(drainFor, p.settings.Bounds.Grace/2)):
+	}
+	err := server.Shutdown(limit)
+	settled := make(chan struct{})
+	go func() {
+		p.work.Wait()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+	case <-limit.Done():
+	}
+	return err
+}
+
+func (p *Proxy) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.hosts.sweep()
+		}
+	}
+}
+
+// update follows the view.
+func (p *Proxy) update(items []feed.Item) {
+	for _, item := range items {
+		if item.Section == feed.SectionConfig && !item.Deleted {
+			p.takeConfig(item.Data)
+		}
+	}
+	p.hosts.update(items)
+	p.programs.update(items)
+}
+
+func (p *Proxy) takeConfig(data []byte) {
+	version, body := control.SplitConfig(data)
+	config, err := opconfig.Parse(body)
+	if err != nil {
+		p.log.WithField("code", uint16(codes.ConfigInvalid)).WithError(err).Error("a distributed configuration cannot be read; the one before stays")
+		return
+	}
+	p.table.Store(opconfig.NewTable(config))
+	p.log.WithField("version", version).Info("configuration in force")
+}
+
+func (p *Proxy) readinessRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if p.ready() {
+			w.WriteHeader(http.StatusOK)
+		} else {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+// ready tells whether the proxy can serve: it has a configuration and is not about to stop.
+func (p *Proxy) ready() bool {
+	return !p.stopping.Load() && p.table.Load() != nil && len(p.view.All(feed.SectionHost)) > 0
+}
+
+// problem is the body of an answer of the proxy's own.
+type problem struct {
+	Code  uint16 `json:"code"`
+	Error string `json:"error"`
+}
+
+func (p *Proxy) failText(w http.ResponseWriter, status int, code codes.Code, text string) {
+	body, _ := json.Marshal(problem{Code: uint16(code), Error: text})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (p *Proxy) fail(w http.ResponseWriter, status int, code codes.Code) {
+	p.failText(w, status, code, code.Error())
+}
+
+// refuse promises that the request has not run and never will, and says when to come back.
+func (p *Proxy) refuse(w http.ResponseWriter, code codes.Code) {
+	w.Header().Set("Retry-After", retryAfter)
+	p.fail(w, http.StatusServiceUnavailable, code)
+}
+
+// serve takes one request.
+func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if id := r.Header.Get(headerRequestID); id != "" {
+		w.Header().Set(headerRequestID, id)
+	}
+	table := p.table.Load()
+	if table == nil {
+		p.refuse(w, codes.NotReady)
+		return
+	}
+	body, read := p.readBody(w, r, table.Config.Limits)
+	if !read {
+		return
+	}
+	route := table.Route(r.Host, r.URL.Path)
+	if route == nil {
+		p.fail(w, http.StatusNotFound, codes.NoRoute)
+		return
+	}
+	timeout := time.Duration(route.TimeoutMS * float64(time.Millisecond))
+	if text := r.Header.Get("X-Deadline-Ms"); text != "" {
+		deadline, ok := milliseconds(text)
+		if !ok {
+			p.failText(w, http.StatusBadRequest, codes.RequestMalformed, "X-Deadline-Ms is no number of milliseconds")
+			return
+		}
+		timeout = min(timeout, deadline)
+	}
+	asked := &request{
+		id: r.Header.Get(headerRequestID), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body,
+		route: route, service: route.Pick(rand.Float64()), arrived: arrived, deadline: arrived.Add(timeout),
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), asked.deadline)
+	defer cancel()
+	if route.RouteType == opconfig.RouteStreaming {
+		p.serveTurn(ctx, w, asked, table.Service(asked.service))
+	} else {
+		p.servePlain(ctx, w, asked)
+	}
+}
+
+// readBody reads the whole request within the operator's limits.
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, limits opconfig.Limits) ([]byte, bool) {
+	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
+		p.fail(w, http.StatusRequestHeaderFieldsTooLarge, codes.HeadTooLarge)
+		return nil, false
+	}
+	most := limits.MaxBodyBytes
+	if most <= 0 {
+		most = maxAnswerBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		p.fail(w, http.StatusRequestEntityTooLarge, codes.BodyTooLarge)
+	} else {
+		w.Header().Set("Connection", "close")
+		p.fail(w, http.StatusBadRequest, codes.RequestMalformed)
+	}
+	return nil, false
+}
+
+func headerBytes(r *http.Request) int {
+	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + 4
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/tier/register/register.go
@@ -0,0 +1,233 @@
+// Package register is the small register on which the witnesses of a replica group agree: which epoch holds, who is its
+// primary and which replicas are in sync. It holds one value, changed by compare-and-set with ballots on a majority; it is no
+// log. The package is pure: it neither reads clocks nor sockets nor disks.
+package register
+
+import (
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+)
+
+// Member is a process that votes and may hold a replica. The identity is drawn when its disk is first used, so that a
+// machine that lost its disk comes back as another member.
+type Member struct {
+	ID      uint64
+	Address string
+}
+
+// Record is the value of the register.
+type Record struct {
+	Epoch    uint64
+	Primary  uint64
+	InSync   []uint64
+	Members  []Member
+	Previous []Member // the members before a change that is not yet known by a majority of both
+}
+
+// Known tells whether the register has been founded.
+func (r Record) Known() bool { return r.Epoch > 0 }
+
+// Voters are all whose votes may be needed.
+func (r Record) Voters() []Member {
+	voters := append([]Member(nil), r.Members...)
+	for _, member := range r.Previous {
+		if !HasMember(voters, member.ID) {
+			voters = append(voters, member)
+		}
+	}
+	return voters
+}
+
+// Member finds a voter by its identity.
+func (r Record) Member(id uint64) (Member, bool) {
+	for _, member := range r.Voters() {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// IsInSync tells whether a replica holds all that was acknowledged.
+func (r Record) IsInSync(id uint64) bool { return Contains(r.InSync, id) }
+
+// HasMember tells whether a list holds a member of that identity.
+func HasMember(members []Member, id uint64) bool {
+	for _, member := range members {
+		if member.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Contains tells whether a list holds an identity.
+func Contains(ids []uint64, id uint64) bool {
+	for _, each := range ids {
+		if each == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Without returns the list without one identity.
+func Without(ids []uint64, id uint64) []uint64 {
+	var rest []uint64
+	for _, each := range ids {
+		if each != id {
+			rest = append(rest, each)
+		}
+	}
+	return rest
+}
+
+// Ballot orders attempts to change the register.
+type Ballot struct {
+	Round    uint64
+	Proposer uint64
+}
+
+// Less tells whether b is the lower ballot.
+func (b Ballot) Less(other Ballot) bool {
+	if b.Round != other.Round {
+		return b.Round < other.Round
+	}
+	return b.Proposer < other.Proposer
+}
+
+// Witness is what one voter keeps, durably, before it answers.
+type Witness struct {
+	Promised Ballot
+	Accepted Ballot
+	Value    Record
+}
+
+// Prepare promises not to accept lower ballots. It reports whether the promise was given; the witness's state must be
+// durable before it is told to anyone.
+func (w *Witness) Prepare(ballot Ballot) bool {
+	if ballot.Less(w.Promised) {
+		return false
+	}
+	w.Promised = ballot
+	return true
+}
+
+// Accept takes a value unless a higher ballot has been promised.
+func (w *Witness) Accept(ballot Ballot, value Record) bool {
+	if ballot.Less(w.Promised) {
+		return false
+	}
+	w.Promised = ballot
+	w.Accepted = ballot
+	w.Value = value
+	return true
+}
+
+// Promise is a witness's answer to a prepare.
+type Promise struct {
+	Given    bool
+	Promised Ballot
+	Accepted Ballot
+	Value    Record
+}
+
+// Majority tells whether more than half of the members are among the voters.
+func Majority(members []Member, voted map[uint64]bool) bool {
+	if len(members) == 0 {
+		return true
+	}
+	count := 0
+	for _, member := range members {
+		if voted[member.ID] {
+			count++
+		}
+	}
+	return count > len(members)/2
+}
+
+// Quorum tells whether the voters decide for a record: a majority of its members and, during a change, of those before.
+func Quorum(record Record, voted map[uint64]bool) bool {
+	return Majority(record.Members, voted) && Majority(record.Previous, voted)
+}
+
+// Newest picks the value with the highest accepted ballot among promises, or the standard one if none was accepted.
+func Newest(promises map[uint64]Promise, standard Record) Record {
+	best := Ballot{}
+	value := standard
+	for _, promise := range promises {
+		if promise.Given && promise.Value.Known() && best.Less(promise.Accepted) {
+			best = promise.Accepted
+			value = promise.Value
+		}
+	}
+	return value
+}
+
+// EncodeRecord appends a record to a message.
+func EncodeRecord(e *codec.Encoder, r Record) {
+	e.Uint64(r.Epoch)
+	e.Uint64(r.Primary)
+	e.Uint64s(r.InSync)
+	encodeMembers(e, r.Members)
+	encodeMembers(e, r.Previous)
+}
+
+// DecodeRecord reads a record from a message.
+func DecodeRecord(d *codec.Decoder) Record {
+	return Record{
+		Epoch:    d.Uint64(),
+		Primary:  d.Uint64(),
+		InSync:   d.Uint64s(),
+		Members:  decodeMembers(d),
+		Previous: decodeMembers(d),
+	}
+}
+
+func encodeMembers(e *codec.Encoder, members []Member) {
+	e.Uint32(uint32(len(members)))
+	for _, member := range members {
+		e.Uint64(member.ID)
+		e.String(member.Address)
+	}
+}
+
+const smallestMember = 8 + 4
+
+func decodeMembers(d *codec.Decoder) []Member {
+	var members []Member
+	for range d.Count(smallestMember) {
+		members = append(members, Member{ID: d.Uint64(), Address: d.String()})
+	}
+	return members
+}
+
+// EncodeBallot appends a ballot to a message.
+func EncodeBallot(e *codec.Encoder, b Ballot) {
+	e.Uint64(b.Round)
+	e.Uint64(b.Proposer)
+}
+
+// DecodeBallot reads a ballot from a message.
+func DecodeBallot(d *codec.Decoder) Ballot {
+	return Ballot{Round: d.Uint64(), Proposer: d.Uint64()}
+}
+
+// Encode is the witness's durable form.
+func (w *Witness) Encode() []byte {
+	var e codec.Encoder
+	EncodeBallot(&e, w.Promised)
+	EncodeBallot(&e, w.Accepted)
+	EncodeRecord(&e, w.Value)
+	return e.Bytes
+}
+
+// DecodeWitness reads a witness's durable form.
+func DecodeWitness(content []byte) (Witness, error) {
+	d := codec.NewDecoder(content)
+	w := Witness{Promised: DecodeBallot(d), Accepted: DecodeBallot(d), Value: DecodeRecord(d)}
+	if d.Err() != nil {
+		return Witness{}, codes.Malformed
+	}
+	return w, nil
+}
--- /dev/null
+++ b/tier/replica/step.go
@@ -0,0 +1,349 @@
+package replica
+
+import "otterseam/tier/codec"
+
+// MessageKind tells what a message between replicas says.
+type MessageKind uint8
+
+// The kinds of messages between replicas.
+const (
+	// MessageAppend carries entries behind one that both are to hold.
+	MessageAppend MessageKind = iota + 1
+	// MessageInstall carries a snapshot, for a replica whose log can't be continued.
+	MessageInstall
+	// MessageAck says what is durable at a replica.
+	MessageAck
+	// MessageMismatch says that the entry before the appended ones isn't held.
+	MessageMismatch
+	// MessageStale says that the sender's epoch has passed.
+	MessageStale
+)
+
+// Message is what replicas of a group say to each other.
+type Message struct {
+	Kind      MessageKind
+	Epoch     uint64
+	Index     uint64 // before the entries, of the snapshot, or durable
+	PrevEpoch uint64 // epoch of the entry at Index
+	Commit    uint64
+	Entries   []Entry
+	State     []byte
+}
+
+const (
+	maxAppendBytes   = 1 << 20
+	resendAfter      = 150 // milliseconds
+	installResend    = 2000
+	smallestEntry    = 8 + 8 + 4
+	complainAfter    = 450
+	admitLag         = 64 // entries that a replica may lack when it is asked into the in-sync set
+	heartbeatSilence = 100
+)
+
+// sendEntries sends what a replica lacks, or an empty append as a heartbeat.
+func (g *Group) sendEntries(id uint64, peer *progress, now int64) {
+	prevEpoch, known := g.epochAt(peer.next - 1)
+	if !known {
+		g.sendSnapshot(id, peer, now)
+		return
+	}
+	message := Message{Kind: MessageAppend, Epoch: g.view.Epoch, Index: peer.next - 1, PrevEpoch: prevEpoch, Commit: g.commit}
+	size := 0
+	for _, entry := range g.log[peer.next-1-g.base.Index:] {
+		if size > maxAppendBytes {
+			break
+		}
+		message.Entries = append(message.Entries, entry)
+		size += len(entry.Data)
+	}
+	if !peer.probing {
+		peer.next += uint64(len(message.Entries))
+	}
+	peer.sentAt = now
+	g.send(id, message)
+}
+
+func (g *Group) sendSnapshot(id uint64, peer *progress, now int64) {
+	epoch, _ := g.epochAt(g.applied)
+	g.send(id, Message{
+		Kind: MessageInstall, Epoch: g.view.Epoch, Index: g.applied, PrevEpoch: epoch, Commit: g.commit, State: g.machine.Snapshot(),
+	})
+	peer.installed = g.applied
+	peer.sentAt = now
+}
+
+// Step takes a message from another replica.
+func (g *Group) Step(from uint64, message Message, now int64) {
+	if message.Epoch < g.view.Epoch {
+		if message.Kind == MessageAppend || message.Kind == MessageInstall {
+			g.send(from, Message{Kind: MessageStale, Epoch: g.view.Epoch})
+		}
+		return
+	}
+	switch message.Kind {
+	case MessageAppend, MessageInstall:
+		g.stepAsBackup(from, message, now)
+	case MessageStale:
+		if message.Epoch > g.view.Epoch {
+			g.view = View{Epoch: message.Epoch}
+			g.stepDown()
+		}
+	default:
+		if g.role == Primary && message.Epoch == g.view.Epoch {
+			g.stepAsPrimary(from, message, now)
+		}
+	}
+}
+
+func (g *Group) stepAsBackup(from uint64, message Message, now int64) {
+	if from == g.self || (g.role == Primary && message.Epoch == g.view.Epoch) {
+		return
+	}
+	if message.Epoch > g.view.Epoch || g.view.Primary == 0 {
+		g.view = View{Epoch: message.Epoch, Primary: from}
+		g.alike = 0
+		g.stepDown()
+	}
+	g.primaryHeard = now
+	if message.Kind == MessageInstall {
+		g.install(message)
+		return
+	}
+	g.append(from, message)
+}
+
+func (g *Group) append(from uint64, message Message) {
+	held, known := g.epochAt(message.Index)
+	if message.Index < g.base.Index {
+		// what stands before the base is committed and therefore alike
+		known = g.skipCovered(&message)
+		held = message.PrevEpoch
+	}
+	if !known || held != message.PrevEpoch {
+		g.send(from, Message{Kind: MessageMismatch, Epoch: g.view.Epoch, Index: min(g.lastIndex(), message.Index)})
+		return
+	}
+	fresh := g.skipHeld(message.Entries)
+	if len(fresh) > 0 {
+		g.truncate(fresh[0].Index)
+		g.log = append(g.log, fresh...)
+		g.writeEntries(fresh)
+	}
+	g.follow(message, message.Index+uint64(len(message.Entries)))
+}
+
+// follow applies what the primary has committed, as far as the logs are known to be alike, and acknowledges.
+func (g *Group) follow(message Message, alike uint64) {
+	g.alike = max(g.alike, alike)
+	if commit := min(message.Commit, alike); commit > g.commit {
+		g.commit = commit
+		g.applyCommitted()
+	}
+	g.acknowledgeUpTo(alike)
+}
+
+// acknowledgeUpTo answers a message whose entries are all durable already, heartbeats among them.
+func (g *Group) acknowledgeUpTo(alike uint64) {
+	if g.durable >= alike && alike > 0 {
+		g.send(g.view.Primary, Message{Kind: MessageAck, Epoch: g.view.Epoch, Index: alike})
+	}
+}
+
+// skipCovered drops entries below the base from a message and moves its position there.
+func (g *Group) skipCovered(message *Message) bool {
+	skip := g.base.Index - message.Index
+	if skip > uint64(len(message.Entries)) {
+		message.Entries = nil
+		return true
+	}
+	message.Index = g.base.Index
+	message.Entries = message.Entries[skip:]
+	return true
+}
+
+// skipHeld returns the entries from the first one on that is not in the log.
+func (g *Group) skipHeld(entries []Entry) []Entry {
+	for position, entry := range entries {
+		if epoch, known := g.epochAt(entry.Index); !known || epoch != entry.Epoch {
+			return entries[position:]
+		}
+	}
+	return nil
+}
+
+func (g *Group) truncate(from uint64) {
+	if from > g.lastIndex() {
+		return
+	}
+	g.log = g.log[:from-g.base.Index-1]
+	g.durable = min(g.durable, from-1)
+}
+
+func (g *Group) install(message Message) {
+	if message.Index <= g.applied {
+		if epoch, known := g.epochAt(message.Index); known && epoch == message.PrevEpoch {
+			g.alike = max(g.alike, message.Index)
+			g.acknowledgeUpTo(message.Index)
+			return
+		}
+	}
+	if err := g.machine.Restore(message.State); err != nil {
+		return
+	}
+	g.base = Snapshot{Index: message.Index, Epoch: message.PrevEpoch}
+	g.log = nil
+	g.applied = message.Index
+	g.commit = message.Index
+	g.durable = 0
+	g.alike = message.Index
+	g.output.Writes = append(g.output.Writes, Write{Snapshot: &Snapshot{Index: message.Index, Epoch: message.PrevEpoch, State: message.State}})
+}
+
+func (g *Group) stepAsPrimary(from uint64, message Message, now int64) {
+	peer := g.peers[from]
+	if peer == nil {
+		return
+	}
+	peer.heardAt = now
+	switch message.Kind {
+	case MessageAck:
+		peer.match = max(peer.match, message.Index)
+		if peer.installed > 0 && peer.match >= peer.installed {
+			peer.installed = 0
+		}
+		if peer.probing {
+			peer.probing = false
+			peer.next = peer.match + 1
+		}
+		peer.next = max(peer.next, peer.match+1)
+		if peer.installed == 0 && peer.next <= g.lastIndex() {
+			g.sendEntries(from, peer, now)
+		}
+		g.advanceCommit()
+	case MessageMismatch:
+		if peer.installed > 0 {
+			return
+		}
+		peer.probing = true
+		if peer.next > message.Index+1 {
+			peer.next = message.Index + 1
+		} else if peer.next > 1 {
+			peer.next--
+		}
+		g.sendEntries(from, peer, now)
+	}
+}
+
+// Tick sends again what was not acknowledged, and heartbeats where wanted. Call it every 50 ms or so.
+func (g *Group) Tick(now int64, heartbeats bool) {
+	if g.role != Primary {
+		return
+	}
+	for _, id := range g.view.Replicas {
+		peer := g.peers[id]
+		if peer == nil {
+			continue
+		}
+		switch {
+		case peer.installed > 0:
+			if now-peer.sentAt > installResend {
+				peer.installed = 0
+				peer.probing = true
+				peer.next = g.lastIndex() + 1
+			}
+		case peer.match < g.lastIndex() || peer.probing:
+			if now-peer.sentAt > resendAfter {
+				peer.next = min(peer.next, max(peer.match+1, 1))
+				if peer.match == 0 {
+					peer.next = g.lastIndex() + 1
+					peer.probing = true
+				}
+				g.sendEntries(id, peer, now)
+			}
+		case heartbeats && now-peer.sentAt >= heartbeatSilence:
+			g.sendEntries(id, peer, now)
+		}
+	}
+}
+
+// Silent lists in-sync replicas from which an answer has been due for too long.
+func (g *Group) Silent(now int64) []uint64 {
+	var silent []uint64
+	if g.role != Primary {
+		return nil
+	}
+	for id, peer := range g.peers {
+		if !g.view.IsInSync(id) && !g.admitting[id] {
+			continue
+		}
+		if peer.match < g.lastIndex() && now-peer.heardAt > complainAfter {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
+
+// HeardWithin counts the replicas heard in the last milliseconds, this one included.
+func (g *Group) HeardWithin(now, span int64) int {
+	count := 1
+	for _, peer := range g.peers {
+		if now-peer.heardAt <= span {
+			count++
+		}
+	}
+	return count
+}
+
+// CaughtUp lists replicas that could join the in-sync set.
+func (g *Group) CaughtUp() []uint64 {
+	var ids []uint64
+	if !g.IsReady() {
+		return nil
+	}
+	for _, id := range g.view.Replicas {
+		peer := g.peers[id]
+		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.installed > 0 || peer.match == 0 {
+			continue
+		}
+		if peer.match+admitLag >= g.lastIndex() && peer.match >= g.commit {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Admit has commands wait for a replica from now on, before the in-sync set is asked to take it in: once the set holds it,
+// it may become primary at any time and must lack nothing.
+func (g *Group) Admit(id uint64) {
+	if g.role == Primary && g.matchOf(id) >= g.commit {
+		g.admitting[id] = true
+	}
+}
+
+// Encode is the message's form on the wire.
+func (m Message) Encode(e *codec.Encoder) {
+	e.Uint8(uint8(m.Kind))
+	e.Uint64(m.Epoch)
+	e.Uint64(m.Index)
+	e.Uint64(m.PrevEpoch)
+	e.Uint64(m.Commit)
+	e.Uint32(uint32(len(m.Entries)))
+	for _, entry := range m.Entries {
+		e.Uint64(entry.Index)
+		e.Uint64(entry.Epoch)
+		e.Blob(entry.Data)
+	}
+	e.Blob(m.State)
+}
+
+// DecodeMessage reads a message.
+func DecodeMessage(d *codec.Decoder) Message {
+	m := Message{
+		Kind: MessageKind(d.Uint8()), Epoch: d.Uint64(), Index: d.Uint64(), PrevEpoch: d.Uint64(), Commit: d.Uint64(),
+	}
+	for range d.Count(smallestEntry) {
+		m.Entries = append(m.Entries, Entry{Index: d.Uint64(), Epoch: d.Uint64(), Data: d.Blob()})
+	}
+	m.State = d.Blob()
+	return m
+}
--- /dev/null
+++ b/tier/settings/ports.go
@@ -0,0 +1,40 @@
+package settings
+
+import (
+	"net"
+	"strconv"
+)
+
+// Offsets of the ports of the roles within the internal port range; they are alike on all machines.
+const (
+	controlOffset = iota
+	storeOffset
+	agentOffset
+)
+
+// ControlPort is the port on which control processes speak with others of the tier.
+func (s *Settings) ControlPort() int { return s.FirstPort + controlOffset }
+
+// ControlAddress is this machine's address for that port.
+func (s *Settings) ControlAddress() string { return join(s.IP, s.ControlPort()) }
+
+// StoreAddress is this machine's address for the store process.
+func (s *Settings) StoreAddress() string { return join(s.IP, s.FirstPort+storeOffset) }
+
+// AgentAddress is the loopback address on which the agent feeds the proxy of its machine.
+func (s *Settings) AgentAddress() string { return join("127.0.0.1", s.FirstPort+agentOffset) }
+
+// SeedAddresses are the internal addresses of the control processes on the seed machines.
+func (s *Settings) SeedAddresses() []string {
+	var addresses []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		addresses = append(addresses, join(host, s.ControlPort()))
+	}
+	return addresses
+}
+
+func join(host string, port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
--- /dev/null
+++ b/tier/storage/values.go
@@ -0,0 +1,80 @@
+package storage
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// versionsKept is how many versions of a value stay on disk.
+const versionsKept = 2
+
+// Values keeps named values, one file for each version. It may be used from several goroutines.
+type Values struct {
+	mu       sync.Mutex
+	dir      string
+	versions map[string]uint64
+}
+
+// OpenValues opens or creates the folder.
+func OpenValues(dir string) (*Values, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	return &Values{dir: dir, versions: map[string]uint64{}}, nil
+}
+
+func versionName(name string, version uint64) string { return fmt.Sprintf("%s-%016x", name, version) }
+
+// versionsOf lists the versions of a value on disk, in ascending order.
+func (v *Values) versionsOf(name string) ([]uint64, error) {
+	entries, err := os.ReadDir(v.dir)
+	if err != nil {
+		return nil, err
+	}
+	var versions []uint64
+	for _, entry := range entries {
+		digits, found := strings.CutPrefix(entry.Name(), name+"-")
+		if !found || len(digits) != 16 {
+			continue
+		}
+		var version uint64
+		if _, err := fmt.Sscanf(digits, "%016x", &version); err == nil {
+			versions = append(versions, version)
+		}
+	}
+	sort.Slice(versions, func(i, j int) bool { return versions[i] < versions[j] })
+	return versions, nil
+}
+
+// Read returns the newest version, or nil if there is none. A damaged newest version is an error: it may have been
+// acknowledged.
+func (v *Values) Read(name string) ([]byte, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions, err := v.versionsOf(name)
+	if err != nil || len(versions) == 0 {
+		return nil, err
+	}
+	newest := versions[len(versions)-1]
+	v.versions[name] = newest
+	return readFile(v.dir, versionName(name, newest))
+}
+
+// Write makes a new version durable and removes old ones.
+func (v *Values) Write(name string, content []byte) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	version := v.versions[name] + 1
+	if err := writeRenamed(v.dir, versionName(name, version), content); err != nil {
+		return err
+	}
+	v.versions[name] = version
+	if version > versionsKept {
+		_ = os.Remove(filepath.Join(v.dir, versionName(name, version-versionsKept)))
+	}
+	return nil
+}
