--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -28,10 +28,13 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 256 << 10
-	retryAfter        = "0.2"
-	sweepEvery        = time.Second
+	// idleTold is how long clients are told that a connection may rest; it is closed a little later, so that none is closed
+	// under a request.
+	idleTold       = "timeout=3"
+	idleTimeout    = 5 * time.Second
+	maxHeaderBytes = 256 << 10
+	retryAfter     = "0.2"
+	sweepEvery     = time.Second
 	// drainFor is how long a proxy that is to stop keeps taking connections: the platform asks once a second and takes a
 	// gateway out after two misses.
 	drainFor = 3500 * time.Millisecond
@@ -192,6 +195,8 @@
 	arrived := time.Now()
 	if p.stopping.Load() {
 		w.Header().Set("Connection", "close")
+	} else {
+		w.Header().Set("Keep-Alive", idleTold)
 	}
 	if id := r.Header.Get(headerRequestID); id != "" {
 		w.Header().Set(headerRequestID, id)
--- a/tier/storage/journal.go
+++ b/tier/storage/journal.go
@@ -1,9 +1,11 @@
 package storage
 
 import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
 
 	"github.com/samber/oops"
 
@@ -34,201 +36,285 @@
 }
 
 const (
-	batchPrefix = "batch"
+	segmentPrefix = "segment"
+	segmentBytes  = 1 << 20
 	// rewriteBytes is how much the journal may hold beyond twice its live state before it is written anew.
 	rewriteBytes = 24 << 20
-	rewriteFiles = 1500
+
+	commitMagic  = uint32(0x4f434d54)
+	commitHeader = 4 + 4 + 4 + 8 // magic, length, checksum, sequence number
 )
 
-// Journal keeps records in the order in which they were appended, one file for each group commit.
+// Journal keeps records in the order in which they were appended, in segments of about a mebibyte. Each group commit is one
+// write and one sync; it carries a checksum and a number, so that one that was torn by a loss of power is found out.
 type Journal struct {
-	dir   string
-	first uint64 // the oldest file
-	next  uint64 // the file that the next commit writes
-	bytes int64
-	live  int64 // bytes of the last rewrite
+	dir      string
+	first    uint64 // the oldest segment
+	current  uint64 // the segment that is written
+	file     *os.File
+	size     int64  // of the current segment
+	sequence uint64 // of the next commit
+	bytes    int64
+	live     int64 // bytes of the last rewrite
 }
 
-// OpenJournal opens or creates the folder and returns the records found there. A damaged file at the very end is a commit
-// that was never acknowledged, and is removed; elsewhere it is an error.
+// OpenJournal opens or creates the folder and returns the records found there. A torn commit at the very end was never
+// acknowledged and is cut off; damage elsewhere is an error.
 func OpenJournal(dir string) (*Journal, []Record, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, nil, err
 	}
 	values := &Values{dir: dir, versions: map[string]uint64{}}
-	files, err := values.versionsOf(batchPrefix)
+	numbers, err := values.versionsOf(segmentPrefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	j := &Journal{dir: dir}
+	records, err := j.load(numbers)
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{dir: dir, first: 1, next: 1}
-	if len(files) == 0 {
-		return j, nil, nil
+	if err := j.startSegment(); err != nil {
+		return nil, nil, err
 	}
-	return j.load(files)
+	return j, records, nil
 }
 
-// batchFile is one file of the journal as found on disk.
-type batchFile struct {
+// segment is one file of the journal as found on disk.
+type segment struct {
 	number  uint64
+	commits []commit
+	good    int64 // bytes of whole commits
 	size    int64
-	records []Record
-	whole   bool
-	err     error
 }
 
-func (j *Journal) load(numbers []uint64) (*Journal, []Record, error) {
-	files := make([]batchFile, 0, len(numbers))
+type commit struct {
+	sequence uint64
+	whole    bool
+	records  []Record
+}
+
+func (j *Journal) path(number uint64) string {
+	return filepath.Join(j.dir, versionName(segmentPrefix, number))
+}
+
+func (j *Journal) load(numbers []uint64) ([]Record, error) {
+	var segments []segment
 	start := 0
 	for _, number := range numbers {
-		file := j.readBatch(number)
-		if file.whole {
-			// older files are leftovers whose removal a loss of power may have undone
-			start = len(files)
+		s, err := j.readSegment(number)
+		if err != nil {
+			return nil, err
 		}
-		files = append(files, file)
+		if len(s.commits) > 0 && s.commits[0].whole {
+			// older segments are leftovers whose removal a loss of power may have undone
+			start = len(segments)
+		}
+		segments = append(segments, s)
 	}
-	files = files[start:]
-	if last := files[len(files)-1]; last.err != nil {
-		_ = os.Remove(filepath.Join(j.dir, versionName(batchPrefix, last.number)))
-		files = files[:len(files)-1]
-		j.first, j.next = last.number, last.number
+	segments = segments[start:]
+	if len(segments) == 0 {
+		return nil, nil
 	}
+	j.first = segments[0].number
+	j.current = segments[len(segments)-1].number
+	return j.fold(segments)
+}
+
+// fold checks that no commit is missing and returns the records of all.
+func (j *Journal) fold(segments []segment) ([]Record, error) {
 	var records []Record
-	for position, file := range files {
-		if file.err != nil {
-			return nil, nil, file.err
+	for position, s := range segments {
+		if s.good < s.size {
+			if position < len(segments)-1 {
+				return nil, oops.Wrapf(codes.DiskDamaged, "journal: segment %d is damaged at byte %d", s.number, s.good)
+			}
+			if err := cut(j.path(s.number), s.good); err != nil {
+				return nil, err
+			}
 		}
-		if position > 0 && file.number != j.next {
-			return nil, nil, oops.Wrapf(codes.DiskDamaged, "journal: file %d is missing", j.next)
+		for _, c := range s.commits {
+			if j.sequence != 0 && c.sequence != j.sequence {
+				return nil, oops.Wrapf(codes.DiskDamaged, "journal: commit %d is missing in segment %d", j.sequence, s.number)
+			}
+			j.sequence = c.sequence + 1
+			records = append(records, c.records...)
 		}
-		if file.whole {
-			j.live = file.size
+		j.bytes += s.good
+	}
+	return records, nil
+}
+
+// cut removes a torn commit from the end of a segment, so that later segments may follow it.
+func cut(path string, size int64) error {
+	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
+	if err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
+	}
+	defer file.Close()
+	if err := file.Truncate(size); err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
+	}
+	if err := file.Sync(); err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
+	}
+	return nil
+}
+
+// readSegment takes whole commits from the start of a segment. Whole commits behind a damaged one say that it was not torn by
+// a loss of power, and are an error.
+func (j *Journal) readSegment(number uint64) (segment, error) {
+	content, err := os.ReadFile(j.path(number))
+	if err != nil {
+		return segment{}, oops.Wrapf(codes.DiskDamaged, "%s", err)
+	}
+	s := segment{number: number, size: int64(len(content))}
+	rest := content
+	for len(rest) > 0 {
+		c, length, ok := decodeCommit(rest)
+		if !ok {
+			break
 		}
-		records = append(records, file.records...)
-		j.bytes += file.size
-		j.next = file.number + 1
+		s.commits = append(s.commits, c)
+		s.good += int64(length)
+		rest = rest[length:]
 	}
-	if len(files) > 0 {
-		j.first = files[0].number
+	if len(rest) > 0 && holdsCommit(rest[1:]) {
+		return s, oops.Wrapf(codes.DiskDamaged, "journal: segment %d is damaged at byte %d", number, s.good)
 	}
-	return j, records, nil
+	return s, nil
 }
 
-func (j *Journal) readBatch(number uint64) batchFile {
-	file := batchFile{number: number}
-	content, err := readFile(j.dir, versionName(batchPrefix, number))
-	if err == nil {
-		file.size = int64(len(content))
-		file.records, file.whole, err = decodeBatch(content)
+// holdsCommit tells whether a whole commit starts anywhere in the bytes.
+func holdsCommit(rest []byte) bool {
+	magic := binary.BigEndian.AppendUint32(nil, commitMagic)
+	for {
+		at := bytes.Index(rest, magic)
+		if at < 0 {
+			return false
+		}
+		if _, _, ok := decodeCommit(rest[at:]); ok {
+			return true
+		}
+		rest = rest[at+1:]
 	}
-	file.err = err
-	return file
 }
 
-// Append makes records durable in one file and returns when they are.
+// startSegment begins a new segment; nothing is ever written behind what was found at the start.
+func (j *Journal) startSegment() error {
+	next := j.current + 1
+	file, err := os.OpenFile(j.path(next), os.O_CREATE|os.O_RDWR|os.O_TRUNC, 0o644)
+	if err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	if j.first == 0 {
+		j.first = next
+	}
+	if j.sequence == 0 {
+		j.sequence = 1
+	}
+	j.file = file
+	j.current = next
+	j.size = 0
+	return nil
+}
+
+// Append makes records durable in one commit and returns when they are.
 func (j *Journal) Append(records []Record) error {
-	return j.write(records, false)
+	if j.size > segmentBytes {
+		if err := j.startSegment(); err != nil {
+			return err
+		}
+	}
+	return j.write(commit{sequence: j.sequence, records: records})
 }
 
-func (j *Journal) write(records []Record, whole bool) error {
-	content := encodeBatch(records, whole)
-	if err := writeSynced(j.dir, versionName(batchPrefix, j.next), content); err != nil {
-		return err
+// write writes a commit at the end of the segment. After an error the same place is written again.
+func (j *Journal) write(c commit) error {
+	encoded := encodeCommit(c)
+	if _, err := j.file.WriteAt(encoded, j.size); err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
+	}
+	if err := j.file.Sync(); err != nil {
+		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
-	j.next++
-	j.bytes += int64(len(content))
+	j.sequence++
+	j.size += int64(len(encoded))
+	j.bytes += int64(len(encoded))
 	return nil
 }
 
 // WantsRewrite tells whether the journal has grown so far that it should be written anew.
-func (j *Journal) WantsRewrite() bool {
-	return j.bytes > 2*j.live+rewriteBytes || j.next-j.first > rewriteFiles
-}
+func (j *Journal) WantsRewrite() bool { return j.bytes > 2*j.live+rewriteBytes }
 
-// Rewrite replaces the journal by records that hold the whole state, and removes the old files.
+// Rewrite replaces the journal by records that hold the whole state, and removes the old segments.
 func (j *Journal) Rewrite(records []Record) error {
-	before := j.next
-	if err := j.write(records, true); err != nil {
+	if err := j.startSegment(); err != nil {
 		return err
 	}
-	for number := j.first; number < before; number++ {
-		_ = os.Remove(filepath.Join(j.dir, versionName(batchPrefix, number)))
+	before := j.bytes
+	if err := j.write(commit{sequence: j.sequence, whole: true, records: records}); err != nil {
+		return err
 	}
-	j.first = before
-	j.live = 0
-	for _, record := range records {
-		j.live += int64(len(record.Data))
+	for number := j.first; number < j.current; number++ {
+		_ = os.Remove(j.path(number))
 	}
+	j.first = j.current
+	j.live = j.bytes - before
 	j.bytes = j.live
 	return nil
 }
 
-func encodeBatch(records []Record, whole bool) []byte {
+// Close ends the journal; what was appended stays.
+func (j *Journal) Close() error { return j.file.Close() }
+
+func encodeCommit(c commit) []byte {
 	var e codec.Encoder
-	e.Bool(whole)
-	e.Uint32(uint32(len(records)))
-	for _, record := range records {
+	e.Bool(c.whole)
+	e.Uint32(uint32(len(c.records)))
+	for _, record := range c.records {
 		e.Uint8(uint8(record.Kind))
 		e.Uint32(record.Group)
 		e.Uint64(record.Index)
 		e.Uint64(record.Epoch)
 		e.Blob(record.Data)
 	}
-	return e.Bytes
+	encoded := make([]byte, 0, commitHeader+len(e.Bytes))
+	encoded = binary.BigEndian.AppendUint32(encoded, commitMagic)
+	encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(e.Bytes)))
+	encoded = binary.BigEndian.AppendUint32(encoded, commitChecksum(c.sequence, e.Bytes))
+	encoded = binary.BigEndian.AppendUint64(encoded, c.sequence)
+	return append(encoded, e.Bytes...)
 }
 
-const smallestRecord = 1 + 4 + 8 + 8 + 4
-
-func decodeBatch(content []byte) (records []Record, whole bool, err error) {
-	d := codec.NewDecoder(content)
-	whole = d.Bool()
-	n := d.Count(smallestRecord)
-	for range n {
-		records = append(records, Record{
-			Kind:  RecordKind(d.Uint8()),
-			Group: d.Uint32(),
-			Index: d.Uint64(),
-			Epoch: d.Uint64(),
-			Data:  d.Blob(),
-		})
-	}
-	return records, whole, d.Err()
+func commitChecksum(sequence uint64, content []byte) uint32 {
+	return checksum(fmt.Sprintf("commit-%d", sequence), content)
 }
 
-// Log is the durable state of one group, folded from journal records.
-type Log struct {
-	Snapshot      []byte
-	SnapshotIndex uint64
-	SnapshotEpoch uint64
-	Entries       []Record // from SnapshotIndex+1 on, without gaps
-}
+const smallestRecord = 1 + 4 + 8 + 8 + 4
 
-// Fold builds the state of each group from records in their order.
-func Fold(records []Record) map[uint32]*Log {
-	logs := map[uint32]*Log{}
-	for _, record := range records {
-		if record.Kind == RecordDrop {
-			delete(logs, record.Group)
-			continue
-		}
-		log := logs[record.Group]
-		if log == nil {
-			log = &Log{}
-			logs[record.Group] = log
-		}
-		log.add(record)
+func decodeCommit(data []byte) (c commit, length int, ok bool) {
+	if len(data) < commitHeader || binary.BigEndian.Uint32(data) != commitMagic {
+		return c, 0, false
 	}
-	return logs
-}
-
-func (l *Log) add(record Record) {
-	if record.Kind == RecordSnapshot {
-		*l = Log{Snapshot: record.Data, SnapshotIndex: record.Index, SnapshotEpoch: record.Epoch}
-		return
+	size := int(binary.BigEndian.Uint32(data[4:]))
+	c.sequence = binary.BigEndian.Uint64(data[12:])
+	if size > len(data)-commitHeader {
+		return c, 0, false
 	}
-	if record.Index <= l.SnapshotIndex {
-		return
+	content := data[commitHeader : commitHeader+size]
+	if binary.BigEndian.Uint32(data[8:]) != commitChecksum(c.sequence, content) {
+		return c, 0, false
+	}
+	d := codec.NewDecoder(content)
+	c.whole = d.Bool()
+	for range d.Count(smallestRecord) {
+		c.records = append(c.records, Record{
+			Kind: RecordKind(d.Uint8()), Group: d.Uint32(), Index: d.Uint64(), Epoch: d.Uint64(), Data: d.Blob(),
+		})
 	}
-	position := sort.Search(len(l.Entries), func(i int) bool { return l.Entries[i].Index >= record.Index })
-	l.Entries = append(l.Entries[:position], record)
+	return c, commitHeader + size, d.Err() == nil
 }
--- /dev/null
+++ b/tier/storage/log.go
@@ -0,0 +1,41 @@
+package storage
+
+import "sort"
+
+// Log is the durable state of one group, folded from journal records.
+type Log struct {
+	Snapshot      []byte
+	SnapshotIndex uint64
+	SnapshotEpoch uint64
+	Entries       []Record // from SnapshotIndex+1 on, without gaps
+}
+
+// Fold builds the state of each group from records in their order.
+func Fold(records []Record) map[uint32]*Log {
+	logs := map[uint32]*Log{}
+	for _, record := range records {
+		if record.Kind == RecordDrop {
+			delete(logs, record.Group)
+			continue
+		}
+		log := logs[record.Group]
+		if log == nil {
+			log = &Log{}
+			logs[record.Group] = log
+		}
+		log.add(record)
+	}
+	return logs
+}
+
+func (l *Log) add(record Record) {
+	if record.Kind == RecordSnapshot {
+		*l = Log{Snapshot: record.Data, SnapshotIndex: record.Index, SnapshotEpoch: record.Epoch}
+		return
+	}
+	if record.Index <= l.SnapshotIndex {
+		return
+	}
+	position := sort.Search(len(l.Entries), func(i int) bool { return l.Entries[i].Index >= record.Index })
+	l.Entries = append(l.Entries[:position], record)
+}
