Turns are found across programs; no answer goes out without a head of its own

Ruled out: state lost on disk (a run with all processes killed showed all shards whole), an incomplete shard map (the number of shards is now told with each shard all the same).

--- a/tier/directory/directory.go
+++ b/tier/directory/directory.go
@@ -82,9 +82,11 @@
 // StoreKey is the store's key in its section.
 func StoreKey(identity uint64) string { return strconv.FormatUint(identity, 16) }
 
-// Shard is a group of programs and who holds it. PrimaryBoot names the incarnation that may act as primary.
+// Shard is a group of programs and who holds it. PrimaryBoot names the incarnation that may act as primary. Each shard tells how
+// many there are in all, so that a view that is not complete yet sends no program to the wrong one.
 type Shard struct {
 	ID          uint32
+	Total       uint32
 	View        replica.View
 	PrimaryBoot uint64
 }
@@ -93,6 +95,7 @@
 func (s Shard) Encode() []byte {
 	var e codec.Encoder
 	e.Uint32(s.ID)
+	e.Uint32(s.Total)
 	e.Uint64(s.View.Epoch)
 	e.Uint64(s.View.Primary)
 	e.Uint64(s.PrimaryBoot)
@@ -104,7 +107,7 @@
 // DecodeShard reads a shard.
 func DecodeShard(data []byte) (Shard, error) {
 	d := codec.NewDecoder(data)
-	s := Shard{ID: d.Uint32()}
+	s := Shard{ID: d.Uint32(), Total: d.Uint32()}
 	s.View.Epoch = d.Uint64()
 	s.View.Primary = d.Uint64()
 	s.PrimaryBoot = d.Uint64()
@@ -116,9 +119,13 @@
 // ShardKey is the shard's key in its section.
 func ShardKey(id uint32) string { return strconv.FormatUint(uint64(id), 10) }
 
-// ShardOf returns the shard of a program among a number of shards.
-func ShardOf(program string, shards int) uint32 {
-	return crc32.ChecksumIEEE([]byte(program)) % uint32(shards)
+// ShardOf returns the shard of a program, if the map holds it.
+func ShardOf(program string, shards map[uint32]Shard) (Shard, bool) {
+	for _, any := range shards {
+		shard, found := shards[crc32.ChecksumIEEE([]byte(program))%max(any.Total, 1)]
+		return shard, found
+	}
+	return Shard{}, false
 }
 
 // Shards reads the shard map of a view.
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -52,7 +52,7 @@
 	}
 	primary := c.Machines[desired[0]].Store
 	view := replica.View{Epoch: 1, Primary: primary.Identity, InSync: desired, Replicas: desired}
-	return directory.Shard{ID: id, View: view, PrimaryBoot: primary.Boot}, true
+	return directory.Shard{ID: id, Total: ShardCount, View: view, PrimaryBoot: primary.Boot}, true
 }
 
 // Desired lists the machines that should hold a shard, the preferred primary first: by rendezvous hashing, each zone once
@@ -127,7 +127,7 @@
 		return shard, false
 	}
 	next.Epoch = view.Epoch + 1
-	return directory.Shard{ID: shard.ID, View: next, PrimaryBoot: boot}, true
+	return directory.Shard{ID: shard.ID, Total: shard.Total, View: next, PrimaryBoot: boot}, true
 }
 
 // remaining is the in-sync set without replicas whose disk is gone and, down to the floor, without silent ones.
--- a/tier/programs/commands.go
+++ b/tier/programs/commands.go
@@ -14,6 +14,7 @@
 const (
 	CommandBegin CommandKind = iota + 1
 	CommandEnd
+	CommandFetch
 )
 
 // Begin charges the estimate of a turn before it is sent, and asks for the chain of turns it goes on from.
@@ -90,6 +91,22 @@
 	}
 }
 
+// Fetch asks for the chain of a turn, whichever program it belongs to. It changes nothing; as a replicated command it is answered
+// only by a primary that still leads.
+type Fetch struct {
+	Now     int64
+	Request string
+}
+
+// Encode is the command's replicated form.
+func (f Fetch) Encode() []byte {
+	var e codec.Encoder
+	e.Uint8(uint8(CommandFetch))
+	e.Int64(f.Now)
+	e.String(f.Request)
+	return e.Bytes
+}
+
 // Result is what applying a command gave.
 type Result struct {
 	Code  codes.Code
@@ -118,11 +135,9 @@
 	return r, d.Err()
 }
 
-// CommandTime reads the kind, the program and the request of an encoded command, to route and stamp it.
-func CommandTime(command []byte) (kind CommandKind, ok bool) {
-	d := codec.NewDecoder(command)
-	kind = CommandKind(d.Uint8())
-	return kind, d.Err() == nil && (kind == CommandBegin || kind == CommandEnd)
+// IsCommand tells whether bytes begin as an encoded command that can be stamped.
+func IsCommand(command []byte) bool {
+	return len(command) >= 9 && command[0] >= uint8(CommandBegin) && command[0] <= uint8(CommandFetch)
 }
 
 // Stamp writes the time into an encoded command.
--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -57,11 +57,12 @@
 // State is the programs of one shard. It has a single owner; the replica that applies commands to it.
 type State struct {
 	programs map[string]*program
+	byTurn   map[string]string // the program of each kept turn; derived from programs
 	commands uint64
 }
 
 // NewState makes an empty state.
-func NewState() *State { return &State{programs: map[string]*program{}} }
+func NewState() *State { return &State{programs: map[string]*program{}, byTurn: map[string]string{}} }
 
 // Apply carries out a command.
 func (s *State) Apply(_ uint64, command []byte) any {
@@ -83,6 +84,13 @@
 		}
 		now = end.Now
 		result = s.end(end)
+	case CommandFetch:
+		now = d.Int64()
+		request := d.String()
+		if d.Err() != nil {
+			return Result{Code: codes.Malformed}
+		}
+		result = s.fetch(request, now)
 	default:
 		return Result{Code: codes.Malformed}
 	}
@@ -126,6 +134,19 @@
 	return Result{Code: codes.OK, Chain: chain, Host: host}
 }
 
+// fetch returns the chain of a turn of any program of the shard.
+func (s *State) fetch(request string, now int64) Result {
+	p := s.programs[s.byTurn[request]]
+	if p == nil {
+		return Result{Code: codes.TurnUnknown}
+	}
+	chain, host, found := p.chain(request, now)
+	if !found {
+		return Result{Code: codes.TurnUnknown}
+	}
+	return Result{Code: codes.OK, Chain: chain, Host: host}
+}
+
 // chain collects the turns that a new one goes on from.
 func (p *program) chain(previous string, now int64) (parts [][]byte, host string, found bool) {
 	if previous == "" {
@@ -167,6 +188,7 @@
 	}
 	if c.Keep {
 		p.keep(c)
+		s.byTurn[c.Request] = c.Program
 	}
 	return Result{Code: codes.OK}
 }
@@ -192,6 +214,7 @@
 		for id, each := range p.turns {
 			if now > each.expires {
 				delete(p.turns, id)
+				delete(s.byTurn, id)
 			}
 		}
 		if len(p.turns) == 0 && now-p.touched > countKept {
@@ -279,14 +302,19 @@
 	d := codec.NewDecoder(snapshot)
 	commands := d.Uint64()
 	programs := map[string]*program{}
+	byTurn := map[string]string{}
 	for range d.Count(4) {
 		name := d.String()
 		programs[name] = decodeProgram(d)
+		for request := range programs[name].turns {
+			byTurn[request] = name
+		}
 	}
 	if d.Err() != nil {
 		return d.Err()
 	}
 	s.commands = commands
 	s.programs = programs
+	s.byTurn = byTurn
 	return nil
 }
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -107,6 +107,7 @@
 			refused++
 			failure = codes.HostsFull
 		case ctx.Err() != nil:
+			p.outOfTime(ctx, w)
 			return
 		case failed.mayHaveRun:
 			runs--
@@ -149,6 +150,14 @@
 	return body, x, nil
 }
 
+// outOfTime ends a request whose time is up or whose client has gone, while a host may still be at work on it.
+func (p *Proxy) outOfTime(ctx context.Context, w http.ResponseWriter) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		panic(http.ErrAbortHandler)
+	}
+	p.fail(w, http.StatusGatewayTimeout, codes.DeadlineReached)
+}
+
 func failedOutcome(ctx context.Context) outcome {
 	if ctx.Err() != nil {
 		return outcomeAbandoned
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -49,33 +49,100 @@
 	}
 }
 
-// route returns the shard of a program and the address of its primary.
-func (p *programClient) route(program string) (shard uint32, address string) {
+// shardOf returns the shard of a program.
+func (p *programClient) shardOf(program string) (uint32, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.shards) == 0 {
-		return 0, ""
+	held, found := directory.ShardOf(program, p.shards)
+	return held.ID, found
+}
+
+// primaryOf returns the address of a shard's primary, or nothing while it is not known.
+func (p *programClient) primaryOf(shard uint32) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stores[p.shards[shard].View.Primary].Address
+}
+
+// allShards lists the shards, if all of them are known.
+func (p *programClient) allShards() ([]uint32, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []uint32
+	total := uint32(0)
+	for id, shard := range p.shards {
+		ids = append(ids, id)
+		total = shard.Total
 	}
-	shard = directory.ShardOf(program, len(p.shards))
-	return shard, p.stores[p.shards[shard].View.Primary].Address
+	return ids, len(ids) > 0 && uint32(len(ids)) == total
 }
 
 // call has a command carried out by the shard of a program. It tries until the context ends, so the command has to be
 // idempotent.
 func (p *programClient) call(ctx context.Context, program string, command []byte) (programs.Result, error) {
 	for {
-		result, err := p.attempt(ctx, program, command)
+		if shard, found := p.shardOf(program); found {
+			return p.callShard(ctx, shard, command)
+		}
+		if !pause(ctx) {
+			return programs.Result{}, codes.StoreUnreachable
+		}
+	}
+}
+
+func (p *programClient) callShard(ctx context.Context, shard uint32, command []byte) (programs.Result, error) {
+	for {
+		result, err := p.attempt(ctx, shard, command)
 		if err == nil || isDecision(err) {
 			return result, err
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx) {
 			return programs.Result{}, codes.StoreUnreachable
-		case <-time.After(storePause):
 		}
 	}
 }
 
+// pause waits a moment before a further attempt; it reports false when the context has ended.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(storePause):
+		return true
+	}
+}
+
+// search looks for a turn in all shards, for a program that goes on from a turn of another one. TurnUnknown is returned only
+// when every shard has said so.
+func (p *programClient) search(ctx context.Context, request string) (programs.Result, error) {
+	shards, complete := p.allShards()
+	if !complete {
+		return programs.Result{}, codes.StoreUnreachable
+	}
+	type found struct {
+		result programs.Result
+		err    error
+	}
+	answers := make(chan found, len(shards))
+	for _, shard := range shards {
+		go func() {
+			result, err := p.callShard(ctx, shard, programs.Fetch{Request: request}.Encode())
+			answers <- found{result, err}
+		}()
+	}
+	verdict := error(codes.TurnUnknown)
+	for range shards {
+		got := <-answers
+		if got.err == nil {
+			return got.result, nil
+		}
+		if !errors.Is(got.err, codes.TurnUnknown) {
+			verdict = codes.StoreUnreachable
+		}
+	}
+	return programs.Result{}, verdict
+}
+
 // isDecision tells whether an error is the shard's answer, rather than that it could not be reached.
 func isDecision(err error) bool {
 	for _, code := range []codes.Code{codes.BudgetSpent, codes.TurnUnknown, codes.TurnSettled, codes.Malformed} {
@@ -86,8 +153,8 @@
 	return false
 }
 
-func (p *programClient) attempt(ctx context.Context, program string, command []byte) (programs.Result, error) {
-	shard, address := p.route(program)
+func (p *programClient) attempt(ctx context.Context, shard uint32, command []byte) (programs.Result, error) {
+	address := p.primaryOf(shard)
 	if address == "" {
 		return programs.Result{}, codes.StoreUnreachable
 	}
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -72,8 +72,10 @@
 func (p *Proxy) giveUp(ctx context.Context, w http.ResponseWriter, t *turn, state *relayState, failure codes.Code) {
 	p.settleLater(t, t.end(state.events*t.stride, false, nil, state.host))
 	switch {
-	case state.started || ctx.Err() != nil || !state.clientOK:
+	case state.started || !state.clientOK:
 		panic(http.ErrAbortHandler)
+	case ctx.Err() != nil:
+		p.outOfTime(ctx, w)
 	case failure == codes.HostFailed:
 		p.fail(w, http.StatusBadGateway, failure)
 	default:
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -79,27 +79,55 @@
 func (p *Proxy) begin(ctx context.Context, t *turn) error {
 	call, cancel := context.WithTimeout(ctx, min(beginPatience, t.left()/2))
 	defer cancel()
-	command := programs.Begin{
-		Request: t.id, Program: t.program, Session: t.session, Limited: t.limited, Budget: t.budget, Estimate: t.most,
+	if !t.route.Retained {
+		t.previous = ""
 	}
-	if t.route.Retained {
-		command.Previous = t.previous
+	result, err := p.programs.call(call, t.program, t.beginCommand().Encode())
+	if errors.Is(err, codes.TurnUnknown) && t.previous != "" {
+		return p.beginFromOther(call, t)
 	}
-	result, err := p.programs.call(call, t.program, command.Encode())
 	if err != nil {
 		return err
 	}
 	t.hint = result.Host
-	if len(result.Chain) > 0 {
-		var prompt []byte
-		for _, part := range result.Chain {
-			prompt = append(prompt, part...)
-		}
-		t.prompt = append(prompt, t.body...)
-	}
+	t.prompt = joined(result.Chain, t.body)
 	return nil
 }
 
+// beginFromOther begins a turn that goes on from a turn of another program. The chain becomes part of the input that is kept,
+// so that the turn stands for itself in its own program's shard.
+func (p *Proxy) beginFromOther(ctx context.Context, t *turn) error {
+	found, err := p.programs.search(ctx, t.previous)
+	if err != nil {
+		return err
+	}
+	t.previous = ""
+	t.prompt = joined(found.Chain, t.body)
+	t.body = t.prompt
+	t.hint = found.Host
+	_, err = p.programs.call(ctx, t.program, t.beginCommand().Encode())
+	return err
+}
+
+func (t *turn) beginCommand() programs.Begin {
+	return programs.Begin{
+		Request: t.id, Program: t.program, Session: t.session, Limited: t.limited, Budget: t.budget, Estimate: t.most,
+		Previous: t.previous,
+	}
+}
+
+// joined is the chain followed by the new input.
+func joined(chain [][]byte, input []byte) []byte {
+	if len(chain) == 0 {
+		return input
+	}
+	var prompt []byte
+	for _, part := range chain {
+		prompt = append(prompt, part...)
+	}
+	return append(prompt, input...)
+}
+
 // end settles a turn with what the client received, and keeps it if it ended whole.
 func (t *turn) end(received uint64, whole bool, output []byte, host string) programs.End {
 	return programs.End{
--- a/tier/storage/journal.go
+++ b/tier/storage/journal.go
@@ -125,11 +125,12 @@
 func (j *Journal) fold(segments []segment) ([]Record, error) {
 	var records []Record
 	for position, s := range segments {
-		if s.good < s.size {
-			if position < len(segments)-1 {
-				return nil, oops.Wrapf(codes.DiskDamaged, "journal: segment %d is damaged at byte %d", s.number, s.good)
-			}
-			if err := cut(j.path(s.number), s.good); err != nil {
+		last := position == len(segments)-1
+		if s.good < s.size && !last {
+			return nil, oops.Wrapf(codes.DiskDamaged, "journal: segment %d is damaged at byte %d", s.number, s.good)
+		}
+		if last {
+			if err := settle(j.path(s.number), s.good); err != nil {
 				return nil, err
 			}
 		}
@@ -145,8 +146,9 @@
 	return records, nil
 }
 
-// cut removes a torn commit from the end of a segment, so that later segments may follow it.
-func cut(path string, size int64) error {
+// settle removes a torn commit from the end of the last segment and syncs what stays: a process that was killed may have left
+// a whole commit that was not synced, and what is read now will be relied upon.
+func settle(path string, size int64) error {
 	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
 	if err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
--- a/tier/storage/values.go
+++ b/tier/storage/values.go
@@ -19,11 +19,15 @@
 	versions map[string]uint64
 }
 
-// OpenValues opens or creates the folder.
+// OpenValues opens or creates the folder. A process that was killed may have renamed a file without having synced the folder;
+// since the new name will be read and relied upon, the folder is synced first.
 func OpenValues(dir string) (*Values, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
+	if err := syncFolder(dir); err != nil {
+		return nil, err
+	}
 	return &Values{dir: dir, versions: map[string]uint64{}}, nil
 }
 
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -124,7 +124,7 @@
 	d := codec.NewDecoder(message.Payload)
 	shard := d.Uint32()
 	command := d.Rest()
-	if _, ok := programs.CommandTime(command); d.Err() != nil || !ok {
+	if d.Err() != nil || !programs.IsCommand(command) {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
