--- /dev/null
+++ b/tier/placement/placement_test.go
@@ -0,0 +1,214 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"otterseam/tier/directory"
+	"otterseam/tier/register"
+)
+
+// machines makes stores spread over zones.
+func machines(count, zones int) map[uint64]Machine {
+	all := map[uint64]Machine{}
+	for i := range count {
+		id := uint64(i + 1)
+		all[id] = Machine{
+			Alive: true,
+			Store: directory.Store{Identity: id, Boot: 100 + id, Node: fmt.Sprintf("store-%d", id), Zone: fmt.Sprintf("z%d", i%zones)},
+		}
+	}
+	return all
+}
+
+func change(c Cluster, id uint64, edit func(*Machine)) {
+	machine := c.Machines[id]
+	edit(&machine)
+	c.Machines[id] = machine
+}
+
+// settle takes steps until nothing changes, admitting replicas as a primary would.
+func settle(t interface{ Fatalf(string, ...any) }, c Cluster, shard directory.Shard) directory.Shard {
+	for range 50 {
+		next, changed := c.Next(shard)
+		if !changed {
+			admitted := false
+			for _, id := range shard.View.Replicas {
+				if !shard.View.IsInSync(id) && c.Machines[id].Alive {
+					shard.View.InSync = append(append([]uint64(nil), shard.View.InSync...), id)
+					shard.View.Epoch++
+					admitted = true
+				}
+			}
+			if !admitted {
+				return shard
+			}
+			continue
+		}
+		if next.View.Epoch != shard.View.Epoch+1 {
+			t.Fatalf("epoch went from %d to %d", shard.View.Epoch, next.View.Epoch)
+		}
+		if !next.View.IsInSync(next.View.Primary) {
+			t.Fatalf("primary %d is not in sync: %+v", next.View.Primary, next.View)
+		}
+		for _, id := range next.View.InSync {
+			if !register.Contains(shard.View.InSync, id) {
+				t.Fatalf("%d came into the in-sync set by itself", id)
+			}
+		}
+		shard = next
+	}
+	t.Fatalf("placement does not come to rest: %+v", shard)
+	return shard
+}
+
+func TestFoundSpreadsCopiesOverZones(t *testing.T) {
+	c := Cluster{Machines: machines(6, 3), Tolerate: 1}
+	primaries := map[uint64]int{}
+	for id := range uint32(ShardCount) {
+		shard, placed := c.Found(id)
+		if !placed || len(shard.View.Replicas) != 3 {
+			t.Fatalf("shard %d: %+v", id, shard)
+		}
+		zones := map[string]bool{}
+		for _, replica := range shard.View.Replicas {
+			zones[c.Machines[replica].Store.Zone] = true
+		}
+		if len(zones) != 3 {
+			t.Fatalf("shard %d stands in %d zones", id, len(zones))
+		}
+		primaries[shard.View.Primary]++
+	}
+	for id := range c.Machines {
+		if primaries[id] == 0 {
+			t.Errorf("machine %d leads nothing", id)
+		}
+	}
+}
+
+func TestFoundWaitsForEnoughMachines(t *testing.T) {
+	c := Cluster{Machines: machines(1, 1), Tolerate: 1}
+	if _, placed := c.Found(0); placed {
+		t.Fatal("one machine was enough to bear the loss of one")
+	}
+}
+
+func TestALostPrimaryIsFollowedByAnInSyncReplica(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	lost := shard.View.Primary
+	change(c, lost, func(m *Machine) { m.Alive = false })
+	next, changed := c.Next(shard)
+	if !changed || next.View.Primary == lost || next.View.IsInSync(lost) || len(next.View.InSync) != 2 {
+		t.Fatalf("%+v", next.View)
+	}
+}
+
+// With as many lost as are tolerated, no further silent replica leaves the set: it may be the one that survives.
+func TestTheInSyncSetStaysAboveItsFloor(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	for _, id := range shard.View.InSync[1:] {
+		change(c, id, func(m *Machine) { m.Alive = false })
+	}
+	next, _ := c.Next(shard)
+	if len(next.View.InSync) != 2 {
+		t.Fatalf("%+v", next.View)
+	}
+	if c.MayDrop(next.View, next.View.InSync[1]) {
+		t.Fatal("a primary may drop the last but one replica")
+	}
+}
+
+// A replica whose disk is gone leaves the set whatever its size: it will never hold anything again.
+func TestALostDiskLeavesTheSet(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	survivor := shard.View.InSync[2]
+	for _, id := range shard.View.InSync[:2] {
+		delete(c.Machines, id)
+	}
+	next, changed := c.Next(shard)
+	if !changed || len(next.View.InSync) != 1 || next.View.Primary != survivor {
+		t.Fatalf("%+v", next.View)
+	}
+}
+
+func TestARestartedPrimaryGetsANewEpoch(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	change(c, shard.View.Primary, func(m *Machine) { m.Store.Boot++ })
+	next, changed := c.Next(shard)
+	if !changed || next.View.Epoch != shard.View.Epoch+1 {
+		t.Fatalf("changed %v: %+v", changed, next)
+	}
+}
+
+func TestARetiringMachineEndsEmpty(t *testing.T) {
+	c := Cluster{Machines: machines(4, 4), Tolerate: 1}
+	shards := map[uint32]directory.Shard{}
+	for id := range uint32(ShardCount) {
+		shards[id], _ = c.Found(id)
+	}
+	change(c, 2, func(m *Machine) { m.Retiring = true })
+	for id, shard := range shards {
+		shards[id] = settle(t, c, shard)
+		if len(shards[id].View.InSync) != 3 {
+			t.Fatalf("shard %d has %d copies", id, len(shards[id].View.InSync))
+		}
+	}
+	if !Empty(shards, 2) {
+		t.Fatal("the machine still holds shards")
+	}
+}
+
+func TestALeavingMachineLeadsNothing(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	leaving := shard.View.Primary
+	change(c, leaving, func(m *Machine) { m.Leaving = true })
+	next, changed := c.Next(shard)
+	if !changed || next.View.Primary == leaving || !next.View.IsInSync(leaving) {
+		t.Fatalf("%+v", next.View)
+	}
+}
+
+// From any state of the machines, steps keep the rules and come to rest; once all are well, every shard has all its copies.
+func TestPlacementComesToRest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tolerate := rapid.IntRange(0, 2).Draw(rt, "tolerate")
+		c := Cluster{Machines: machines(rapid.IntRange(2*tolerate+1, 12).Draw(rt, "machines"), rapid.IntRange(1, 4).Draw(rt, "zones")), Tolerate: tolerate}
+		shard, placed := c.Found(rapid.Uint32Range(0, ShardCount-1).Draw(rt, "shard"))
+		if !placed {
+			rt.Fatalf("not placed on %d machines", len(c.Machines))
+		}
+		for range rapid.IntRange(0, 6).Draw(rt, "events") {
+			id := rapid.Uint64Range(1, uint64(len(c.Machines))).Draw(rt, "machine")
+			down := 0
+			for _, machine := range c.Machines {
+				if !machine.Alive {
+					down++
+				}
+			}
+			change(c, id, func(m *Machine) {
+				if m.Alive && down < tolerate {
+					m.Alive = false
+					m.Away = rapid.Bool().Draw(rt, "away")
+				} else {
+					m.Alive = true
+					m.Away = false
+				}
+			})
+			shard = settle(rt, c, shard)
+		}
+		for id := range c.Machines {
+			change(c, id, func(m *Machine) { m.Alive, m.Away = true, false })
+		}
+		shard = settle(rt, c, shard)
+		if len(shard.View.InSync) != c.Copies() {
+			rt.Fatalf("%d of %d copies are in sync", len(shard.View.InSync), c.Copies())
+		}
+	})
+}
--- /dev/null
+++ b/tier/programs/programs_test.go
@@ -0,0 +1,222 @@
+package programs
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"otterseam/tier/codes"
+)
+
+// shard drives a state with a clock and log index.
+type shard struct {
+	state *State
+	now   int64
+	index uint64
+}
+
+func newShard() *shard { return &shard{state: NewState(), now: 1_000_000} }
+
+func (s *shard) apply(command []byte) Result {
+	s.index++
+	Stamp(command, s.now)
+	return s.state.Apply(s.index, command).(Result)
+}
+
+func (s *shard) begin(request, program string, budget, estimate uint64, previous string) Result {
+	return s.apply(Begin{
+		Request: request, Program: program, Session: "s", Limited: true, Budget: budget, Estimate: estimate, Previous: previous,
+	}.Encode())
+}
+
+func (s *shard) end(request, program string, actual uint64, previous, input, output string) Result {
+	return s.apply(End{
+		Request: request, Program: program, Session: "s", Actual: actual, Keep: true, KeepMS: 60_000, Previous: previous,
+		Input: []byte(input), Output: []byte(output), Host: "h-" + request,
+	}.Encode())
+}
+
+func TestBeginRefusesWhatTheBudgetDoesNotHold(t *testing.T) {
+	s := newShard()
+	if got := s.begin("a", "p", 100, 60, ""); got.Code != codes.OK {
+		t.Fatal(got.Code)
+	}
+	if got := s.begin("b", "p", 100, 41, ""); got.Code != codes.BudgetSpent {
+		t.Fatalf("41 beside 60 of 100 gave %v", got.Code)
+	}
+	if got := s.begin("c", "p", 100, 40, ""); got.Code != codes.OK {
+		t.Fatalf("the refused estimate was not taken off: %v", got.Code)
+	}
+}
+
+func TestBeginAndEndCountOnceForARequest(t *testing.T) {
+	s := newShard()
+	for range 3 {
+		if got := s.begin("a", "p", 100, 60, ""); got.Code != codes.OK {
+			t.Fatal(got.Code)
+		}
+	}
+	for range 3 {
+		if got := s.end("a", "p", 10, "", "in", "out"); got.Code != codes.OK {
+			t.Fatal(got.Code)
+		}
+	}
+	if got := s.begin("b", "p", 100, 90, ""); got.Code != codes.OK {
+		t.Fatalf("10 of 100 are spent, and 90 gave %v", got.Code)
+	}
+}
+
+func TestALateBeginAfterTheEndChargesNothing(t *testing.T) {
+	s := newShard()
+	s.begin("a", "p", 100, 60, "")
+	s.end("a", "p", 10, "", "", "")
+	if got := s.begin("a", "p", 100, 60, ""); got.Code != codes.TurnSettled {
+		t.Fatal(got.Code)
+	}
+	if got := s.begin("b", "p", 100, 90, ""); got.Code != codes.OK {
+		t.Fatalf("the late begin was charged: %v", got.Code)
+	}
+}
+
+func TestATurnThatDidNotRunCostsNothing(t *testing.T) {
+	s := newShard()
+	s.begin("a", "p", 100, 100, "")
+	s.apply(End{Request: "a", Program: "p"}.Encode())
+	if got := s.begin("b", "p", 100, 100, ""); got.Code != codes.OK {
+		t.Fatal(got.Code)
+	}
+}
+
+func TestChainHoldsInputsAndOutputsFromTheOldestOn(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 1, "", "A", "a\n")
+	s.end("b", "p", 1, "a", "B", "b\n")
+	s.end("c", "p", 1, "a", "C", "c\n") // another line goes on from the same turn
+	got := s.begin("d", "p", 100, 1, "b")
+	if text := string(bytes.Join(got.Chain, nil)); text != "Aa\nBb\n" || got.Host != "h-b" {
+		t.Fatalf("chain %q at host %q", text, got.Host)
+	}
+	got = s.begin("e", "p", 100, 1, "c")
+	if text := string(bytes.Join(got.Chain, nil)); text != "Aa\nCc\n" {
+		t.Fatalf("chain %q", text)
+	}
+}
+
+func TestATurnThatIsNotKeptIsUnknown(t *testing.T) {
+	s := newShard()
+	if got := s.begin("a", "p", 100, 1, "never"); got.Code != codes.TurnUnknown {
+		t.Fatal(got.Code)
+	}
+	if got := s.begin("b", "p", 100, 100, ""); got.Code != codes.OK {
+		t.Fatalf("the refused turn was charged: %v", got.Code)
+	}
+}
+
+// A chain lasts as long as the newest turn that goes on from it.
+func TestAChainIsKeptAsLongAsItsNewestTurn(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 1, "", "A", "a\n")
+	s.now += 50_000
+	s.end("b", "p", 1, "a", "B", "b\n")
+	s.now += 59_000
+	s.state.sweep(s.now)
+	if got := s.begin("c", "p", 100, 1, "b"); got.Code != codes.OK || len(got.Chain) != 4 {
+		t.Fatalf("%v with %d parts", got.Code, len(got.Chain))
+	}
+	s.now += 60_000
+	s.state.sweep(s.now)
+	if got := s.begin("d", "p", 100, 1, "b"); got.Code != codes.TurnUnknown {
+		t.Fatalf("long after its time: %v", got.Code)
+	}
+	if len(s.state.byTurn) != 0 {
+		t.Fatalf("%d turns are still indexed", len(s.state.byTurn))
+	}
+}
+
+func TestTheCountOutlivesTheTurns(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 90, "", "A", "a\n")
+	s.now += 10 * 60_000
+	s.state.sweep(s.now)
+	if got := s.begin("b", "p", 100, 11, ""); got.Code != codes.BudgetSpent {
+		t.Fatalf("after ten minutes of rest: %v", got.Code)
+	}
+	s.now += 16 * 60_000
+	s.state.sweep(s.now)
+	if len(s.state.programs) != 0 {
+		t.Fatal("the program was never dropped")
+	}
+}
+
+// A new program may go on from a turn of another one.
+func TestFetchFindsATurnOfAnyProgram(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 1, "", "A", "a\n")
+	got := s.apply(Fetch{Request: "a"}.Encode())
+	if got.Code != codes.OK || string(bytes.Join(got.Chain, nil)) != "Aa\n" {
+		t.Fatalf("%v %q", got.Code, got.Chain)
+	}
+	if got := s.apply(Fetch{Request: "x"}.Encode()); got.Code != codes.TurnUnknown {
+		t.Fatal(got.Code)
+	}
+}
+
+func TestDamagedCommandsAreNamed(t *testing.T) {
+	whole := Begin{Request: "a", Program: "p", Budget: 1}.Encode()
+	for n := range whole {
+		if got := NewState().Apply(1, whole[:n]).(Result); got.Code != codes.Malformed {
+			t.Fatalf("%d bytes gave %v", n, got.Code)
+		}
+	}
+}
+
+// Over any order of begins, ends, repeats and restores from a snapshot, the tokens that may reach clients never pass the budget
+// by more than what one begin may add, and replicas that restored agree with those that did not.
+func TestTheBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const budget = 500
+		s := newShard()
+		open := map[string]uint64{}
+		spent := uint64(0)
+		for i := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			s.now += int64(rapid.IntRange(0, 3000).Draw(rt, "pause"))
+			if rapid.Bool().Draw(rt, "begin") || len(open) == 0 {
+				estimate := uint64(rapid.IntRange(1, 200).Draw(rt, "estimate"))
+				request := fmt.Sprintf("r%d", i)
+				if s.begin(request, "p", budget, estimate, "").Code == codes.OK {
+					open[request] = estimate
+				}
+			} else {
+				request := rapid.SampledFrom(sortedKeys(open)).Draw(rt, "ended")
+				actual := uint64(rapid.IntRange(0, int(open[request])).Draw(rt, "actual"))
+				for range rapid.IntRange(1, 2).Draw(rt, "times") {
+					s.end(request, "p", actual, "", "", "")
+				}
+				delete(open, request)
+				spent += actual
+			}
+			reserved := uint64(0)
+			for _, estimate := range open {
+				reserved += estimate
+			}
+			if spent+reserved > budget {
+				rt.Fatalf("%d spent and %d reserved of %d", spent, reserved, budget)
+			}
+			if got := s.state.programs["p"].total(); got != spent+reserved {
+				rt.Fatalf("the count is %d, and %d spent and %d reserved", got, spent, reserved)
+			}
+			if rapid.IntRange(0, 9).Draw(rt, "restore") == 0 {
+				again := NewState()
+				if err := again.Restore(s.state.Snapshot()); err != nil {
+					rt.Fatal(err)
+				}
+				if !bytes.Equal(again.Snapshot(), s.state.Snapshot()) {
+					rt.Fatal("a restored state differs")
+				}
+				s.state = again
+			}
+		}
+	})
+}
--- /dev/null
+++ b/tier/register/register_test.go
@@ -0,0 +1,188 @@
+package register
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// cluster is a set of witnesses reached over a network that breaks.
+type cluster struct {
+	mu        sync.Mutex
+	random    *rand.Rand
+	witnesses map[uint64]*Witness
+	loss      float64 // share of calls whose request or answer is lost
+	dieAfter  int     // calls until the proposer dies; below 0 for never
+}
+
+func (c *cluster) reach(id uint64, act func(*Witness) bool) (Promise, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dieAfter == 0 {
+		return Promise{}, errUnreachable
+	}
+	c.dieAfter--
+	witness := c.witnesses[id]
+	if witness == nil || c.random.Float64() < c.loss {
+		return Promise{}, errUnreachable
+	}
+	given := act(witness)
+	if c.random.Float64() < c.loss {
+		return Promise{}, errUnreachable
+	}
+	return Promise{Given: given, Promised: witness.Promised, Accepted: witness.Accepted, Value: witness.Value}, nil
+}
+
+func (c *cluster) Prepare(_ context.Context, to Member, ballot Ballot) (Promise, error) {
+	return c.reach(to.ID, func(w *Witness) bool { return w.Prepare(ballot) })
+}
+
+func (c *cluster) Accept(_ context.Context, to Member, ballot Ballot, value Record) (Promise, error) {
+	return c.reach(to.ID, func(w *Witness) bool { return w.Accept(ballot, value) })
+}
+
+func newCluster(seed int64, members int) (*cluster, Record) {
+	c := &cluster{random: rand.New(rand.NewSource(seed)), witnesses: map[uint64]*Witness{}, dieAfter: -1}
+	var list []Member
+	for id := uint64(1); id <= uint64(members); id++ {
+		c.witnesses[id] = &Witness{}
+		list = append(list, Member{ID: id})
+	}
+	return c, Record{Members: list}
+}
+
+// addMark is a change that extends the history kept in InSync, and perhaps replaces a member.
+func addMark(mark uint64, remove, add uint64) Change {
+	return func(current Record, _ map[uint64]bool) (Record, bool) {
+		next := current
+		next.Epoch++
+		next.InSync = append(append([]uint64(nil), current.InSync...), mark)
+		if remove != add && HasMember(current.Members, remove) {
+			next.Members = nil
+			for _, member := range current.Members {
+				if member.ID != remove {
+					next.Members = append(next.Members, member)
+				}
+			}
+			next.Members = append(next.Members, Member{ID: add})
+		}
+		return next, true
+	}
+}
+
+func isPrefix(short, long []uint64) bool {
+	if len(short) > len(long) {
+		return false
+	}
+	for i := range short {
+		if short[i] != long[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Whatever is lost on the way, wherever proposers die and however members change, each decided value goes on from the one
+// decided before.
+func TestDecisionsFormOneHistory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c, start := newCluster(rapid.Int64().Draw(rt, "seed"), rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(rt, "members"))
+		decided := start
+		known := start
+		nextID := uint64(100)
+		rounds := map[uint64]uint64{}
+		for mark := range uint64(rapid.IntRange(1, 30).Draw(rt, "proposals")) {
+			c.loss = rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "loss")
+			c.dieAfter = rapid.IntRange(-1, 12).Draw(rt, "calls before death")
+			remove, add := uint64(0), uint64(0)
+			if decided.Known() && rapid.IntRange(0, 3).Draw(rt, "change members") == 0 {
+				remove = rapid.SampledFrom(decided.Members).Draw(rt, "removed").ID
+				add = nextID
+				nextID++
+				c.witnesses[add] = &Witness{}
+			}
+			proposer := uint64(rapid.IntRange(1, 3).Draw(rt, "proposer"))
+			from := known
+			if rapid.Bool().Draw(rt, "knows the newest") {
+				from = decided
+			}
+			record, round, err := Propose(context.Background(), c, proposer, from, rounds[proposer], addMark(mark+1, remove, add))
+			rounds[proposer] = round
+			if err != nil {
+				continue
+			}
+			if !isPrefix(decided.InSync, record.InSync) {
+				rt.Fatalf("decided %v after %v", record.InSync, decided.InSync)
+			}
+			known = decided
+			decided = record
+		}
+	})
+}
+
+func TestAMinorityDecidesNothing(t *testing.T) {
+	c, start := newCluster(1, 3)
+	delete(c.witnesses, 2)
+	delete(c.witnesses, 3)
+	if _, _, err := Propose(context.Background(), c, 1, start, 0, addMark(1, 0, 0)); err == nil {
+		t.Fatal("one of three witnesses decided")
+	}
+}
+
+// A witness that lost its disk comes back under another identity, which no record names: it must not count.
+func TestAnEmptyWitnessDoesNotCountForTheOneBefore(t *testing.T) {
+	c, start := newCluster(1, 3)
+	first, round, err := Propose(context.Background(), c, 1, start, 0, addMark(1, 0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	delete(c.witnesses, 3)
+	c.witnesses[4] = &Witness{}
+	delete(c.witnesses, 2)
+	if _, _, err := Propose(context.Background(), c, 1, first, round, addMark(2, 0, 0)); err == nil {
+		t.Fatal("decided with one witness and an empty one")
+	}
+	c.witnesses[2] = &Witness{Promised: c.witnesses[1].Promised, Accepted: c.witnesses[1].Accepted, Value: first}
+	replaced, _, err := Propose(context.Background(), c, 1, first, round+10, addMark(2, 3, 4))
+	if err != nil || !HasMember(replaced.Members, 4) || HasMember(replaced.Members, 3) {
+		t.Fatalf("replacing the lost member gave %+v, %v", replaced, err)
+	}
+	if c.witnesses[4].Value.Epoch == 0 && c.witnesses[2].Value.Epoch != replaced.Epoch {
+		t.Fatal("the change was decided without a majority of the new members")
+	}
+}
+
+func TestWitnessRefusesLowerBallots(t *testing.T) {
+	var w Witness
+	if !w.Prepare(Ballot{Round: 5, Proposer: 1}) || w.Prepare(Ballot{Round: 4, Proposer: 9}) {
+		t.Fatal("a lower ballot was promised")
+	}
+	if w.Accept(Ballot{Round: 4, Proposer: 9}, Record{Epoch: 1}) {
+		t.Fatal("a lower ballot was accepted")
+	}
+	if !w.Accept(Ballot{Round: 5, Proposer: 1}, Record{Epoch: 1}) {
+		t.Fatal("the promised ballot was not accepted")
+	}
+}
+
+func TestWitnessSurvivesItsEncoding(t *testing.T) {
+	w := Witness{
+		Promised: Ballot{9, 2}, Accepted: Ballot{8, 1},
+		Value: Record{Epoch: 4, Primary: 2, InSync: []uint64{2, 3}, Members: []Member{{2, "a"}, {3, "b"}}, Previous: []Member{{1, "c"}}},
+	}
+	again, err := DecodeWitness(w.Encode())
+	if err != nil || again.Value.Epoch != 4 || len(again.Value.Previous) != 1 || again.Value.Members[1].Address != "b" || again.Promised != w.Promised {
+		t.Fatalf("read %+v, %v", again, err)
+	}
+	for cut := range w.Encode() {
+		if _, err := DecodeWitness(w.Encode()[:cut]); err == nil {
+			t.Fatalf("%d bytes were taken for a witness", cut)
+		}
+	}
+}
