--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run try hunt try-copies hunt-copies sites
+.PHONY: build test race lint fuzz run try try-tier hunt try-copies hunt-copies hunt-tier sites
 
 build:
 	@sh -ec "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
@@ -7,11 +7,12 @@
 	go test ./...
 
 race:
-	go test -race -count=1 ./gateway ./http1 ./choice ./cmd/otterseam ./keeper ./say ./lodge ./lab/relay ./lab/sockets
+	go test -race -count=1 ./gateway ./http1 ./choice ./cmd/otterseam ./keeper ./say ./lodge ./lab/relay ./lab/sockets ./tier/...
 
 lint:
 	@bad=$$(gofmt -l $$(go list -f '{{.Dir}}' ./...)); [ -z "$$bad" ] || { echo "gofmt: $$bad"; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 
 fuzz:
 	go test -fuzz FuzzMessage -fuzztime 60s ./http1
@@ -35,6 +36,15 @@
 	@bin/otterlab standin try --dir bin/try --listen 127.0.0.1:8443 & lab=$$!; trap 'kill $$lab' EXIT; \
 	while [ ! -s bin/try/edge-0.json ]; do sleep 0.1; done; sleep 0.2; EDGE_CONFIG=bin/try/edge-0.json bin/otterseam
 
+# the whole serving tier on loopback with stand-in hosts and a configuration; says how to ask it for a turn; Ctrl-C ends all
+try-tier:
+	@sh -ec "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+	@go build -o target/tiertry ./cmd/tiertry && target/tiertry
+
+# replica groups of the tier on a simulated network and disks over seeds; not in CI
+hunt-tier:
+	TIER_SEEDS=$(SEEDS)00 go test -count=1 ./tier/replica
+
 # keepers on a simulated network over seeds, on all cores; not in CI
 hunt-copies: build
 	bin/otterlab keepers --seed $(SEED) --seeds $(SEEDS)00
--- a/cmd/otterlab/adds.go
+++ b/cmd/otterlab/adds.go
@@ -41,7 +41,7 @@
 	}
 	fmt.Fprintf(s.out, "%d names: answered and missing: %d, counted too often: %d\n", len(t.Sum), lost, twice)
 	if lost+twice > 0 {
-		return broken
+		return errBroken
 	}
 	return nil
 }
--- a/cmd/otterlab/fleet.go
+++ b/cmd/otterlab/fleet.go
@@ -103,7 +103,7 @@
 		}
 	}
 	if bad {
-		return broken
+		return errBroken
 	}
 	return nil
 }
--- a/cmd/otterlab/keepers.go
+++ b/cmd/otterlab/keepers.go
@@ -39,7 +39,7 @@
 		sum.Seeds, sum.Answered, sum.Refused, sum.Unknown, sum.Faults, sum.Wipes, sum.Undecided)
 	fmt.Fprintf(s.out, "promised and lost: %d; put back twice: %d; second effects: %d; not whole at the end: %d\n", sum.Lost, sum.Twice, sum.Second, sum.Stuck)
 	if !sum.OK() {
-		return broken
+		return errBroken
 	}
 	return nil
 }
--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -47,8 +47,8 @@
 	Days     daysCmd     `cmd:"" help:"List the days there are, or the form of a day's file."`
 }
 
-// broken is returned where a rule was broken: exit code 1.
-var broken = errors.New("a rule was broken")
+// errBroken is returned where a rule was broken: exit code 1.
+var errBroken = errors.New("a rule was broken")
 
 func main() { os.Exit(do(os.Args[1:], os.Stdout, os.Stderr)) }
 
@@ -80,7 +80,7 @@
 	switch {
 	case err == nil:
 		return 0
-	case errors.Is(err, broken):
+	case errors.Is(err, errBroken):
 		return 1
 	case errors.As(err, &bad):
 		fmt.Fprintln(errs, bad.error)
@@ -191,7 +191,7 @@
 func judge(rs []*runs.Run) error {
 	for _, r := range rs {
 		if r.Breaks > 0 {
-			return broken
+			return errBroken
 		}
 	}
 	return nil
--- a/cmd/otterlab/sockets.go
+++ b/cmd/otterlab/sockets.go
@@ -90,7 +90,7 @@
 		fmt.Fprintln(s.out, b)
 	}
 	if f.Breaks > 0 {
-		return broken
+		return errBroken
 	}
 	return nil
 }
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -354,7 +354,7 @@
 func (c *client) serve() {
 	cs := c.clients
 	for last := false; !last; {
-		b, bad, at := c.next()
+		b, at, bad := c.next()
 		if b == nil {
 			break
 		}
@@ -375,31 +375,31 @@
 
 // next waits for the next whole request, or what can't be one, and takes it; nil: none comes any more. What stands
 // behind one whose client has left is not taken.
-func (c *client) next() (b *Buffer, bad error, at time.Time) {
+func (c *client) next() (b *Buffer, at time.Time, bad error) {
 	for {
 		select {
 		case <-c.came:
 		case <-c.ended:
-			return nil, nil, at
+			return nil, at, nil
 		}
 		select {
 		case <-c.ended:
-			return nil, nil, at
+			return nil, at, nil
 		default:
 		}
-		if b, bad, at = c.take(); b != nil {
-			return b, bad, at
+		if b, at, bad = c.take(); b != nil {
+			return b, at, bad
 		}
 	}
 }
 
 // take takes the request that has come. It and the shutting of the sending side exclude each other: one that rests is shut
 // only while nothing has come, and nothing comes in once it is.
-func (c *client) take() (b *Buffer, bad error, at time.Time) {
+func (c *client) take() (b *Buffer, at time.Time, bad error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.whole && c.bad == nil {
-		return nil, nil, at
+		return nil, at, nil
 	}
 	b, bad, at = c.in, c.bad, c.wholeAt
 	c.in, c.whole, c.bad, c.busy, c.first = nil, false, nil, true, false
@@ -411,7 +411,7 @@
 			bad = errNoRoom
 		}
 	}
-	return b, bad, at
+	return b, at, bad
 }
 
 // judge says what a request asks for: the call of an invocation, or a status to answer at once.
--- a/keep/group.go
+++ b/keep/group.go
@@ -515,7 +515,8 @@
 			worst, how = id, x
 		}
 	}
-	for _, id := range g.conf.Learners {
+	if len(g.conf.Learners) > 0 { // there is one at most; it is brought in, or taken out, before anything else
+		id := g.conf.Learners[0]
 		pr, n := st.Progress[id], ID(id).Number()
 		if g.core.former(ID(id)) || !holds(n) || g.core.lost(now, n) {
 			g.change(&pb.ConfChangeSingle{Type: pb.ConfChangeRemoveNode.Enum(), NodeId: &id})
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -12,7 +12,6 @@
 	now    float64
 	all    []*Group
 	asleep []bool
-	held   [][]Letter
 	cut    func(from, to int) bool
 	dice   *rand.Rand
 	loss   float64
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -18,7 +18,6 @@
 	lastID   int64
 	output   []byte
 	host     string
-	whole    bool
 	clientOK bool
 }
 
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -37,8 +37,8 @@
 )
 
 var (
-	errBudgetHeader = errors.New("Budget is no whole number")
-	errTokenHeader  = errors.New("X-Token-Count is not two whole numbers separated by a comma")
+	errBudgetHeader = errors.New("header Budget is no whole number")
+	errTokenHeader  = errors.New("header X-Token-Count is not two whole numbers separated by a comma")
 )
 
 // readTurn takes the headers of a turn.
--- a/tier/storage/file.go
+++ b/tier/storage/file.go
@@ -51,11 +51,6 @@
 	return content, nil
 }
 
-// writeSynced creates a file under its final name and syncs it. A new file lasts once it has its own sync.
-func writeSynced(dir, name string, content []byte) error {
-	return writeFile(filepath.Join(dir, name), seal(name, content))
-}
-
 func writeFile(path string, data []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
 	if err != nil {
