--- a/tier/register/register_test.go
+++ b/tier/register/register_test.go
@@ -47,6 +47,28 @@
 	return c.reach(to.ID, func(w *Witness) bool { return w.Accept(ballot, value) })
 }
 
+// set puts a witness in place, or takes it away; calls of an earlier proposal may still be under way.
+func (c *cluster) set(id uint64, witness *Witness) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.witnesses[id] = witness
+}
+
+// get copies a witness.
+func (c *cluster) get(id uint64) Witness {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *c.witnesses[id]
+}
+
+// trouble sets what is lost and when the proposer dies.
+func (c *cluster) trouble(loss float64, dieAfter int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loss = loss
+	c.dieAfter = dieAfter
+}
+
 func newCluster(seed int64, members int) (*cluster, Record) {
 	c := &cluster{random: rand.New(rand.NewSource(seed)), witnesses: map[uint64]*Witness{}, dieAfter: -1}
 	var list []Member
@@ -98,14 +120,13 @@
 		nextID := uint64(100)
 		rounds := map[uint64]uint64{}
 		for mark := range uint64(rapid.IntRange(1, 30).Draw(rt, "proposals")) {
-			c.loss = rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "loss")
-			c.dieAfter = rapid.IntRange(-1, 12).Draw(rt, "calls before death")
+			c.trouble(rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "loss"), rapid.IntRange(-1, 12).Draw(rt, "calls before death"))
 			remove, add := uint64(0), uint64(0)
 			if decided.Known() && rapid.IntRange(0, 3).Draw(rt, "change members") == 0 {
 				remove = rapid.SampledFrom(decided.Members).Draw(rt, "removed").ID
 				add = nextID
 				nextID++
-				c.witnesses[add] = &Witness{}
+				c.set(add, &Witness{})
 			}
 			proposer := uint64(rapid.IntRange(1, 3).Draw(rt, "proposer"))
 			from := known
@@ -128,8 +149,8 @@
 
 func TestAMinorityDecidesNothing(t *testing.T) {
 	c, start := newCluster(1, 3)
-	delete(c.witnesses, 2)
-	delete(c.witnesses, 3)
+	c.set(2, nil)
+	c.set(3, nil)
 	if _, _, err := Propose(context.Background(), c, 1, start, 0, addMark(1, 0, 0)); err == nil {
 		t.Fatal("one of three witnesses decided")
 	}
@@ -142,18 +163,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	delete(c.witnesses, 3)
-	c.witnesses[4] = &Witness{}
-	delete(c.witnesses, 2)
+	c.set(3, nil)
+	c.set(4, &Witness{})
+	c.set(2, nil)
 	if _, _, err := Propose(context.Background(), c, 1, first, round, addMark(2, 0, 0)); err == nil {
 		t.Fatal("decided with one witness and an empty one")
 	}
-	c.witnesses[2] = &Witness{Promised: c.witnesses[1].Promised, Accepted: c.witnesses[1].Accepted, Value: first}
+	c.set(2, &Witness{Promised: c.get(1).Promised, Accepted: c.get(1).Accepted, Value: first})
 	replaced, _, err := Propose(context.Background(), c, 1, first, round+10, addMark(2, 3, 4))
 	if err != nil || !HasMember(replaced.Members, 4) || HasMember(replaced.Members, 3) {
 		t.Fatalf("replacing the lost member gave %+v, %v", replaced, err)
 	}
-	if c.witnesses[4].Value.Epoch == 0 && c.witnesses[2].Value.Epoch != replaced.Epoch {
+	if c.get(4).Value.Epoch == 0 && c.get(2).Value.Epoch != replaced.Epoch {
 		t.Fatal("the change was decided without a majority of the new members")
 	}
 }
