--- /dev/null
+++ b/tier/balance/balance_test.go
@@ -0,0 +1,111 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func noChance() float64 { return 0 }
+
+func hosts(n int) []*Host {
+	var all []*Host
+	for i := range n {
+		all = append(all, &Host{ID: string(rune('a' + i)), Slots: 10})
+	}
+	return all
+}
+
+func TestChooseTakesTheLeastLoaded(t *testing.T) {
+	all := hosts(3)
+	now := time.Now()
+	all[0].Begin()
+	all[1].Told(5, 0, now)
+	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "c" {
+		t.Fatal(got.ID)
+	}
+	if got := Choose(all, Request{Chance: noChance, Tried: map[string]bool{"c": true}}, now); got.ID != "a" {
+		t.Fatal(got.ID)
+	}
+}
+
+func TestChooseGoesBackToTheHostThatKnowsThePrompt(t *testing.T) {
+	all := hosts(3)
+	now := time.Now()
+	all[1].Begin()
+	all[1].Begin()
+	if got := Choose(all, Request{Chance: noChance, Preferred: "b"}, now); got.ID != "b" {
+		t.Fatal(got.ID)
+	}
+	for range 8 {
+		all[1].Begin()
+	}
+	if got := Choose(all, Request{Chance: noChance, Preferred: "b"}, now); got.ID == "b" {
+		t.Fatal("a full host was preferred")
+	}
+}
+
+func TestAHostThatFailedIsAvoidedForATimeThatGrows(t *testing.T) {
+	all := hosts(2)
+	now := time.Now()
+	all[0].Failed(now)
+	all[1].Begin()
+	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "b" {
+		t.Fatal(got.ID)
+	}
+	if got := Choose(all, Request{Chance: noChance}, now.Add(firstPause)); got.ID != "a" {
+		t.Fatal("it was avoided for longer than the first pause")
+	}
+	all[0].Failed(now)
+	if got := Choose(all, Request{Chance: noChance}, now.Add(firstPause)); got.ID != "b" {
+		t.Fatal("the second pause is no longer than the first")
+	}
+	all[0].Succeeded()
+	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "a" {
+		t.Fatal("it is avoided after an answer")
+	}
+}
+
+func TestHostsThatFailedServeWhenNoOtherIsLeft(t *testing.T) {
+	all := hosts(1)
+	now := time.Now()
+	all[0].Failed(now)
+	if got := Choose(all, Request{Chance: noChance}, now); got == nil {
+		t.Fatal("nobody was chosen")
+	}
+	all[0].Draining = true
+	if got := Choose(all, Request{Chance: noChance}, now); got != nil {
+		t.Fatal("a draining host was chosen")
+	}
+}
+
+// Whatever happens, neither a draining host nor one that was tried is chosen, and a choice is made whenever one is left.
+func TestChooseKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		all := hosts(rapid.IntRange(0, 8).Draw(rt, "hosts"))
+		now := time.Now()
+		tried := map[string]bool{}
+		left := 0
+		for _, host := range all {
+			host.Draining = rapid.Bool().Draw(rt, "draining")
+			tried[host.ID] = rapid.Bool().Draw(rt, "tried")
+			for range rapid.IntRange(0, 3).Draw(rt, "failures") {
+				host.Failed(now)
+			}
+			for range rapid.IntRange(0, 20).Draw(rt, "open") {
+				host.Begin()
+			}
+			if !host.Draining && !tried[host.ID] {
+				left++
+			}
+		}
+		got := Choose(all, Request{Chance: func() float64 { return 0.5 }, Tried: tried}, now)
+		if (got == nil) != (left == 0) {
+			rt.Fatalf("%d are left, chosen %v", left, got)
+		}
+		if got != nil && (got.Draining || tried[got.ID]) {
+			rt.Fatalf("chose %+v", got)
+		}
+	})
+}
--- /dev/null
+++ b/tier/codes/codes_test.go
@@ -0,0 +1,64 @@
+package codes
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+const page = "../../docs/codes.md"
+
+// tablePage is the page for operators, made from Table.
+func tablePage() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nThe numbers that processes of the serving tier give each other, write into their logs as `code`, and put into\n" +
+		"the JSON bodies of their own answers. The page is made from `tier/codes`; a number is never used again for another meaning.\n\n" +
+		"| code | name | meaning |\n| --- | --- | --- |\n")
+	for _, row := range Table {
+		fmt.Fprintf(&b, "| %d | `%s` | %s |\n", row.Code, row.Name, row.Meaning)
+	}
+	return b.String()
+}
+
+func TestThePageListsAllCodes(t *testing.T) {
+	if os.Getenv("UPDATE_CODES") != "" {
+		if err := os.WriteFile(page, []byte(tablePage()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(text) != tablePage() {
+		t.Fatalf("docs/codes.md is not what the table says; UPDATE_CODES=1 go test ./tier/codes writes it")
+	}
+}
+
+func TestCodesAreDistinctAndInOrder(t *testing.T) {
+	names := map[string]bool{}
+	for i, row := range Table {
+		if i > 0 && row.Code <= Table[i-1].Code {
+			t.Errorf("%v stands behind %v", row.Code, Table[i-1].Code)
+		}
+		if names[row.Name] || row.Meaning == "" {
+			t.Errorf("%q is a name twice or has no meaning", row.Name)
+		}
+		names[row.Name] = true
+	}
+}
+
+func TestACodeIsAnErrorThatCanBeCompared(t *testing.T) {
+	err := fmt.Errorf("while calling: %w", BudgetSpent)
+	if !errors.Is(err, BudgetSpent) || errors.Is(err, TurnUnknown) {
+		t.Fatal("codes can't be told apart in wrapped errors")
+	}
+	if got := BudgetSpent.Error(); got != "code 301 budget-spent" {
+		t.Fatal(got)
+	}
+	if got := Code(9999).Error(); got != "code 9999" {
+		t.Fatal(got)
+	}
+}
--- /dev/null
+++ b/tier/control/state_test.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"otterseam/tier/codes"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+)
+
+// log applies commands to a state with rising indices.
+type log struct {
+	state *State
+	index uint64
+}
+
+func newLog() *log { return &log{state: NewState()} }
+
+func (l *log) apply(c Command) Result {
+	l.index++
+	return l.state.Apply(l.index, c.Encode()).(Result)
+}
+
+func (l *log) replace(base, version uint64, body string) codes.Code {
+	return l.apply(Command{Kind: CommandReplaceConfig, Base: base, Version: version, Body: []byte(body)}).Code
+}
+
+func TestOneOfTwoChangesOnTheSameBaseWins(t *testing.T) {
+	l := newLog()
+	if got := l.replace(0, 3, "three"); got != codes.OK {
+		t.Fatal(got)
+	}
+	if got := l.replace(0, 4, "four"); got != codes.ConfigBase {
+		t.Fatalf("the second change on base 0: %v", got)
+	}
+	if got := l.replace(0, 3, "another three"); got != codes.ConfigBase {
+		t.Fatalf("another change under the same number: %v", got)
+	}
+	if got := l.apply(Command{Kind: CommandReadConfig}); string(got.Body) != "three" {
+		t.Fatalf("%q is in place", got.Body)
+	}
+}
+
+func TestTheSameChangeIsTakenAgainForEver(t *testing.T) {
+	l := newLog()
+	l.replace(0, 3, "three")
+	l.replace(3, 5, "five")
+	restored := NewState()
+	if err := restored.Restore(l.state.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*State{"same": l.state, "restored": restored} {
+		l.state = state
+		if got := l.replace(0, 3, "three"); got != codes.OK {
+			t.Errorf("%s: the superseded change again: %v", name, got)
+		}
+		if got := l.replace(3, 5, "five"); got != codes.OK {
+			t.Errorf("%s: the current change again: %v", name, got)
+		}
+		if got := l.apply(Command{Kind: CommandReadConfig}); string(got.Body) != "five" {
+			t.Errorf("%s: %q is in place", name, got.Body)
+		}
+	}
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	l := newLog()
+	l.replace(0, 7, "seven")
+	for _, version := range []uint64{6, 7} {
+		if got := l.replace(7, version, "lower"); got != codes.ConfigInvalid {
+			t.Errorf("version %d on 7: %v", version, got)
+		}
+	}
+}
+
+func beat(id, address string, draining bool, seq uint64) Command {
+	return Command{Kind: CommandPutHost, Host: directory.Host{ID: id, Service: "s", Address: address, Draining: draining}, Seq: seq}
+}
+
+func TestALateHeartbeatChangesNothing(t *testing.T) {
+	l := newLog()
+	l.apply(beat("h", "a:1", false, 1))
+	l.apply(beat("h", "a:1", true, 3))
+	if got := l.apply(beat("h", "a:1", false, 2)); got.Code != codes.HostStale {
+		t.Fatalf("an older heartbeat: %v", got.Code)
+	}
+	if got := l.apply(beat("h", "a:1", false, 9)); got.Code != codes.HostStale {
+		t.Fatalf("ready after draining: %v", got.Code)
+	}
+	if host, _ := l.state.Host("h"); !host.Draining {
+		t.Fatal("the draining was forgotten")
+	}
+	l.apply(Command{Kind: CommandRemoveHost, Key: "h", Final: true})
+	if got := l.apply(beat("h", "a:1", true, 10)); got.Code != codes.HostStale {
+		t.Fatalf("a heartbeat after the end: %v", got.Code)
+	}
+	if len(l.state.View.All(feed.SectionHost)) != 0 {
+		t.Fatal("a host that deregistered is on the list")
+	}
+}
+
+func TestASilentHostMayComeBack(t *testing.T) {
+	l := newLog()
+	l.apply(beat("h", "a:1", false, 1))
+	l.apply(Command{Kind: CommandRemoveHost, Key: "h"})
+	if got := l.apply(beat("h", "a:1", false, 2)); got.Code != codes.OK || len(l.state.View.All(feed.SectionHost)) != 1 {
+		t.Fatalf("%v", got.Code)
+	}
+}
+
+func TestRetireNeedsAKnownMachineAndEnoughOthers(t *testing.T) {
+	l := newLog()
+	for i := range uint64(3) {
+		l.apply(Command{Kind: CommandPutStore, Store: directory.Store{Identity: i + 1, Node: fmt.Sprintf("store-%d", i)}})
+	}
+	retire := func(node string) codes.Code { return l.apply(Command{Kind: CommandRetire, Key: node, Needed: 2}).Code }
+	for _, test := range []struct {
+		node string
+		want codes.Code
+	}{{"nobody", codes.RetireUnknown}, {"store-0", codes.OK}, {"store-0", codes.OK}, {"store-1", codes.RetireTooFew}} {
+		if got := retire(test.node); got != test.want {
+			t.Errorf("%s: %v, not %v", test.node, got, test.want)
+		}
+	}
+}
+
+func TestAShardChangesOnlyFromTheEpochItBuildsOn(t *testing.T) {
+	l := newLog()
+	put := func(base, epoch uint64) codes.Code {
+		shard := directory.Shard{ID: 4, Total: 8}
+		shard.View.Epoch = epoch
+		return l.apply(Command{Kind: CommandPutShard, Epoch: base, Shard: shard}).Code
+	}
+	if got := put(0, 1); got != codes.OK {
+		t.Fatal(got)
+	}
+	if got := put(0, 1); got == codes.OK {
+		t.Fatal("the shard was founded twice")
+	}
+	if got := put(1, 2); got != codes.OK {
+		t.Fatal(got)
+	}
+	if got := put(1, 2); got == codes.OK {
+		t.Fatal("two changes of epoch 1 were taken")
+	}
+}
+
+// Whatever commands come, and wherever a replica starts from a snapshot, replicas agree and versions only rise.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := newLog()
+		copied := NewState()
+		version := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "commands") {
+			c := drawCommand(rt)
+			l.apply(c)
+			copied.Apply(l.index, c.Encode())
+			if now := l.state.currentVersion(); now < version {
+				rt.Fatalf("version went from %d to %d", version, now)
+			} else {
+				version = now
+			}
+			if rapid.IntRange(0, 5).Draw(rt, "restore") == 0 {
+				copied = NewState()
+				if err := copied.Restore(l.state.Snapshot()); err != nil {
+					rt.Fatal(err)
+				}
+			}
+		}
+		if !bytes.Equal(l.state.View.Export().Encode(), copied.View.Export().Encode()) {
+			rt.Fatal("the replicas' views differ")
+		}
+		if len(l.state.Hosts()) != len(copied.Hosts()) {
+			rt.Fatal("the replicas' hosts differ")
+		}
+	})
+}
+
+func drawCommand(rt *rapid.T) Command {
+	id := fmt.Sprintf("h%d", rapid.IntRange(0, 3).Draw(rt, "host"))
+	switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+	case 0:
+		return Command{
+			Kind: CommandReplaceConfig, Base: rapid.Uint64Range(0, 5).Draw(rt, "base"), Version: rapid.Uint64Range(1, 6).Draw(rt, "version"),
+			Body: []byte(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "body")),
+		}
+	case 1:
+		return beat(id, "a:1", rapid.Bool().Draw(rt, "draining"), rapid.Uint64Range(0, 9).Draw(rt, "seq"))
+	case 2:
+		return Command{Kind: CommandRemoveHost, Key: id, Final: rapid.Bool().Draw(rt, "final")}
+	default:
+		return Command{Kind: CommandPutStore, Store: directory.Store{Identity: rapid.Uint64Range(1, 3).Draw(rt, "store")}}
+	}
+}
+
+func FuzzCommand(f *testing.F) {
+	f.Add(beat("h", "a:1", true, 3).Encode())
+	f.Add(Command{Kind: CommandReplaceConfig, Base: 1, Version: 2, Body: []byte("x")}.Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := DecodeCommand(data)
+		if err != nil {
+			return
+		}
+		if again, err := DecodeCommand(c.Encode()); err != nil || again.Kind != c.Kind {
+			t.Fatalf("%+v came back as %+v, %v", c, again, err)
+		}
+		NewState().Apply(1, data)
+	})
+}
