--- a/tier/control/state_test.go
+++ b/tier/control/state_test.go
@@ -172,7 +172,7 @@
 			}
 		}
 		if !bytes.Equal(l.state.View.Export().Encode(), copied.View.Export().Encode()) {
-			rt.Fatal("the replicas' views differ")
+			rt.Fatalf("the replicas' views differ:\n%+v\n%+v", l.state.View.Export(), copied.View.Export())
 		}
 		if len(l.state.Hosts()) != len(copied.Hosts()) {
 			rt.Fatal("the replicas' hosts differ")
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -167,10 +167,21 @@
 			update.Items = append(update.Items, item)
 		}
 	}
-	sort.Slice(update.Items, func(i, j int) bool { return update.Items[i].Revision < update.Items[j].Revision })
+	sort.Slice(update.Items, func(i, j int) bool { return update.Items[i].before(update.Items[j]) })
 	return update
 }
 
+// before orders items by revision and, within one, by section and key, so that the same view always has the same bytes.
+func (i Item) before(other Item) bool {
+	if i.Revision != other.Revision {
+		return i.Revision < other.Revision
+	}
+	if i.Section != other.Section {
+		return i.Section < other.Section
+	}
+	return i.Key < other.Key
+}
+
 // Merge takes an update and returns the items that changed. Updates older than the view change nothing.
 func (v *View) Merge(update Update) []Item {
 	v.mu.Lock()
