--- a/tier/placement/placement_test.go
+++ b/tier/placement/placement_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// A replica that is still being filled never leads, whatever is preferred.
+func TestOnlyAnInSyncReplicaLeads(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	for id := range uint32(ShardCount) {
+		shard, _ := c.Found(id)
+		filled := shard.View.Replicas[0]
+		shard.View.InSync = register.Without(shard.View.InSync, filled)
+		shard.View.Primary = shard.View.InSync[0]
+		change(c, shard.View.Primary, func(m *Machine) { m.Alive = false })
+		if next, _ := c.Next(shard); !next.View.IsInSync(next.View.Primary) {
+			t.Fatalf("shard %d: %+v", id, next.View)
+		}
+		change(c, shard.View.Primary, func(m *Machine) { m.Alive = true })
+	}
+}
+
 // With as many lost as are tolerated, no further silent replica leaves the set: it may be the one that survives.
 func TestTheInSyncSetStaysAboveItsFloor(t *testing.T) {
 	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
--- a/tier/register/register_test.go
+++ b/tier/register/register_test.go
@@ -147,6 +147,37 @@
 	})
 }
 
+// The same over many seeds with members that change often, proposers that die and knowledge that is old.
+func TestDecisionsFormOneHistoryWhileMembersChange(t *testing.T) {
+	for seed := range int64(1500) {
+		c, start := newCluster(seed, 3)
+		random := rand.New(rand.NewSource(seed))
+		records := []Record{start}
+		rounds := map[uint64]uint64{}
+		for mark := range uint64(14) {
+			c.trouble([]float64{0, 0.05, 0.2}[random.Intn(3)], random.Intn(18)-2)
+			newest := records[len(records)-1]
+			remove, add := uint64(0), uint64(0)
+			if newest.Known() && random.Intn(2) == 0 {
+				remove = newest.Members[random.Intn(len(newest.Members))].ID
+				add = 100 + mark
+				c.set(add, &Witness{})
+			}
+			proposer := uint64(1 + random.Intn(3))
+			from := records[max(0, len(records)-1-random.Intn(3))]
+			record, round, err := Propose(context.Background(), c, proposer, from, rounds[proposer], addMark(mark+1, remove, add))
+			rounds[proposer] = round
+			if err != nil {
+				continue
+			}
+			if !isPrefix(newest.InSync, record.InSync) {
+				t.Fatalf("seed %d: decided %v after %v", seed, record.InSync, newest.InSync)
+			}
+			records = append(records, record)
+		}
+	}
+}
+
 func TestAMinorityDecidesNothing(t *testing.T) {
 	c, start := newCluster(1, 3)
 	c.set(2, nil)
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -102,17 +102,24 @@
 	alike         uint64 // up to where a backup's log is known to be the primary's, in this epoch
 	output        Output
 	eagerCommit   bool
+	entriesKept   uint64
 }
 
 // Options tune a group.
 type Options struct {
 	// EagerCommit has a primary tell backups of each commit at once, for groups whose backups serve reads of their own.
 	EagerCommit bool
+	// EntriesKept is how many applied entries stay in memory for replicas that lag; 0 means a standard number. Replicas that
+	// lag further get a snapshot.
+	EntriesKept uint64
 }
 
 // NewGroup makes a replica from what was found on disk: a snapshot and the entries behind it.
 func NewGroup(self uint64, machine StateMachine, base Snapshot, entries []Entry, options Options) (*Group, error) {
-	g := &Group{self: self, machine: machine, base: base, log: entries, eagerCommit: options.EagerCommit}
+	g := &Group{self: self, machine: machine, base: base, log: entries, eagerCommit: options.EagerCommit, entriesKept: options.EntriesKept}
+	if g.entriesKept == 0 {
+		g.entriesKept = standardEntriesKept
+	}
 	if base.Index > 0 {
 		if err := machine.Restore(base.State); err != nil {
 			return nil, err
@@ -342,15 +349,14 @@
 	return snapshot, g.log[g.applied-g.base.Index:]
 }
 
-// entriesKept is how many applied entries stay in memory for replicas that lag.
-const entriesKept = 128
+const standardEntriesKept = 128
 
 // Trim forgets applied entries that no replica is likely to need; those that lag further get a snapshot.
 func (g *Group) Trim() {
-	if uint64(len(g.log)) < 2*entriesKept || g.applied < g.base.Index+entriesKept {
+	if uint64(len(g.log)) < 2*g.entriesKept || g.applied < g.base.Index+g.entriesKept {
 		return
 	}
-	keepFrom := g.applied - entriesKept
+	keepFrom := g.applied - g.entriesKept
 	for _, peer := range g.peers {
 		if peer.match > 0 {
 			keepFrom = min(keepFrom, max(peer.match, g.base.Index))
--- a/tier/replica/sim_test.go
+++ b/tier/replica/sim_test.go
@@ -126,7 +126,7 @@
 	node.boot = s.random.Uint64()
 	node.up = true
 	node.frozen = 0
-	group, err := NewGroup(node.id, node.machine, node.disk.base, append([]Entry(nil), node.disk.entries...), Options{EagerCommit: true})
+	group, err := NewGroup(node.id, node.machine, node.disk.base, append([]Entry(nil), node.disk.entries...), Options{EagerCommit: true, EntriesKept: 6})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -190,7 +190,9 @@
 	case 5, 6:
 		s.sync(node)
 	case 7:
-		s.propose()
+		for range 1 + s.random.Intn(3) {
+			s.propose()
+		}
 	case 8:
 		if node.up && node.frozen == 0 {
 			node.group.Tick(s.now, true)
@@ -292,7 +294,7 @@
 	}
 	next.Replicas = replicas
 	primary := s.find(next.Primary)
-	if !s.alive(next.Primary) || primary.boot != s.boot || !next.IsInSync(next.Primary) || s.random.Intn(30) == 0 {
+	if !s.alive(next.Primary) || primary.boot != s.boot || !next.IsInSync(next.Primary) || s.random.Intn(12) == 0 {
 		next.Primary = 0
 		for _, id := range next.InSync {
 			if s.alive(id) && (next.Primary == 0 || s.random.Intn(2) == 0) {
@@ -431,7 +433,7 @@
 		return false
 	}
 	for _, node := range s.nodes {
-		if node.group.View().Epoch != s.view.Epoch || node.group.AppliedIndex() != node.group.LastIndex() || len(node.writes) > 0 {
+		if !s.view.IsInSync(node.id) || node.group.View().Epoch != s.view.Epoch || node.group.AppliedIndex() != node.group.LastIndex() || len(node.writes) > 0 {
 			return false
 		}
 	}
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -179,13 +179,13 @@
 	g.durable = min(g.durable, from-1)
 }
 
+// install replaces the state and the log by a snapshot. Where the log reaches that far already it stays: entries behind the
+// snapshot may have been acknowledged, and a snapshot may come late.
 func (g *Group) install(message Message) {
-	if message.Index <= g.applied {
-		if epoch, known := g.epochAt(message.Index); known && epoch == message.PrevEpoch {
-			g.alike = max(g.alike, message.Index)
-			g.acknowledgeUpTo(message.Index)
-			return
-		}
+	epoch, known := g.epochAt(message.Index)
+	if message.Index <= g.applied || (known && epoch == message.PrevEpoch) {
+		g.follow(Message{Commit: message.Index}, message.Index)
+		return
 	}
 	if err := g.machine.Restore(message.State); err != nil {
 		return
