Idle connections to hosts outlive the deadline of their last request; hosts near and with an open connection preferred a little

Cause: the deadline of a request stayed on its connection, which was then taken for ended: 779 of 883 new connections.

--- a/tier/balance/balance.go
+++ b/tier/balance/balance.go
@@ -12,7 +12,8 @@
 	reportTrust = 400 * time.Millisecond
 	firstPause  = 300 * time.Millisecond
 	longPause   = 5 * time.Second
-	nearBonus   = 0.06 // of the load that a host in the own zone is taken to be below its true one
+	nearBonus   = 0.10 // by which a host in the own zone is taken to be less loaded than it is
+	warmBonus   = 0.05 // the same for a host to which a connection is open and idle
 	stickyLoad  = 0.85 // up to which the host that knows the prompt is preferred
 	stickyBonus = 0.35
 )
@@ -23,6 +24,7 @@
 	Zone     string
 	Slots    int
 	Draining bool
+	Warm     func() bool // whether a connection to it is open and idle; nil for never
 
 	open      int // requests of this gateway there
 	told      float64
@@ -103,6 +105,9 @@
 		if host.Zone == request.Zone {
 			score -= nearBonus
 		}
+		if host.Warm != nil && host.Warm() {
+			score -= warmBonus
+		}
 		if host.ID == request.Preferred && host.load(now) < stickyLoad {
 			score -= stickyBonus
 		}
--- a/tier/proxy/hosts.go
+++ b/tier/proxy/hosts.go
@@ -67,6 +67,7 @@
 		t.remove(host.ID)
 		held = &target{address: host.Address, pool: upstream.NewPool(host.Address)}
 		held.ID = host.ID
+		held.Warm = held.pool.Warm
 		t.byID[host.ID] = held
 	}
 	held.service = host.Service
--- a/tier/upstream/pool.go
+++ b/tier/upstream/pool.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// Warm tells whether a connection is open and idle.
+func (p *Pool) Warm() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // takeIdle takes the connection that was used last.
 func (p *Pool) takeIdle() *Conn {
 	p.mu.Lock()
@@ -113,6 +120,7 @@
 		conn.Close()
 		return
 	}
+	_ = conn.socket.SetDeadline(time.Time{}) // that of the last request would end the connection
 	conn.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/tier/upstream/pool_test.go
+++ b/tier/upstream/pool_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// The deadline of a request does not end the connection that carried it.
+func TestAnIdleConnectionOutlivesTheDeadlineOfItsRequest(t *testing.T) {
+	address, _ := script(t, then(respond(short), respond(short)))
+	p := NewPool(address)
+	defer p.Close()
+	first, response, _ := exchangeOn(t, p)
+	if err := first.socket.SetDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	p.Put(first, response.Header, response.Close)
+	if second, _, _ := exchangeOn(t, p); first != second {
+		t.Fatal("the connection was not used again")
+	}
+}
+
 func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
 	address, _ := script(t, respond(short+short), respond(short))
 	p := NewPool(address)
