--- a/tier/control/api.go
+++ b/tier/control/api.go
@@ -167,34 +167,23 @@
 	_, _ = w.Write(result.Body)
 }
 
-// beatBody is a host's heartbeat on the wire.
-type beatBody struct {
-	Service string          `json:"service"`
-	Address string          `json:"address"`
-	Zone    string          `json:"zone"`
-	Version string          `json:"version"`
-	Slots   int             `json:"slots"`
-	State   string          `json:"state"`
-	Stage   string          `json:"stage"`
-	Models  json.RawMessage `json:"models"`
-	SeqNo   uint64          `json:"seq_no"`
-}
-
-const stateDraining = "draining"
-
 func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
 	body, read := readBody(w, r, maxBeatBytes)
 	if !read {
 		return
 	}
-	var beat beatBody
-	if err := json.Unmarshal(body, &beat); err != nil || beat.Service == "" || beat.Address == "" {
+	var beat opconfig.Heartbeat
+	if err := beat.UnmarshalJSON(body); err != nil || beat.Service == "" || beat.Address == "" {
 		writeProblem(w, codes.Malformed, "the heartbeat needs service and address")
 		return
 	}
 	host := directory.Host{
 		ID: chi.URLParam(r, "id"), Service: beat.Service, Address: beat.Address, Zone: beat.Zone, Version: beat.Version,
-		Slots: beat.Slots, Draining: beat.State == stateDraining, Stage: beat.Stage, Models: string(beat.Models),
+		Slots: beat.Slots, Draining: beat.State == opconfig.StateDraining, Stage: beat.Stage, Models: string(beat.Models),
+	}
+	if s.keepsHost(host) {
+		s.writeBeatAnswer(w)
+		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
@@ -203,22 +192,20 @@
 		return s.hostBeat(ctx, message)
 	})
 	if answer(w, result, err) {
-		writeJSON(w, http.StatusOK, s.beatAnswer())
+		s.writeBeatAnswer(w)
 	}
 }
 
-type beatAnswer struct {
-	Target string `json:"beat_target,omitempty"`
-}
-
-// beatAnswer names the primary as the address for later heartbeats.
-func (s *Server) beatAnswer() beatAnswer {
-	host, _, err := net.SplitHostPort(s.primaryAddress())
-	_, port, portErr := net.SplitHostPort(s.settings.ListenControl)
-	if err != nil || portErr != nil {
-		return beatAnswer{}
+// writeBeatAnswer acknowledges a heartbeat. A process that can keep the session asks the host to stay with it, so that hosts
+// spread over the control processes and none has to pass their heartbeats on.
+func (s *Server) writeBeatAnswer(w http.ResponseWriter) {
+	body := s.beatElsewhere
+	if s.fresh() {
+		body = s.beatHere
 	}
-	return beatAnswer{Target: net.JoinHostPort(host, port)}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
 }
 
 // onPrimary does something here if this process leads, and else has the primary do it.
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -46,10 +46,15 @@
 	sessions  *Sessions
 	self      register.Member
 	startedAt int64
+
+	beatHere      []byte // the answer to a heartbeat that asks the host to stay here
+	beatElsewhere []byte // the answer that leaves it the choice
+
 	locatedAt int64 // of the supervising goroutine
 
 	mu       sync.Mutex
 	located  map[string]located // by address
+	heard    map[string]bool    // hosts heard since the primary was told
 	leading  uint64             // the epoch for which sessions were begun
 	ledSince int64
 }
@@ -82,6 +87,10 @@
 		self:      register.Member{ID: host.Identity, Address: s.ControlAddress()},
 		startedAt: groups.Now(),
 		located:   map[string]located{},
+		heard:     map[string]bool{},
+
+		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
+		beatElsewhere: []byte(`{}`),
 	}
 	server.publisher = &feed.Publisher{View: server.state.View, Fresh: server.fresh}
 	server.primary = controlclient.New(clients, server.otherAddresses)
@@ -128,6 +137,7 @@
 	go rpc.Serve(listener, s.handle)
 	go s.host.Run(ctx)
 	go s.beat(ctx)
+	go s.reportHeard(ctx)
 	go s.adjustReplicas(ctx)
 	return s.serveHTTP(ctx)
 }
@@ -443,6 +453,8 @@
 			return Result{}, err
 		}
 		return s.hostBeat(ctx, beat)
+	case controlclient.KindHostsHeard:
+		return s.hostsHeard(message.Payload)
 	case controlclient.KindHostGone:
 		return s.hostGone(ctx, string(message.Payload), true)
 	case controlclient.KindRetireRead:
--- a/tier/controlclient/messages.go
+++ b/tier/controlclient/messages.go
@@ -20,6 +20,7 @@
 	KindRetireRead  rpc.Kind = 27
 	KindHostBeat    rpc.Kind = 28
 	KindHostGone    rpc.Kind = 29
+	KindHostsHeard  rpc.Kind = 31 // hosts whose sessions another control process keeps
 )
 
 // StoreBeat keeps a store's session.
--- a/tier/feed/subscribe.go
+++ b/tier/feed/subscribe.go
@@ -59,9 +59,9 @@
 			return
 		}
 		changed := p.View.Changed()
-		update := p.View.Since(revision)
-		conn.Send(KindUpdate, update.Encode())
-		revision = update.Revision
+		update, upTo := p.View.SinceEncoded(revision)
+		conn.Send(KindUpdate, update)
+		revision = upTo
 		timer.Reset(keepAlive)
 		select {
 		case <-conn.Done():
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -59,8 +59,22 @@
 	// forgotten is the newest revision whose deletion is no longer remembered: subscribers that lag behind it get all.
 	forgotten uint64
 	changed   chan struct{}
+	// order lists changes by their revisions, so that what a subscriber lacks is found without a look at every item. Changes
+	// before orderFrom are no longer in it.
+	order     []change
+	orderFrom uint64
+	encoded   map[uint64][]byte // updates up to the present revision, by the revision they start from
 }
 
+// change notes that an item changed at a revision.
+type change struct {
+	key      itemKey
+	revision uint64
+}
+
+// orderSlack is how many superseded changes are kept beside one for each item.
+const orderSlack = 1024
+
 // NewView makes an empty view.
 func NewView() *View {
 	return &View{items: map[itemKey]Item{}, changed: make(chan struct{})}
@@ -81,6 +95,7 @@
 }
 
 func (v *View) notify() {
+	v.encoded = nil
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
@@ -98,7 +113,7 @@
 func (v *View) set(item Item) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.items[itemKey{item.Section, item.Key}] = item
+	v.store(item)
 	v.revision = max(v.revision, item.Revision)
 	if item.Deleted {
 		v.forgetTombstones()
@@ -106,6 +121,17 @@
 	v.notify()
 }
 
+// store puts an item in place; the lock is held.
+func (v *View) store(item Item) {
+	key := itemKey{item.Section, item.Key}
+	v.items[key] = item
+	v.order = append(v.order, change{key, item.Revision})
+	if len(v.order) > 2*len(v.items)+2*orderSlack {
+		v.order = append([]change(nil), v.order[len(v.order)/2:]...)
+		v.orderFrom = v.order[0].revision
+	}
+}
+
 func (v *View) forgetTombstones() {
 	var dead []Item
 	for _, item := range v.items {
@@ -155,10 +181,34 @@
 	return v.since(0, func(Section) bool { return true })
 }
 
+// SinceEncoded is Since in the form for the wire. Subscribers that stand at the same revision share the bytes, which must not be
+// changed.
+func (v *View) SinceEncoded(revision uint64) (encoded []byte, upTo uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	encoded, found := v.encoded[revision]
+	if !found {
+		encoded = v.sinceLocked(revision, func(section Section) bool { return section < sectionPublicEnd }).Encode()
+		if v.encoded == nil {
+			v.encoded = map[uint64][]byte{}
+		}
+		v.encoded[revision] = encoded
+	}
+	return encoded, v.revision
+}
+
 func (v *View) since(revision uint64, include func(Section) bool) Update {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.sinceLocked(revision, include)
+}
+
+func (v *View) sinceLocked(revision uint64, include func(Section) bool) Update {
 	update := Update{Revision: v.revision, Whole: revision == 0 || revision < v.forgotten}
+	if !update.Whole && revision >= v.orderFrom {
+		update.Items = v.changesSince(revision, include)
+		return update
+	}
 	for _, item := range v.items {
 		if !include(item.Section) || (update.Whole && item.Deleted) {
 			continue
@@ -171,6 +221,22 @@
 	return update
 }
 
+// changesSince collects the newest state of the items that changed after a revision, each once.
+func (v *View) changesSince(revision uint64, include func(Section) bool) []Item {
+	start := sort.Search(len(v.order), func(i int) bool { return v.order[i].revision > revision })
+	var items []Item
+	taken := map[itemKey]bool{}
+	for _, each := range v.order[start:] {
+		item, held := v.items[each.key]
+		if !held || item.Revision != each.revision || taken[each.key] || !include(item.Section) {
+			continue
+		}
+		taken[each.key] = true
+		items = append(items, item)
+	}
+	return items
+}
+
 // before orders items by revision and, within one, by section and key, so that the same view always has the same bytes.
 func (i Item) before(other Item) bool {
 	if i.Revision != other.Revision {
@@ -192,13 +258,18 @@
 	var changed []Item
 	if update.Whole {
 		changed = v.removeMissing(update)
+		// items of a whole update are older than changes known here may be: the order starts anew behind it
+		defer func() {
+			v.order = nil
+			v.orderFrom = v.revision
+		}()
 	}
 	for _, item := range update.Items {
 		key := itemKey{item.Section, item.Key}
 		if held, found := v.items[key]; found && held.Revision >= item.Revision {
 			continue
 		}
-		v.items[key] = item
+		v.store(item)
 		changed = append(changed, item)
 	}
 	moved := update.Revision > v.revision
@@ -238,6 +309,8 @@
 	}
 	v.revision = update.Revision
 	v.forgotten = update.Revision
+	v.order = nil
+	v.orderFrom = update.Revision
 	v.notify()
 }
 
