--- a/tier/control/hosts.go
+++ b/tier/control/hosts.go
@@ -7,6 +7,7 @@
 	"otterseam/tier/codec"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/directory"
+	"otterseam/tier/periodic"
 )
 
 // reportHeardEvery is how often a backup tells the primary which hosts it has heard.
@@ -30,25 +31,15 @@
 }
 
 func (s *Server) reportHeard(ctx context.Context) {
-	ticker := time.NewTicker(reportHeardEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, reportHeardEvery, func() {
 		s.mu.Lock()
 		heard := s.heard
 		s.heard = map[string]bool{}
 		s.mu.Unlock()
-		if len(heard) == 0 {
-			continue
-		}
-		if !s.sendHeard(ctx, heard) {
+		if len(heard) > 0 && !s.sendHeard(ctx, heard) {
 			s.keepHeard(heard)
 		}
-	}
+	})
 }
 
 // keepHeard puts hosts back that the primary could not be told of.
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -10,6 +10,7 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
+	"otterseam/tier/periodic"
 	"otterseam/tier/placement"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -30,21 +31,14 @@
 // adjustReplicas keeps control's own replicas in order while this process leads. It runs beside the other work of the primary,
 // which may wait for a replica that has to be dropped first.
 func (s *Server) adjustReplicas(ctx context.Context) {
-	ticker := time.NewTicker(superviseEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, superviseEvery, func() {
 		leads := false
 		s.host.With(controlGroup, func(g *replica.Group) { leads = g.IsPrimary() })
 		if leads {
 			s.adjustInSync(ctx)
 			s.adjustMembers(ctx)
 		}
-	}
+	})
 }
 
 func (s *Server) beginSessions() {
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -16,6 +16,7 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
+	"otterseam/tier/periodic"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
@@ -144,14 +145,7 @@
 
 // Supervise founds, takes over, repairs and places until the context ends.
 func (s *Server) Supervise(ctx context.Context) {
-	ticker := time.NewTicker(superviseEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, superviseEvery, func() {
 		s.sessions.Tick()
 		if !s.host.IsPrimary(controlGroup) {
 			s.endLeading()
@@ -164,7 +158,7 @@
 		default:
 			s.watchPrimary(ctx)
 		}
-	}
+	})
 }
 
 // fresh tells whether the state served to subscribers may be relied upon.
--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -298,16 +298,7 @@
 // Run writes and ticks until the context ends.
 func (h *Host) Run(ctx context.Context) {
 	go h.writeLoop(ctx)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			h.tick()
-		}
-	}
+	periodic.Run(ctx, tickEvery, h.tick)
 }
 
 func (h *Host) tick() {
--- /dev/null
+++ b/tier/periodic/periodic.go
@@ -0,0 +1,21 @@
+// Package periodic runs work at intervals until a context ends.
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Run calls work once in each interval until the context ends. Work that takes longer than the interval is not made up for.
+func Run(ctx context.Context, interval time.Duration, work func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work()
+		}
+	}
+}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"otterseam/tier/control"
 	"otterseam/tier/feed"
 	"otterseam/tier/opconfig"
+	"otterseam/tier/periodic"
 	"otterseam/tier/settings"
 )
 
@@ -79,7 +80,7 @@
 	agentAddress := []string{p.settings.AgentAddress()}
 	subscriber := &feed.Subscriber{View: p.view, Addresses: func() []string { return agentAddress }, Changed: p.update}
 	go subscriber.Run(background)
-	go p.sweep(background)
+	go periodic.Run(background, sweepEvery, p.hosts.sweep)
 	go func() { _ = http.Serve(readiness, p.readinessRoutes()) }()
 	server := &http.Server{
 		Handler:           http.HandlerFunc(p.serve),
@@ -114,19 +115,6 @@
 	return err
 }
 
-func (p *Proxy) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.hosts.sweep()
-		}
-	}
-}
-
 // update follows the view.
 func (p *Proxy) update(items []feed.Item) {
 	for _, item := range items {
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -19,6 +19,7 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
+	"otterseam/tier/periodic"
 	"otterseam/tier/programs"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -202,18 +203,11 @@
 
 // watch asks control to change the in-sync sets of shards led here: silent replicas out, those that caught up in.
 func (s *Server) watch(ctx context.Context) {
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, watchEvery, func() {
 		for id := range directory.Shards(s.view) {
 			s.watchShard(ctx, id)
 		}
-	}
+	})
 }
 
 func (s *Server) watchShard(ctx context.Context, id uint32) {
