--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -15,6 +15,7 @@
 
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
+	"otterseam/tier/periodic"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
 	"otterseam/tier/storage"
