--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync"
-	"time"
 
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
