A silent replica that may not go no longer keeps a caught-up one out; fresh copies know that they don't know deletions

The first store back dropped a store that was still starting, kept one that would never come back, could not let it go below the floor, and never asked to take the third in since a silent one came first and the primary counted as not ready. Now: caught-up replicas are asked in first, also while the primary waits; with more silent than tolerated nobody is dropped. Also found on reading: an agent that was started again passed on no deletions from before; a subscriber could stand at a revision and lack the configuration of it. Each has a test.

--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -71,27 +71,28 @@
 			g.Admit(id)
 		}
 	})
-	if len(silent) > 0 {
+	// one that caught up comes first: the set may be too small to let a silent one go without it
+	if len(caughtUp) > 0 {
 		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
 			next := record
-			for _, id := range silent {
-				if s.gone(id) || len(next.InSync) > s.floor(len(record.Members)) {
-					next.InSync = register.Without(next.InSync, id)
+			for _, id := range caughtUp {
+				if register.HasMember(record.Members, id) {
+					next.InSync = append(register.Without(next.InSync, id), id)
 				}
 			}
-			return next, true
+			return next, len(next.InSync) > len(record.InSync)
 		})
 		return
 	}
-	if len(caughtUp) > 0 {
+	if len(silent) > 0 {
 		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
 			next := record
-			for _, id := range caughtUp {
-				if register.HasMember(record.Members, id) {
-					next.InSync = append(register.Without(next.InSync, id), id)
+			for _, id := range silent {
+				if s.gone(id) || len(next.InSync) > s.floor(len(record.Members)) {
+					next.InSync = register.Without(next.InSync, id)
 				}
 			}
-			return next, len(next.InSync) > len(record.InSync)
+			return next, true
 		})
 	}
 }
--- a/tier/control/state.go
+++ b/tier/control/state.go
@@ -96,8 +96,10 @@
 	if c.Version <= current {
 		return codes.ConfigInvalid
 	}
-	s.View.Put(feed.SectionHistory, historyKey, index, hash[:])
-	s.View.Put(feed.SectionConfig, directory.ConfigKey, index, configItem(c.Version, c.Body))
+	s.View.PutAll(index,
+		feed.Item{Section: feed.SectionHistory, Key: historyKey, Data: hash[:]},
+		feed.Item{Section: feed.SectionConfig, Key: directory.ConfigKey, Data: configItem(c.Version, c.Body)},
+	)
 	return codes.OK
 }
 
--- a/tier/feed/feed_test.go
+++ b/tier/feed/feed_test.go
@@ -30,6 +30,43 @@
 	}
 }
 
+// One that was filled by a whole update does not know what was deleted before: who lags behind that gets all.
+func TestDeletionsReachASubscriberThroughAFreshCopy(t *testing.T) {
+	source, proxy := NewView(), NewView()
+	source.Put(SectionHost, "leaves", 1, []byte("x"))
+	source.Put(SectionHost, "stays", 2, []byte("y"))
+	proxy.Merge(source.Since(0))
+	source.Delete(SectionHost, "leaves", 3)
+	source.Put(SectionHost, "comes", 4, []byte("z"))
+	agent := NewView() // the process between them was started again
+	agent.Merge(source.Since(0))
+	proxy.Merge(agent.Since(proxy.Revision()))
+	if _, held := proxy.Get(SectionHost, "leaves"); held || len(proxy.All(SectionHost)) != 2 {
+		t.Fatalf("%+v", proxy.All(SectionHost))
+	}
+}
+
+// All that changed at a revision is seen at it, or nothing of it.
+func TestChangesOfOneRevisionAreSeenTogether(t *testing.T) {
+	v := NewView()
+	const revisions = 2000
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for revision := uint64(1); revision <= revisions; revision++ {
+			v.PutAll(revision, Item{Section: SectionHost, Key: "a", Data: []byte{1}}, Item{Section: SectionConfig, Key: "b", Data: []byte{2}})
+		}
+	}()
+	for seen := uint64(0); seen < revisions; {
+		update := v.Since(seen)
+		if update.Revision > seen && len(update.Items) != 2 {
+			t.Fatalf("%d items at revision %d", len(update.Items), update.Revision)
+		}
+		seen = update.Revision
+	}
+	<-done
+}
+
 func TestPrivateSectionsAreNotDistributed(t *testing.T) {
 	v := NewView()
 	v.Put(SectionHistory, "4", 1, []byte("hash"))
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -110,17 +110,28 @@
 	v.set(Item{Section: section, Key: key, Revision: revision, Deleted: true})
 }
 
-func (v *View) set(item Item) {
+// set changes items at once: a subscriber that stands at a revision has all that changed at it.
+func (v *View) set(items ...Item) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.store(item)
-	v.revision = max(v.revision, item.Revision)
-	if item.Deleted {
-		v.forgetTombstones()
+	for _, item := range items {
+		v.store(item)
+		v.revision = max(v.revision, item.Revision)
+		if item.Deleted {
+			v.forgetTombstones()
+		}
 	}
 	v.notify()
 }
 
+// PutAll sets several items at one revision.
+func (v *View) PutAll(revision uint64, items ...Item) {
+	for i := range items {
+		items[i].Revision = revision
+	}
+	v.set(items...)
+}
+
 // store puts an item in place; the lock is held.
 func (v *View) store(item Item) {
 	key := itemKey{item.Section, item.Key}
@@ -262,6 +273,7 @@
 		defer func() {
 			v.order = nil
 			v.orderFrom = v.revision
+			v.forgotten = v.revision // deletions before it are not known here
 		}()
 	}
 	for _, item := range update.Items {
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -138,6 +138,9 @@
 			known = append(known, id)
 		}
 	}
+	if c.silent(known) > c.Tolerate {
+		return known // all were stopped, or this process cannot hear; whoever comes back first must not be left alone
+	}
 	floor := c.floor(len(view.Replicas))
 	rest := known
 	for _, id := range known {
@@ -148,6 +151,17 @@
 	return rest
 }
 
+// silent counts the replicas whose session does not hold.
+func (c Cluster) silent(ids []uint64) int {
+	count := 0
+	for _, id := range ids {
+		if !c.Machines[id].Alive {
+			count++
+		}
+	}
+	return count
+}
+
 // replicas adds machines that should hold the shard, and removes others once all that should are in sync.
 func (c Cluster) replicas(view replica.View, desired []uint64) []uint64 {
 	var replicas []uint64
--- a/tier/replica/group_test.go
+++ b/tier/replica/group_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// A primary that waits for a replica which will not come back can still take another one in.
+func TestAReplicaCanBeTakenInWhileThePrimaryWaits(t *testing.T) {
+	machine := &journalMachine{}
+	g, err := NewGroup(1, machine, Snapshot{}, []Entry{{1, 1, []byte("a")}}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.SetView(View{Epoch: 2, Primary: 1, InSync: []uint64{1, 3}, Replicas: []uint64{1, 2, 3}}, 10)
+	g.Durable(2, 2, 11)
+	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 1}, 12)
+	if got := g.CaughtUp(); len(got) != 0 {
+		t.Fatalf("%v lacks the entry that opened the epoch", got)
+	}
+	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 2}, 13)
+	if got := g.CaughtUp(); len(got) != 1 || got[0] != 2 {
+		t.Fatalf("caught up: %v", got)
+	}
+	g.Admit(2)
+	g.SetView(View{Epoch: 3, Primary: 1, InSync: []uint64{1, 2}, Replicas: []uint64{1, 2, 3}}, 14)
+	if len(machine.applied) != 1 || !g.IsReady() {
+		t.Fatalf("applied %v, ready %v", machine.applied, g.IsReady())
+	}
+}
+
 // A replica taken in counts from the moment it is asked in, and until the next epoch says otherwise.
 func TestAnAdmittedReplicaCountsAtOnce(t *testing.T) {
 	machine := &journalMachine{}
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -294,10 +294,12 @@
 	return count
 }
 
-// CaughtUp lists replicas that could join the in-sync set.
+// CaughtUp lists replicas that could join the in-sync set: those that hold all that was there when this primary's epoch opened,
+// which may have been committed before, and all that was committed since. The primary need not be ready: it may be waiting for
+// a replica that will never come back, and another must be able to take that one's place.
 func (g *Group) CaughtUp() []uint64 {
 	var ids []uint64
-	if !g.IsReady() {
+	if g.role != Primary {
 		return nil
 	}
 	for _, id := range g.view.Replicas {
@@ -305,7 +307,7 @@
 		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.installed > 0 || peer.match == 0 {
 			continue
 		}
-		if peer.match+admitLag >= g.lastIndex() && peer.match >= g.commit {
+		if peer.match+admitLag >= g.lastIndex() && peer.match >= max(g.commit, g.openedEpochAt) {
 			ids = append(ids, id)
 		}
 	}
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -232,16 +232,17 @@
 func (s *Server) neededChange(id uint32) (change controlclient.ShardChange, wanted bool) {
 	s.host.With(id, func(g *replica.Group) {
 		change = controlclient.ShardChange{Shard: id, Epoch: g.View().Epoch}
-		if silent := g.Silent(groups.Now()); len(silent) > 0 {
-			change.Replica = silent[0]
-			wanted = true
-			return
-		}
+		// one that caught up comes first: the set may be too small to let a silent one go without it
 		if caughtUp := g.CaughtUp(); len(caughtUp) > 0 {
 			g.Admit(caughtUp[0])
 			change.Replica = caughtUp[0]
 			change.Admit = true
 			wanted = true
+			return
+		}
+		if silent := g.Silent(groups.Now()); len(silent) > 0 {
+			change.Replica = silent[0]
+			wanted = true
 		}
 	})
 	return change, wanted
