--- /dev/null
+++ b/cmd/otterctl/main_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"otterseam/tier/directory"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+	"otterseam/tier/status"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestFilesAreChecked(t *testing.T) {
+	for _, test := range []struct {
+		args arguments
+		says string
+		ok   bool
+	}{
+		{arguments{CheckConfig: &fileCommand{write(t, `{"version":3,"routes":[],"services":[]}`)}}, "is sound: version 3", true},
+		{arguments{CheckConfig: &fileCommand{write(t, `{"version":3,"routes":[{"name":"r","service":"x","timeout_ms":1}]}`)}}, "service x is unknown", false},
+		{arguments{CheckSettings: &fileCommand{write(t, "node=n\nrole=r\nip=1.2.3.4\nzone=z\ninternal_ports=1,9\n")}}, "is sound: node n", true},
+		{arguments{CheckSettings: &fileCommand{write(t, "node=n\n")}}, "role is missing", false},
+		{arguments{Explain: &explainCommand{"301"}}, "budget-spent", true},
+		{arguments{Explain: &explainCommand{"7"}}, "is no result code", false},
+		{arguments{Status: &statusCommand{Control: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}}, "no control process", false},
+	} {
+		var out bytes.Buffer
+		err := run(test.args, &out)
+		text := out.String()
+		if err != nil {
+			text += err.Error()
+		}
+		if (err == nil) != test.ok || !strings.Contains(text, test.says) {
+			t.Errorf("%+v: %q", test.args, text)
+		}
+	}
+}
+
+func TestTheTablesNameMachines(t *testing.T) {
+	state := status.Status{
+		Version: 4,
+		Control: register.Record{Epoch: 2, Primary: 9, InSync: []uint64{9}, Members: []register.Member{{ID: 9, Address: "10.0.0.1:7380"}}},
+		Stores:  []directory.Store{{Identity: 5, Node: "storage-1"}},
+		Shards:  []directory.Shard{{ID: 3, Total: 8, View: replica.View{Epoch: 6, Primary: 5, InSync: []uint64{5}, Replicas: []uint64{5}}}},
+		Hosts:   []directory.Host{{ID: "h", Service: "engine", Draining: true}},
+	}
+	var out bytes.Buffer
+	if err := printTables(state, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"version 4", "10.0.0.1:7380", "storage-1", "draining"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/tier/status/status.go
@@ -0,0 +1,95 @@
+// Package status reads the state of a running tier from its control processes, for operators and tests.
+package status
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/control"
+	"otterseam/tier/controlclient"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+	"otterseam/tier/register"
+	"otterseam/tier/rpc"
+)
+
+// Status is what the control processes tell.
+type Status struct {
+	Control  register.Record   `json:"control"`
+	Version  uint64            `json:"config_version"`
+	Revision uint64            `json:"revision"`
+	Stores   []directory.Store `json:"stores"`
+	Shards   []directory.Shard `json:"shards"`
+	Hosts    []directory.Host  `json:"hosts"`
+}
+
+// Read asks the control processes at the addresses, which are those of the internal ports.
+func Read(ctx context.Context, addresses []string) (Status, error) {
+	view, err := readView(ctx, addresses)
+	if err != nil {
+		return Status{}, err
+	}
+	s := Status{Control: Record(ctx, addresses), Revision: view.Revision()}
+	if data, found := view.Get(feed.SectionConfig, directory.ConfigKey); found {
+		s.Version, _ = control.SplitConfig(data)
+	}
+	for _, store := range directory.Stores(view) {
+		s.Stores = append(s.Stores, store)
+	}
+	for _, shard := range directory.Shards(view) {
+		s.Shards = append(s.Shards, shard)
+	}
+	for _, item := range view.All(feed.SectionHost) {
+		if host, err := directory.DecodeHost(item.Data); err == nil {
+			s.Hosts = append(s.Hosts, host)
+		}
+	}
+	sort.Slice(s.Stores, func(i, j int) bool { return s.Stores[i].Node < s.Stores[j].Node })
+	sort.Slice(s.Shards, func(i, j int) bool { return s.Shards[i].ID < s.Shards[j].ID })
+	return s, nil
+}
+
+// readView subscribes until the first update has come.
+func readView(ctx context.Context, addresses []string) (*feed.View, error) {
+	view := feed.NewView()
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	subscriber := &feed.Subscriber{View: view, Addresses: func() []string { return addresses }, Changed: func([]feed.Item) { cancel() }}
+	subscriber.Run(reading)
+	if view.Revision() == 0 {
+		return nil, codes.Unavailable
+	}
+	return view, nil
+}
+
+// Record asks all control processes for the newest record of who leads and who is in sync; it is empty if none answers.
+func Record(ctx context.Context, addresses []string) register.Record {
+	var mu sync.Mutex
+	var newest register.Record
+	var wait sync.WaitGroup
+	for _, address := range addresses {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			client := rpc.NewClient(address, nil)
+			defer client.Close()
+			answer, err := client.Call(ctx, controlclient.KindLocate, nil)
+			if err != nil {
+				return
+			}
+			d := codec.NewDecoder(answer)
+			d.Uint64()
+			record := register.DecodeRecord(d)
+			mu.Lock()
+			defer mu.Unlock()
+			if d.Err() == nil && record.Epoch > newest.Epoch {
+				newest = record
+			}
+		}()
+	}
+	wait.Wait()
+	return newest
+}
