--- a/lab/tierrig/rig_test.go
+++ b/lab/tierrig/rig_test.go
@@ -370,3 +370,42 @@
 		w.Fatal(err)
 	}
 }
+
+// After all of control and all stores were stopped, they serve again without any one of them.
+func TestTheTierComesBackWithoutOneOfEach(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	previous := w.turnOK(0, "p", "", "9000", 3, "one ")
+	version := uint64(1)
+	for missing := 1; missing <= 3; missing++ {
+		lost := map[string]bool{fmt.Sprintf("core-%d", missing): true, fmt.Sprintf("storage-%d", missing): true}
+		var down []*Machine
+		for _, machine := range w.rig.Machines {
+			if strings.HasPrefix(machine.Name, "front-") {
+				continue
+			}
+			machine.Kill()
+			down = append(down, machine)
+		}
+		for _, machine := range down {
+			if !lost[machine.Name] {
+				w.start(machine)
+			}
+		}
+		w.replace(version, version+1, http.StatusOK)
+		version++
+		previous = w.turnOK(0, "p", previous, "9000", 3, "again ")
+		for _, machine := range down {
+			if lost[machine.Name] {
+				w.start(machine)
+			}
+		}
+		w.waitCopies()
+	}
+}
+
+func (w *world) start(machine *Machine) {
+	w.Helper()
+	if err := w.rig.StartMachine(machine); err != nil {
+		w.Fatal(err)
+	}
+}
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -279,7 +280,14 @@
 		return
 	}
 	heard := int64(0)
-	s.host.With(controlGroup, func(g *replica.Group) { heard = g.PrimaryHeard() })
+	leads := false
+	s.host.With(controlGroup, func(g *replica.Group) {
+		heard = g.PrimaryHeard()
+		leads = g.IsPrimary()
+	})
+	if leads {
+		return // it waits for a replica, which will answer, be dropped, or tell that the epoch has passed
+	}
 	heard = max(heard, s.startedAt)
 	silence := groups.Now() - heard
 	if known.Primary == s.self.ID {
@@ -478,8 +486,8 @@
 		return Result{}, err
 	}
 	s.sessions.HeardStore(beat)
-	held, known := directory.Stores(s.state.View)[beat.Store.Identity]
-	if known && held == beat.Store {
+	held, known := s.state.View.Get(feed.SectionStore, directory.StoreKey(beat.Store.Identity))
+	if known && bytes.Equal(held, beat.Store.Encode()) {
 		return Result{}, nil
 	}
 	return s.submitHere(ctx, Command{Kind: CommandPutStore, Store: beat.Store}.Encode())
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -54,7 +54,7 @@
 // View is a set of items with a revision. It may be used from several goroutines.
 type View struct {
 	mu       sync.Mutex
-	items    map[itemKey]Item
+	sections map[Section]map[string]Item
 	revision uint64
 	// forgotten is the newest revision whose deletion is no longer remembered: subscribers that lag behind it get all.
 	forgotten uint64
@@ -77,7 +77,7 @@
 
 // NewView makes an empty view.
 func NewView() *View {
-	return &View{items: map[itemKey]Item{}, changed: make(chan struct{})}
+	return &View{sections: map[Section]map[string]Item{}, changed: make(chan struct{})}
 }
 
 // Revision is the newest revision.
@@ -132,12 +132,25 @@
 	v.set(items...)
 }
 
+// size counts the items; the lock is held.
+func (v *View) size() int {
+	count := 0
+	for _, items := range v.sections {
+		count += len(items)
+	}
+	return count
+}
+
 // store puts an item in place; the lock is held.
 func (v *View) store(item Item) {
-	key := itemKey{item.Section, item.Key}
-	v.items[key] = item
-	v.order = append(v.order, change{key, item.Revision})
-	if len(v.order) > 2*len(v.items)+2*orderSlack {
+	items := v.sections[item.Section]
+	if items == nil {
+		items = map[string]Item{}
+		v.sections[item.Section] = items
+	}
+	items[item.Key] = item
+	v.order = append(v.order, change{itemKey{item.Section, item.Key}, item.Revision})
+	if len(v.order) > 2*v.size()+2*orderSlack {
 		v.order = append([]change(nil), v.order[len(v.order)/2:]...)
 		v.orderFrom = v.order[0].revision
 	}
@@ -145,9 +158,11 @@
 
 func (v *View) forgetTombstones() {
 	var dead []Item
-	for _, item := range v.items {
-		if item.Deleted {
-			dead = append(dead, item)
+	for _, items := range v.sections {
+		for _, item := range items {
+			if item.Deleted {
+				dead = append(dead, item)
+			}
 		}
 	}
 	if len(dead) <= tombstonesKept {
@@ -156,7 +171,7 @@
 	sort.Slice(dead, func(i, j int) bool { return dead[i].Revision < dead[j].Revision })
 	for _, item := range dead[:len(dead)-tombstonesKept/2] {
 		v.forgotten = max(v.forgotten, item.Revision)
-		delete(v.items, itemKey{item.Section, item.Key})
+		delete(v.sections[item.Section], item.Key)
 	}
 }
 
@@ -164,7 +179,7 @@
 func (v *View) Get(section Section, key string) ([]byte, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	item, found := v.items[itemKey{section, key}]
+	item, found := v.sections[section][key]
 	return item.Data, found && !item.Deleted
 }
 
@@ -173,8 +188,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var items []Item
-	for key, item := range v.items {
-		if key.section == section && !item.Deleted {
+	for _, item := range v.sections[section] {
+		if !item.Deleted {
 			items = append(items, item)
 		}
 	}
@@ -220,12 +235,14 @@
 		update.Items = v.changesSince(revision, include)
 		return update
 	}
-	for _, item := range v.items {
-		if !include(item.Section) || (update.Whole && item.Deleted) {
+	for section, items := range v.sections {
+		if !include(section) {
 			continue
 		}
-		if update.Whole || item.Revision > revision {
-			update.Items = append(update.Items, item)
+		for _, item := range items {
+			if update.Whole && !item.Deleted || !update.Whole && item.Revision > revision {
+				update.Items = append(update.Items, item)
+			}
 		}
 	}
 	sort.Slice(update.Items, func(i, j int) bool { return update.Items[i].before(update.Items[j]) })
@@ -238,7 +255,7 @@
 	var items []Item
 	taken := map[itemKey]bool{}
 	for _, each := range v.order[start:] {
-		item, held := v.items[each.key]
+		item, held := v.sections[each.key.section][each.key.key]
 		if !held || item.Revision != each.revision || taken[each.key] || !include(item.Section) {
 			continue
 		}
@@ -277,8 +294,7 @@
 		}()
 	}
 	for _, item := range update.Items {
-		key := itemKey{item.Section, item.Key}
-		if held, found := v.items[key]; found && held.Revision >= item.Revision {
+		if held, found := v.sections[item.Section][item.Key]; found && held.Revision >= item.Revision {
 			continue
 		}
 		v.store(item)
@@ -298,15 +314,17 @@
 		present[itemKey{item.Section, item.Key}] = true
 	}
 	var changed []Item
-	for key, item := range v.items {
-		if present[key] || item.Deleted {
-			continue
+	for section, items := range v.sections {
+		for key, item := range items {
+			if present[itemKey{section, key}] || item.Deleted {
+				continue
+			}
+			item.Deleted = true
+			item.Data = nil
+			item.Revision = update.Revision
+			items[key] = item
+			changed = append(changed, item)
 		}
-		item.Deleted = true
-		item.Data = nil
-		item.Revision = update.Revision
-		v.items[key] = item
-		changed = append(changed, item)
 	}
 	return changed
 }
@@ -315,9 +333,9 @@
 func (v *View) Restore(update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.items = map[itemKey]Item{}
+	v.sections = map[Section]map[string]Item{}
 	for _, item := range update.Items {
-		v.items[itemKey{item.Section, item.Key}] = item
+		v.store(item)
 	}
 	v.revision = update.Revision
 	v.forgotten = update.Revision
