--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -186,13 +186,14 @@
 	stores := directory.Stores(s.state.View)
 	shards := directory.Shards(s.state.View)
 	cluster := s.cluster()
+	aliveAt := map[string]bool{} // addresses at which a store is alive
 	for id, store := range stores {
-		replaced := false
-		for otherID, other := range stores {
-			if otherID != id && other.Address == store.Address && cluster.Machines[otherID].Alive && !cluster.Machines[id].Alive {
-				replaced = true
-			}
+		if cluster.Machines[id].Alive {
+			aliveAt[store.Address] = true
 		}
+	}
+	for id, store := range stores {
+		replaced := !cluster.Machines[id].Alive && aliveAt[store.Address]
 		idle := cluster.Machines[id].Away && placement.Empty(shards, id) && s.sessions.storeSilentFor(id) > storeForget
 		if !replaced && !idle {
 			continue
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -55,21 +55,26 @@
 	return directory.Shard{ID: id, Total: ShardCount, View: view, PrimaryBoot: primary.Boot}, true
 }
 
+// candidate is a machine that could hold a shard, with its weight for it.
+type candidate struct {
+	store  directory.Store
+	weight uint32
+}
+
 // Desired lists the machines that should hold a shard, the preferred primary first: by rendezvous hashing, each zone once
 // before any zone twice.
 func (c Cluster) Desired(shard uint32) []uint64 {
-	var candidates []Machine
+	var candidates []candidate
 	for _, machine := range c.Machines {
 		if !machine.Retiring && !machine.Away {
-			candidates = append(candidates, machine)
+			candidates = append(candidates, candidate{machine.Store, weight(shard, machine.Store)})
 		}
 	}
 	sort.Slice(candidates, func(i, j int) bool {
-		a, b := weight(shard, candidates[i].Store), weight(shard, candidates[j].Store)
-		if a != b {
-			return a > b
+		if candidates[i].weight != candidates[j].weight {
+			return candidates[i].weight > candidates[j].weight
 		}
-		return candidates[i].Store.Identity < candidates[j].Store.Identity
+		return candidates[i].store.Identity < candidates[j].store.Identity
 	})
 	want := min(c.Copies(), len(candidates))
 	var chosen []uint64
@@ -80,13 +85,13 @@
 }
 
 // spread takes candidates in order, so many from each zone at most.
-func spread(candidates []Machine, perZone, want int) []uint64 {
+func spread(candidates []candidate, perZone, want int) []uint64 {
 	used := map[string]int{}
 	var chosen []uint64
-	for _, machine := range candidates {
-		if len(chosen) < want && used[machine.Store.Zone] < perZone {
-			used[machine.Store.Zone]++
-			chosen = append(chosen, machine.Store.Identity)
+	for _, each := range candidates {
+		if len(chosen) < want && used[each.store.Zone] < perZone {
+			used[each.store.Zone]++
+			chosen = append(chosen, each.store.Identity)
 		}
 	}
 	return chosen
