--- a/lab/tierrig/rig_test.go
+++ b/lab/tierrig/rig_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -300,6 +302,28 @@
 	}
 }
 
+// What net/http would settle by itself is refused, and the connection ends.
+func TestAmbiguousBodiesAreRefused(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	conn, err := net.Dial("tcp", w.rig.Fronts()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const text = "POST /issue/1 HTTP/1.1\r\nHost: try.example\r\nX-Request-Id: ffff0001\r\nContent-Length: 3\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 400 ") {
+		t.Fatalf("%q, %v", answer, err)
+	}
+	if runs := w.ran("ffff0001"); len(runs) != 0 {
+		t.Fatalf("it has run: %+v", runs)
+	}
+}
+
 func TestConfigurationsHaveOneWinnerAndARepeatIsTakenAgain(t *testing.T) {
 	w := newWorld(t, 3, 3)
 	w.replace(1, 4, http.StatusOK)
--- /dev/null
+++ b/tier/httpguard/httpguard_test.go
@@ -0,0 +1,161 @@
+package httpguard
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// serve runs a guarded server that answers 400 where the length is ambiguous, and otherwise the body's length.
+func serve(t *testing.T, headTimeout time.Duration) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	guard := &Guard{}
+	guard.SetHeadTimeout(headTimeout)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if AmbiguousLength(r) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.Copy(w, r.Body)
+	})}
+	guard.Install(server)
+	go func() { _ = server.Serve(guard.Listen(inner)) }()
+	t.Cleanup(func() { server.Close() })
+	return inner.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+func ask(t *testing.T, conn net.Conn, reader *bufio.Reader, text string) (int, string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body)
+}
+
+const head = "POST / HTTP/1.1\r\nHost: h\r\n"
+
+func TestAmbiguousLengthsAreSeen(t *testing.T) {
+	address := serve(t, 0)
+	for name, test := range map[string]struct {
+		text string
+		want int
+	}{
+		"one length":            {head + "Content-Length: 2\r\n\r\nok", http.StatusOK},
+		"chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", http.StatusOK},
+		"length and chunks":     {head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", http.StatusBadRequest},
+		"the same length twice": {head + "Content-Length: 2\r\ncontent-length: 2\r\n\r\nok", http.StatusBadRequest},
+		"two lengths":           {head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok", http.StatusBadRequest},
+	} {
+		conn, reader := dial(t, address)
+		if got, _ := ask(t, conn, reader, test.text); got != test.want {
+			t.Errorf("%s: %d, not %d", name, got, test.want)
+		}
+	}
+}
+
+// A body that looks like a head, and requests one after the other, are told apart.
+func TestHeadsAreToldFromBodies(t *testing.T) {
+	conn, reader := dial(t, serve(t, 0))
+	body := "Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n"
+	text := head + "Content-Length: 49\r\n\r\n" + body
+	for range 3 {
+		if got, echoed := ask(t, conn, reader, text); got != http.StatusOK || echoed != body {
+			t.Fatalf("%d %q", got, echoed)
+		}
+	}
+	if got, _ := ask(t, conn, reader, head+"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"); got != http.StatusBadRequest {
+		t.Fatalf("behind others: %d", got)
+	}
+}
+
+func TestASlowHeadGets408(t *testing.T) {
+	conn, reader := dial(t, serve(t, 30*time.Millisecond))
+	if got, _ := ask(t, conn, reader, "POST / HTTP/1.1\r\nHost: "); got != http.StatusRequestTimeout {
+		t.Fatalf("%d", got)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Fatalf("the connection goes on: %v", err)
+	}
+}
+
+// recordingConn gives out bytes and notes the deadlines that reach it.
+type recordingConn struct {
+	net.Conn
+	bytes    []byte
+	deadline time.Time
+}
+
+func (c *recordingConn) Read(p []byte) (int, error) {
+	n := copy(p, c.bytes)
+	c.bytes = c.bytes[n:]
+	return n, nil
+}
+
+func (c *recordingConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// The bound is for heads: neither a body nor a rest between requests is cut by it.
+func TestTheBoundIsForHeadsOnly(t *testing.T) {
+	guard := &Guard{}
+	guard.SetHeadTimeout(time.Second)
+	inner := &recordingConn{}
+	conn := &guardedConn{Conn: inner, guard: guard, inHead: true}
+	later := time.Now().Add(time.Hour)
+	read := func(text string) {
+		inner.bytes = []byte(text)
+		if _, err := conn.Read(make([]byte, 100)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set := func() time.Time {
+		if err := conn.SetReadDeadline(later); err != nil {
+			t.Fatal(err)
+		}
+		return inner.deadline
+	}
+	for range 2 {
+		if got := set(); !got.Equal(later) {
+			t.Fatalf("while the connection rests: %v", got)
+		}
+		read("POST / HTTP/1.1\r\n")
+		if got := set(); !got.Before(later) {
+			t.Fatal("a head under way has no bound")
+		}
+		read("Content-Length: 2\r\n\r\no")
+		if got := set(); !got.Equal(later) {
+			t.Fatalf("in the body: %v", got)
+		}
+		conn.expectHead()
+	}
+}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/control"
 	"otterseam/tier/feed"
+	"otterseam/tier/httpguard"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/periodic"
 	"otterseam/tier/settings"
@@ -51,6 +52,7 @@
 	hosts    *hostTable
 	programs *programClient
 	table    atomic.Pointer[opconfig.Table]
+	guard    httpguard.Guard
 	stopping atomic.Bool
 	work     sync.WaitGroup // settlements that nobody waits for
 }
@@ -88,7 +90,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	go func() { _ = server.Serve(front) }()
+	p.guard.Install(server)
+	go func() { _ = server.Serve(p.guard.Listen(front)) }()
 	<-ctx.Done()
 	return p.stop(server)
 }
@@ -134,6 +137,7 @@
 		return
 	}
 	p.table.Store(opconfig.NewTable(config))
+	p.guard.SetHeadTimeout(time.Duration(config.Limits.HeaderTimeoutMS * float64(time.Millisecond)))
 	p.log.WithField("version", version).Info("configuration in force")
 }
 
@@ -227,6 +231,11 @@
 
 // readBody reads the whole request within the operator's limits.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, limits opconfig.Limits) ([]byte, bool) {
+	if httpguard.AmbiguousLength(r) {
+		w.Header().Set("Connection", "close")
+		p.failText(w, http.StatusBadRequest, codes.RequestMalformed, "the body's length is told twice, or beside chunks")
+		return nil, false
+	}
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
 		p.fail(w, http.StatusRequestHeaderFieldsTooLarge, codes.HeadTooLarge)
 		return nil, false
