--- a/cmd/tiertry/main.go
+++ b/cmd/tiertry/main.go
@@ -18,6 +18,8 @@
 	Program string `arg:"--program" default:"target/ottertier" help:"the tier's program"`
 	Dir     string `arg:"--dir" default:"target/try" help:"folder for settings, data and logs; it is emptied first"`
 	Once    bool   `arg:"--once" help:"ask for one turn, print the answer and end"`
+
+	Takeovers int `arg:"--takeovers" placeholder:"N" help:"kill the primary of control and a store N times, print how long until others answer, and end"`
 }
 
 // Description tells what the program is, for --help.
@@ -60,6 +62,9 @@
 	if err := rig.WaitReady(startLimit); err != nil {
 		return fmt.Errorf("the tier did not become ready: %w", err)
 	}
+	if args.Takeovers > 0 {
+		return measureTakeovers(rig, args.Takeovers)
+	}
 	front := rig.Fronts()[0]
 	if args.Once {
 		return askOnce(front)
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -66,7 +66,7 @@
 	var silent, caughtUp []uint64
 	s.host.With(controlGroup, func(g *replica.Group) {
 		silent = g.Silent(groups.Now())
-		caughtUp = g.CaughtUp()
+		caughtUp = g.CaughtUp(groups.Now())
 		for _, id := range caughtUp {
 			g.Admit(id)
 		}
--- a/tier/replica/group_test.go
+++ b/tier/replica/group_test.go
@@ -118,11 +118,11 @@
 	g.SetView(View{Epoch: 2, Primary: 1, InSync: []uint64{1, 3}, Replicas: []uint64{1, 2, 3}}, 10)
 	g.Durable(2, 2, 11)
 	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 1}, 12)
-	if got := g.CaughtUp(); len(got) != 0 {
+	if got := g.CaughtUp(13); len(got) != 0 {
 		t.Fatalf("%v lacks the entry that opened the epoch", got)
 	}
 	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 2}, 13)
-	if got := g.CaughtUp(); len(got) != 1 || got[0] != 2 {
+	if got := g.CaughtUp(13); len(got) != 1 || got[0] != 2 {
 		t.Fatalf("caught up: %v", got)
 	}
 	g.Admit(2)
@@ -132,6 +132,30 @@
 	}
 }
 
+// A replica that held everything when it was dropped is not taken in again while it is silent.
+func TestASilentReplicaIsNotCaughtUp(t *testing.T) {
+	g, err := NewGroup(1, &journalMachine{}, Snapshot{}, nil, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.SetView(View{Epoch: 1, Primary: 1, InSync: []uint64{1, 2}, Replicas: []uint64{1, 2}}, 10)
+	g.Durable(1, 1, 11)
+	g.Step(2, Message{Kind: MessageAck, Epoch: 1, Index: 1}, 12)
+	g.SetView(View{Epoch: 2, Primary: 1, InSync: []uint64{1}, Replicas: []uint64{1, 2}}, 900)
+	if got := g.CaughtUp(900); len(got) != 0 {
+		t.Fatalf("taken in though silent: %v", got)
+	}
+	g.Take()
+	g.Tick(1100, false)
+	if output := g.Take(); len(output.Messages) != 1 {
+		t.Fatalf("nobody asks whether it is back: %+v", output.Messages)
+	}
+	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 1}, 1101)
+	if got := g.CaughtUp(1102); len(got) != 1 {
+		t.Fatalf("not taken in though it answers: %v", got)
+	}
+}
+
 // A replica taken in counts from the moment it is asked in, and until the next epoch says otherwise.
 func TestAnAdmittedReplicaCountsAtOnce(t *testing.T) {
 	machine := &journalMachine{}
@@ -142,7 +166,7 @@
 	g.SetView(View{Epoch: 1, Primary: 1, InSync: []uint64{1}, Replicas: []uint64{1, 2}}, 10)
 	g.Durable(1, 1, 11)
 	g.Step(2, Message{Kind: MessageAck, Epoch: 1, Index: 1}, 12)
-	if got := g.CaughtUp(); len(got) != 1 {
+	if got := g.CaughtUp(13); len(got) != 1 {
 		t.Fatalf("caught up: %v", got)
 	}
 	g.Admit(2)
--- a/tier/replica/sim_test.go
+++ b/tier/replica/sim_test.go
@@ -342,19 +342,22 @@
 	if node == nil || node.group.View().Epoch != s.view.Epoch {
 		return
 	}
-	if silent := node.group.Silent(s.now); len(silent) > 0 {
-		if s.view.IsInSync(silent[0]) && len(s.view.InSync)-1 < simNodes-simTolerate {
-			return
+	if caughtUp := node.group.CaughtUp(s.now); len(caughtUp) > 0 {
+		node.group.Admit(caughtUp[0])
+		if !s.alive(caughtUp[0]) {
+			return // refused: its session does not hold
 		}
 		next := s.view
-		next.InSync = register.Without(s.view.InSync, silent[0])
+		next.InSync = append(append([]uint64(nil), s.view.InSync...), caughtUp[0])
 		s.setView(next)
 		return
 	}
-	if caughtUp := node.group.CaughtUp(); len(caughtUp) > 0 {
-		node.group.Admit(caughtUp[0])
+	if silent := node.group.Silent(s.now); len(silent) > 0 {
+		if s.view.IsInSync(silent[0]) && len(s.view.InSync)-1 < simNodes-simTolerate {
+			return
+		}
 		next := s.view
-		next.InSync = append(append([]uint64(nil), s.view.InSync...), caughtUp[0])
+		next.InSync = register.Without(s.view.InSync, silent[0])
 		s.setView(next)
 	}
 }
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -38,6 +38,7 @@
 	complainAfter    = 450
 	admitLag         = 64 // entries that a replica may lack when it is asked into the in-sync set
 	heartbeatSilence = 100
+	admitHeard       = 300 // milliseconds within which a replica has to have been heard to be taken in
 )
 
 // sendEntries sends what a replica lacks, or an empty append as a heartbeat.
@@ -234,7 +235,8 @@
 	}
 }
 
-// Tick sends again what was not acknowledged, and heartbeats where wanted. Call it every 50 ms or so.
+// Tick sends again what was not acknowledged, and heartbeats: to all where wanted, and always to replicas that are not in sync,
+// which could join when they answer. Call it every 50 ms or so.
 func (g *Group) Tick(now int64, heartbeats bool) {
 	if g.role != Primary {
 		return
@@ -260,7 +262,7 @@
 				}
 				g.sendEntries(id, peer, now)
 			}
-		case heartbeats && now-peer.sentAt >= heartbeatSilence:
+		case (heartbeats || !g.view.IsInSync(id)) && now-peer.sentAt >= heartbeatSilence:
 			g.sendEntries(id, peer, now)
 		}
 	}
@@ -296,15 +298,16 @@
 
 // CaughtUp lists replicas that could join the in-sync set: those that hold all that was there when this primary's epoch opened,
 // which may have been committed before, and all that was committed since. The primary need not be ready: it may be waiting for
-// a replica that will never come back, and another must be able to take that one's place.
-func (g *Group) CaughtUp() []uint64 {
+// a replica that will never come back, and another must be able to take that one's place. Replicas that have not been heard in
+// the last moment don't count, whatever they held.
+func (g *Group) CaughtUp(now int64) []uint64 {
 	var ids []uint64
 	if g.role != Primary {
 		return nil
 	}
 	for _, id := range g.view.Replicas {
 		peer := g.peers[id]
-		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.installed > 0 || peer.match == 0 {
+		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.installed > 0 || peer.match == 0 || now-peer.heardAt > admitHeard {
 			continue
 		}
 		if peer.match+admitLag >= g.lastIndex() && peer.match >= max(g.commit, g.openedEpochAt) {
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -233,7 +233,7 @@
 	s.host.With(id, func(g *replica.Group) {
 		change = controlclient.ShardChange{Shard: id, Epoch: g.View().Epoch}
 		// one that caught up comes first: the set may be too small to let a silent one go without it
-		if caughtUp := g.CaughtUp(); len(caughtUp) > 0 {
+		if caughtUp := g.CaughtUp(groups.Now()); len(caughtUp) > 0 {
 			g.Admit(caughtUp[0])
 			change.Replica = caughtUp[0]
 			change.Admit = true
