--- a/tier/balance/balance.go
+++ b/tier/balance/balance.go
@@ -16,6 +16,11 @@
 	warmBonus   = 0.05 // the same for a host to which a connection is open and idle
 	stickyLoad  = 0.85 // up to which the host that knows the prompt is preferred
 	stickyBonus = 0.35
+
+	rateStep     = 0.2             // weight of the newest outcome in a host's failure rate
+	rateHalfLife = 4 * time.Second // in which a failure rate falls to half without new failures
+	ratePenalty  = 2.0             // of load for a host that always fails
+	stallPenalty = 1.0             // of load for a host whose requests have all waited for long
 )
 
 // Host is what is known of one host.
@@ -29,8 +34,11 @@
 	open      int // requests of this gateway there
 	told      float64
 	toldAt    time.Time
-	failures  int
+	failures  int // in a row
 	pausedTil time.Time
+	stalled   int // requests that have waited for long without a sign of life
+	rate      float64
+	ratedAt   time.Time
 }
 
 // Begin counts a request sent.
@@ -49,9 +57,44 @@
 }
 
 // Succeeded notes an answer.
-func (h *Host) Succeeded() {
+func (h *Host) Succeeded(now time.Time) {
 	h.failures = 0
 	h.pausedTil = time.Time{}
+	h.rateOutcome(0, now)
+}
+
+// Erred notes an answer that says that the host failed. It may be the request's own doing, so that the host is not paused.
+func (h *Host) Erred(now time.Time) {
+	h.failures = 0
+	h.rateOutcome(1, now)
+}
+
+// Stalled counts a request that has waited for long without a sign of life; Moved counts it off.
+func (h *Host) Stalled() { h.stalled++ }
+
+// Moved counts off a request that was stalled.
+func (h *Host) Moved() { h.stalled-- }
+
+// stallShare is the share of this gateway's requests there that have waited for long. It is a share, so that hosts that are all
+// slow under load are not told apart by chance.
+func (h *Host) stallShare() float64 {
+	if h.stalled == 0 {
+		return 0
+	}
+	return float64(h.stalled) / float64(max(h.open, h.stalled))
+}
+
+// rateOutcome follows the share of requests that fail, so that a host that answers in between is still known for it.
+func (h *Host) rateOutcome(failed float64, now time.Time) {
+	h.rate = (1-rateStep)*h.failureRate(now) + rateStep*failed
+	h.ratedAt = now
+}
+
+func (h *Host) failureRate(now time.Time) float64 {
+	if h.rate == 0 {
+		return 0
+	}
+	return h.rate * math.Exp2(-now.Sub(h.ratedAt).Seconds()/rateHalfLife.Seconds())
 }
 
 // Failed notes a request that broke off or could not be sent; the host is avoided for a time that grows.
@@ -59,6 +102,7 @@
 	h.failures++
 	pause := firstPause << min(h.failures-1, 4)
 	h.pausedTil = now.Add(min(pause, longPause))
+	h.rateOutcome(1, now)
 }
 
 // Full notes that the host turned a request away.
@@ -101,14 +145,14 @@
 		if host.Draining || request.Tried[host.ID] || (!paused && now.Before(host.pausedTil)) {
 			continue
 		}
-		score := host.load(now) + request.Chance()*0.02
+		score := host.load(now) + request.Chance()*0.02 + host.failureRate(now)*ratePenalty + host.stallShare()*stallPenalty
 		if host.Zone == request.Zone {
 			score -= nearBonus
 		}
 		if host.Warm != nil && host.Warm() {
 			score -= warmBonus
 		}
-		if host.ID == request.Preferred && host.load(now) < stickyLoad {
+		if host.ID == request.Preferred && host.load(now) < stickyLoad && host.stallShare() < 1 {
 			score -= stickyBonus
 		}
 		if score < bestScore {
--- a/tier/balance/balance_test.go
+++ b/tier/balance/balance_test.go
@@ -50,7 +50,9 @@
 	all := hosts(2)
 	now := time.Now()
 	all[0].Failed(now)
-	all[1].Begin()
+	for range 9 { // so loaded that only the pause keeps requests there
+		all[1].Begin()
+	}
 	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "b" {
 		t.Fatal(got.ID)
 	}
@@ -61,12 +63,45 @@
 	if got := Choose(all, Request{Chance: noChance}, now.Add(firstPause)); got.ID != "b" {
 		t.Fatal("the second pause is no longer than the first")
 	}
-	all[0].Succeeded()
+	all[0].Succeeded(now)
 	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "a" {
 		t.Fatal("it is avoided after an answer")
 	}
 }
 
+// A host that fails now and then and answers in between is used less than the others, and as much as they some time after.
+func TestAHostThatFailsInPartIsUsedLess(t *testing.T) {
+	all := hosts(2)
+	now := time.Now()
+	for range 10 {
+		all[0].Failed(now)
+		all[0].Succeeded(now)
+	}
+	for range 3 {
+		all[1].Begin()
+	}
+	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "b" {
+		t.Fatal(got.ID)
+	}
+	if got := Choose(all, Request{Chance: noChance}, now.Add(4*rateHalfLife)); got.ID != "a" {
+		t.Fatal("it is avoided for ever")
+	}
+}
+
+func TestAHostWithStalledRequestsIsUsedLess(t *testing.T) {
+	all := hosts(2)
+	now := time.Now()
+	all[0].Stalled()
+	all[1].Begin()
+	if got := Choose(all, Request{Chance: noChance, Preferred: "a"}, now); got.ID != "b" {
+		t.Fatal(got.ID)
+	}
+	all[0].Moved()
+	if got := Choose(all, Request{Chance: noChance}, now); got.ID != "a" {
+		t.Fatal(got.ID)
+	}
+}
+
 func TestHostsThatFailedServeWhenNoOtherIsLeft(t *testing.T) {
 	all := hosts(1)
 	now := time.Now()
--- a/tier/proxy/hosts.go
+++ b/tier/proxy/hosts.go
@@ -101,6 +101,7 @@
 
 const (
 	outcomeAnswered outcome = iota
+	outcomeErred            // the host says that it failed
 	outcomeFull
 	outcomeFailed
 	outcomeAbandoned // by the client
@@ -113,7 +114,9 @@
 	host.End()
 	switch how {
 	case outcomeAnswered:
-		host.Succeeded()
+		host.Succeeded(time.Now())
+	case outcomeErred:
+		host.Erred(time.Now())
 	case outcomeFull:
 		host.Full(time.Now())
 	case outcomeFailed:
@@ -137,6 +140,36 @@
 	host.Told(running, waiting, time.Now())
 }
 
+// stallAfter is how long a request may wait for the head of its answer before its host is known for it.
+const stallAfter = time.Second
+
+// watchStall has a host known for a request that waits for long, until the function that it returns is called.
+func (t *hostTable) watchStall(host *target) (moved func()) {
+	const (
+		waiting = iota
+		stalled
+		ended
+	)
+	state := waiting
+	timer := time.AfterFunc(stallAfter, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if state == waiting {
+			state = stalled
+			host.Stalled()
+		}
+	})
+	return func() {
+		timer.Stop()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if state == stalled {
+			host.Moved()
+		}
+		state = ended
+	}
+}
+
 // sweep closes connections that have rested for too long.
 func (t *hostTable) sweep() {
 	t.mu.Lock()
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -47,6 +47,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	defer p.hosts.watchStall(host)()
 	if err := conn.Send(payload, deadline); err != nil {
 		conn.Close()
 		return nil, &sendError{mayHaveRun: !errors.Is(err, upstream.ErrNotSent), cause: err}
@@ -132,7 +133,7 @@
 	}
 	x, failed := p.send(ctx, r, host, r.encode(host.ID, "", r.body), deadline)
 	if failed != nil {
-		p.hosts.done(host, failedOutcome(ctx))
+		p.hosts.done(host, silentOutcome(ctx))
 		return nil, nil, failed
 	}
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxAnswerBytes))
@@ -142,11 +143,7 @@
 		return nil, nil, &sendError{mayHaveRun: true, cause: err}
 	}
 	x.release()
-	if x.notExecuted() {
-		p.hosts.done(host, outcomeFull)
-	} else {
-		p.hosts.done(host, outcomeAnswered)
-	}
+	p.hosts.done(host, x.outcome())
 	return body, x, nil
 }
 
@@ -158,6 +155,17 @@
 	p.fail(w, http.StatusGatewayTimeout, codes.DeadlineReached)
 }
 
+// silentOutcome is that of a request that got no answer at all. A deadline that passed without a sign of life counts against the
+// host, but pauses it not: under load deadlines pass at all hosts.
+func silentOutcome(ctx context.Context) outcome {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcomeErred
+	}
+	return failedOutcome(ctx)
+}
+
+// failedOutcome is that of a request whose answer broke off. A client that has gone says nothing of the host, nor does a deadline
+// that passed while the answer came.
 func failedOutcome(ctx context.Context) outcome {
 	if ctx.Err() != nil {
 		return outcomeAbandoned
@@ -165,6 +173,18 @@
 	return outcomeFailed
 }
 
+// outcome is that of a whole answer.
+func (x *exchange) outcome() outcome {
+	switch {
+	case x.notExecuted():
+		return outcomeFull
+	case x.response.StatusCode >= http.StatusInternalServerError:
+		return outcomeErred
+	default:
+		return outcomeAnswered
+	}
+}
+
 func (p *Proxy) writePlain(w http.ResponseWriter, response *http.Response, body []byte) {
 	copyHeader(w.Header(), response.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -90,7 +90,7 @@
 	}
 	x, failed := p.send(ctx, t.request, host, t.encode(host.ID, lastEvent, t.prompt), t.deadline)
 	if failed != nil {
-		p.hosts.done(host, failedOutcome(ctx))
+		p.hosts.done(host, silentOutcome(ctx))
 		return false, failed
 	}
 	if x.notExecuted() {
@@ -113,7 +113,7 @@
 		return false, &sendError{mayHaveRun: true, cause: errors.Join(err, errWrongAnswer)}
 	}
 	x.release()
-	p.hosts.done(x.host, outcomeAnswered)
+	p.hosts.done(x.host, x.outcome())
 	p.settleLater(t, t.end(0, false, nil, x.host.ID))
 	p.writePlain(w, x.response, body)
 	return true, nil
