--- /dev/null
+++ b/tier/replica/example_test.go
@@ -0,0 +1,49 @@
+package replica_test
+
+import (
+	"fmt"
+
+	"otterseam/tier/replica"
+)
+
+// words is a state machine that keeps the words it was given.
+type words struct{ all []string }
+
+func (w *words) Apply(_ uint64, command []byte) any {
+	w.all = append(w.all, string(command))
+	return len(w.all)
+}
+func (w *words) Snapshot() []byte              { return nil }
+func (w *words) Restore(snapshot []byte) error { return nil }
+
+// A primary commits a command when it and every in-sync backup have it on disk. The caller carries messages and writes.
+func Example() {
+	primary, _ := replica.NewGroup(1, &words{}, replica.Snapshot{}, nil, replica.Options{})
+	backup, _ := replica.NewGroup(2, &words{}, replica.Snapshot{}, nil, replica.Options{})
+	now := int64(1000)
+	primary.SetView(replica.View{Epoch: 1, Primary: 1, InSync: []uint64{1, 2}, Replicas: []uint64{1, 2}}, now)
+	carry := func(from *replica.Group, id uint64, to *replica.Group) []replica.Applied {
+		output := from.Take()
+		for _, out := range output.Messages {
+			to.Step(id, out.Message, now)
+		}
+		return output.Applied
+	}
+	// the entry that opens the epoch reaches both disks
+	primary.Durable(1, 1, now)
+	carry(primary, 1, backup)
+	backup.Durable(1, 1, now)
+	carry(backup, 2, primary)
+
+	index := primary.Propose([]byte("hello"), now)
+	primary.Durable(index, 1, now)
+	fmt.Println("on the primary's disk only:", len(carry(primary, 1, backup)), "committed")
+	backup.Durable(index, 1, now)
+	carry(backup, 2, primary)
+	for _, applied := range carry(primary, 1, backup) {
+		fmt.Printf("on both disks: %s committed, result %v\n", applied.Command, applied.Result)
+	}
+	// Output:
+	// on the primary's disk only: 0 committed
+	// on both disks: hello committed, result 1
+}
