--- /dev/null
+++ b/tier/proxy/request_test.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"otterseam/tier/opconfig"
+)
+
+func newRequest(header map[string]string, route *opconfig.Route) *request {
+	r := &request{
+		id: "r1", method: http.MethodPost, uri: "/chat/7?x=%2F", host: "a.example", header: http.Header{}, body: []byte("body"),
+		route: route, deadline: time.Now().Add(time.Minute),
+	}
+	for name, value := range header {
+		r.header.Set(name, value)
+	}
+	return r
+}
+
+// sent reads an encoded request back as a host would.
+func sent(t *testing.T, encoded []byte) *http.Request {
+	t.Helper()
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(encoded)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestARequestGoesOnUnchanged(t *testing.T) {
+	r := newRequest(map[string]string{
+		"X-Request-Id": "r1", "Program": "p", "Cookie": "c", "Connection": "keep-alive, X-Hop", "X-Hop": "1", "Keep-Alive": "timeout=9",
+		"Transfer-Encoding": "chunked", "X-Deadline-Ms": "1", "X-Expect-Instance": "forged", "Priority": "0", "Upgrade": "h2c",
+	}, &opconfig.Route{RouteType: opconfig.RouteStreaming, Priority: 1})
+	got := sent(t, r.encode("host-1", "", r.body))
+	if got.Method != "POST" || got.RequestURI != "/chat/7?x=%2F" || got.Host != "a.example" || got.ContentLength != 4 {
+		t.Fatalf("%+v", got)
+	}
+	for name, want := range map[string]string{
+		"X-Request-Id": "r1", "Program": "p", "Cookie": "c", "X-Expect-Instance": "host-1", "Priority": "5",
+		"X-Hop": "", "Keep-Alive": "", "Upgrade": "", "Last-Event-Id": "",
+	} {
+		if have := got.Header.Get(name); have != want {
+			t.Errorf("%s is %q, not %q", name, have, want)
+		}
+	}
+	if left, ok := milliseconds(got.Header.Get("X-Deadline-Ms")); !ok || left < 50*time.Second || left > time.Minute {
+		t.Errorf("deadline %v", left)
+	}
+}
+
+func TestAResumedRequestSaysWhereItGoesOn(t *testing.T) {
+	r := newRequest(map[string]string{"Last-Event-Id": "3"}, &opconfig.Route{RouteType: opconfig.RouteStreaming})
+	if got := sent(t, r.encode("h", "9", r.body)); got.Header.Get("Last-Event-Id") != "9" {
+		t.Fatal(got.Header)
+	}
+}
+
+func TestUrgencyFollowsTheRankWithinItsRange(t *testing.T) {
+	last := -1
+	for rank := range 12 {
+		got := urgency(rank)
+		if got < last || got < 0 || got > urgencyLast {
+			t.Fatalf("rank %d: %d after %d", rank, got, last)
+		}
+		last = got
+	}
+	if urgency(-5) != urgency(0) {
+		t.Fatal("a rank below 0 is more urgent than 0")
+	}
+}
+
+func TestTurnsAreRead(t *testing.T) {
+	route := &opconfig.Route{RouteType: opconfig.RouteStreaming, Retained: true, KeepS: 60}
+	service := &opconfig.Service{Engine: &opconfig.Engine{Stride: 3}}
+	got, err := readTurn(newRequest(map[string]string{"Program": "p", "Budget": "100", "X-Token-Count": "1460, 80", "Previous": "x"}, route), service)
+	if err != nil || got.most != 80 || got.budget != 100 || !got.limited || got.stride != 3 || got.previous != "x" || !got.accounted() {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	end := got.end(24, true, []byte("out"), "h")
+	if end.Actual != 24 || !end.Keep || end.KeepMS != 60_000 || string(end.Input) != "body" {
+		t.Fatalf("%+v", end)
+	}
+	// without the most that may be generated, nothing less than the whole budget covers the turn
+	if got, err = readTurn(newRequest(map[string]string{"Program": "p", "Budget": "100"}, route), service); err != nil || got.most != 100 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for _, header := range []map[string]string{
+		{"Budget": "ten"}, {"Budget": "-1"}, {"Budget": "1.5"}, {"X-Token-Count": "5"}, {"X-Token-Count": "a,5"}, {"X-Token-Count": "5,b"},
+		{"X-Token-Count": "5,-1"}, {"X-Token-Count": "5,6,7"},
+	} {
+		if _, err := readTurn(newRequest(header, route), service); err == nil {
+			t.Errorf("%v was taken", header)
+		}
+	}
+}
+
+func TestATurnOutsideProgramsNeedsNoStore(t *testing.T) {
+	got, err := readTurn(newRequest(map[string]string{"X-Token-Count": "5,6"}, &opconfig.Route{}), nil)
+	if err != nil || got.accounted() {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+func TestHeadersOfOneConnectionAreNotPassedOn(t *testing.T) {
+	from := http.Header{
+		"X-Response-Seal": {"s"}, "Content-Type": {"text/event-stream"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"},
+		"Keep-Alive": {"timeout=1"}, "Content-Length": {"9"}, "Transfer-Encoding": {"chunked"},
+	}
+	to := http.Header{}
+	copyHeader(to, from)
+	if len(to) != 2 || to.Get("X-Response-Seal") != "s" || to.Get("Content-Type") == "" {
+		t.Fatalf("%v", to)
+	}
+}
