--- a/cmd/otterlab/main_test.go
+++ b/cmd/otterlab/main_test.go
@@ -39,6 +39,11 @@
 		{"report " + results, "holds no results"},
 		{"sockets calm-300", "at most 4000"},
 		{"load try --to 192.0.2.1:80 --set length=1s", "is not on loopback"},
+		{"owndays " + bad, "missing flags"},
+		{"owndays " + bad + " --bench " + bad + " --dir own-days", "lies in the repository under test"},
+		{"owndays " + bad + " --bench " + bad + " --dir " + dir + " --kept ./kept", "lies in the repository under test"},
+		{"owndays " + bad + " --bench " + bad + " --dir " + dir + " --days 0", "at least one day is wanted"},
+		{"owndays " + dir + "/none.toml --bench " + bad + " --dir " + dir, "none.toml"},
 		{"frobnicate", "unexpected argument"},
 	} {
 		code, _, errs := call(strings.Fields(x.args)...)
--- /dev/null
+++ b/lab/owndays/hunt_test.go
@@ -0,0 +1,147 @@
+package owndays
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// standInVariable makes the test program stand in for the bench.
+const standInVariable = "OWNDAYS_STAND_IN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(standInVariable) != "" {
+		os.Exit(standIn(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// standIn answers as the bench does. A day with a core_cut breaks a rule; one with a replace_core can't be played.
+func standIn(args []string) int {
+	if args[0] == "kinds" {
+		fmt.Print(list)
+		return 0
+	}
+	day, err := os.ReadFile(args[2])
+	if err != nil {
+		return 1
+	}
+	if strings.Contains(string(day), "replace_core") {
+		fmt.Println("gave up")
+		return 1
+	}
+	report := `{"G": 0.9, "served": 0.95, "fault": null, "short": ["class chat"], "breaks": {"GONE": 0}}`
+	if strings.Contains(string(day), "core_cut") {
+		report = `{"G": 0.4, "served": 0.5, "fault": null, "short": [], "breaks": {"LOST": 3}}`
+	}
+	if err := os.WriteFile(args[slices.Index(args, "--report")+1], []byte(report), 0o644); err != nil {
+		return 1
+	}
+	return 0
+}
+
+func newTestHunt(t *testing.T) (*Hunt, string, *[]string) {
+	t.Helper()
+	t.Setenv(standInVariable, "1")
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	site := filepath.Join(folder, "site.toml")
+	if err := os.WriteFile(site, []byte(siteTOML), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	var adding sync.Mutex
+	hunt := &Hunt{
+		Bench:     &Bench{Program: program, Root: folder, Days: t.TempDir(), Why: "test"},
+		FirstSeed: 1, Days: 12, Jobs: 3, Kept: t.TempDir(), ShrinkPlays: 60,
+		Tell: func(line string) {
+			adding.Lock()
+			defer adding.Unlock()
+			lines = append(lines, line)
+		},
+	}
+	return hunt, site, &lines
+}
+
+func TestHuntKeepsAndShrinksDaysThatBrokeARule(t *testing.T) {
+	hunt, site, lines := newTestHunt(t)
+	played, err := hunt.Run(t.Context(), []string{site})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(played) != hunt.Days {
+		t.Fatalf("%d days played, want %d", len(played), hunt.Days)
+	}
+	broken, failed := 0, 0
+	for i, p := range played {
+		if p.Seed != uint64(i+1) {
+			t.Errorf("day %d has seed %d", i, p.Seed)
+		}
+		_, kept := os.Stat(filepath.Join(hunt.Kept, p.Name+dayEnding))
+		if kept != nil {
+			t.Errorf("%s was not kept: %v", p.Name, kept)
+		}
+		switch {
+		case p.Err != nil:
+			failed++
+		case p.Broken():
+			broken++
+			checkShrunk(t, p)
+		}
+	}
+	if broken == 0 || failed == 0 {
+		t.Errorf("%d days broken and %d failed; the seeds chosen should give some of each", broken, failed)
+	}
+	if !slices.ContainsFunc(*lines, func(line string) bool { return strings.Contains(line, "BROKEN LOST") }) {
+		t.Errorf("no line tells of the broken rule: %q", *lines)
+	}
+	if !slices.ContainsFunc(*lines, func(line string) bool { return strings.Contains(line, `gate: "class chat"`) }) {
+		t.Errorf("no line tells what fell short: %q", *lines)
+	}
+}
+
+// checkShrunk wants one disruption to be left, the one by which the stand-in's rule breaks.
+func checkShrunk(t *testing.T, p *Played) {
+	t.Helper()
+	shrunk, err := os.ReadFile(p.Shrunk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Count(string(shrunk), "kind = ") != 1 || !strings.Contains(string(shrunk), "core_cut") {
+		t.Errorf("shrunk to\n%s", shrunk)
+	}
+}
+
+func TestHuntSaysWhichFileIsNoSite(t *testing.T) {
+	hunt, _, _ := newTestHunt(t)
+	other := filepath.Join(t.TempDir(), "other.toml")
+	if err := os.WriteFile(other, nil, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := hunt.Run(t.Context(), []string{other}); err == nil || !strings.Contains(err.Error(), "other.toml") {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestOutcomeNamesBrokenRulesAndFaults(t *testing.T) {
+	tests := []struct {
+		outcome Outcome
+		want    []string
+	}{
+		{Outcome{}, nil},
+		{Outcome{Fault: []byte("null"), Breaks: map[string]any{"GONE": 0.0}}, nil},
+		{Outcome{Fault: []byte(`"out of memory"`), Breaks: map[string]any{"LOST": 2.0, "CONFIG": []any{"x"}}}, []string{"CONFIG", "LOST", "fault"}},
+	}
+	for _, test := range tests {
+		if got := test.outcome.Broken(); !slices.Equal(got, test.want) {
+			t.Errorf("%+v: broken %q, want %q", test.outcome, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/lab/owndays/shrink_test.go
@@ -0,0 +1,71 @@
+package owndays
+
+import (
+	"errors"
+	"slices"
+	"testing"
+)
+
+func brokenDay() *Day {
+	return &Day{
+		Name: "own-3", LengthS: 40,
+		Closing: &Closing{Kind: "kill_all", DownS: 1},
+		Disruptions: []Disruption{
+			{At: 2, Kind: "hup"},
+			{At: 3, Kind: "node_kill", On: "core", Count: 2, ForS: 4},
+			{At: 4, Kind: "burst", X: 2, ForS: 3},
+			{At: 5, Kind: "core_cut", ForS: 3},
+			{At: 9, Kind: "hup"},
+		},
+	}
+}
+
+func hasKind(day *Day, kind string) bool {
+	return slices.ContainsFunc(day.Disruptions, func(d Disruption) bool { return d.Kind == kind })
+}
+
+func TestShrinkKeepsWhatTheBreakNeeds(t *testing.T) {
+	day := brokenDay()
+	before := day.TOML()
+	shortest, err := Shrink(day, 100, func(d *Day) (bool, error) {
+		return hasKind(d, "node_kill") && hasKind(d, "core_cut"), nil
+	}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Day{
+		Name: "own-3", LengthS: 13.75,
+		Disruptions: []Disruption{
+			{At: 3, Kind: "node_kill", On: "core", Count: 1, ForS: 1},
+			{At: 5, Kind: "core_cut", ForS: 0.75},
+		},
+	}
+	if shortest.TOML() != want.TOML() {
+		t.Errorf("shrunk to\n%s\nwant\n%s", shortest.TOML(), want.TOML())
+	}
+	if day.TOML() != before {
+		t.Error("the day given was changed")
+	}
+}
+
+func TestShrinkPlaysNoMoreThanAllowed(t *testing.T) {
+	plays := 0
+	_, err := Shrink(brokenDay(), 3, func(*Day) (bool, error) { plays++; return true, nil }, func(string) {})
+	if err != nil || plays != 3 {
+		t.Fatalf("%d plays, %v", plays, err)
+	}
+}
+
+func TestShrinkGivesTheBestSoFarWithAnError(t *testing.T) {
+	failure := errors.New("no play")
+	plays := 0
+	shortest, err := Shrink(brokenDay(), 10, func(*Day) (bool, error) {
+		if plays++; plays == 2 {
+			return false, failure
+		}
+		return true, nil
+	}, func(string) {})
+	if !errors.Is(err, failure) || shortest.Closing != nil {
+		t.Fatalf("%v, closing %v", err, shortest.Closing)
+	}
+}
