--- /dev/null
+++ b/lab/knownred/knownred_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestParseList(t *testing.T) {
+	const text = "tier/replica TestKept, a vote is lost, issue 42\n\n./tier/rpc TestClosed, answers pass each other, late, issue 46\n"
+	entries, err := ParseList(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Entry{
+		{"./tier/replica", "TestKept", "a vote is lost", "issue 42"},
+		{"./tier/rpc", "TestClosed", "answers pass each other, late", "issue 46"},
+	}
+	if !reflect.DeepEqual(entries, want) {
+		t.Errorf("read %v, want %v", entries, want)
+	}
+}
+
+func TestParseListRefuses(t *testing.T) {
+	const line = "tier/rpc TestA, cause, issue 1\n"
+	tests := []struct {
+		name, text string
+		want       error
+	}{
+		{"four lines", line + strings.ReplaceAll(line, "TestA", "TestB") + strings.ReplaceAll(line, "TestA", "TestC") + strings.ReplaceAll(line, "TestA", "TestD"), ErrTooMany},
+		{"the same twice", line + line, ErrTwice},
+		{"no package", "TestA, cause, issue 1", ErrForm},
+		{"no cause", "tier/rpc TestA, issue 1", ErrForm},
+		{"no issue", "tier/rpc TestA, cause", ErrForm},
+		{"a part of a test", "tier/rpc TestA/part, cause, issue 1", ErrForm},
+		{"a pattern", "tier/rpc Test.*, cause, issue 1", ErrForm},
+		{"all packages", "tier/... ExampleA, cause, issue 1", ErrForm},
+	}
+	for _, test := range tests {
+		if _, err := ParseList(test.text); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, err, test.want)
+		}
+	}
+}
+
+func TestPlanRunsPassesOverInTheOwnPackageAlone(t *testing.T) {
+	runs := PlanRuns([]string{"./a", "./b", "./c"}, []Entry{{Package: "./b", Test: "TestX"}, {Package: "./b", Test: "TestY"}, {Package: "./d", Test: "TestZ"}})
+	want := []Run{{Packages: []string{"./a", "./c"}}, {Packages: []string{"./b"}, Skip: "^(TestX|TestY)$"}}
+	if !reflect.DeepEqual(runs, want) {
+		t.Errorf("runs %+v, want %+v", runs, want)
+	}
+}
+
+// writeModule makes a small module: package a with a test that fails and one whose name begins the same, package b with a test
+// of the failing one's name.
+func writeModule(t *testing.T, list string) string {
+	t.Helper()
+	root := t.TempDir()
+	files := map[string]string{
+		"go.mod":      "module small\n\ngo 1.26\n",
+		"a/a_test.go": "package a\n\nimport \"testing\"\n\nfunc TestRed(t *testing.T) { t.Fatal(\"red\") }\n\nfunc TestRedder(t *testing.T) { t.Log(\"TestRedder ran\") }\n",
+		"b/b_test.go": "package b\n\nimport \"testing\"\n\nfunc TestRed(t *testing.T) { t.Log(\"TestRed of b ran\") }\n",
+		listFile:      list,
+	}
+	for name, text := range files {
+		path := filepath.Join(root, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return root
+}
+
+func runIn(root string) (code int, said string) {
+	var out strings.Builder
+	code = run(root, []string{"-count=1", "-v", "./..."}, &out, &out)
+	return code, out.String()
+}
+
+func TestListedTestIsPassedOverAndPrinted(t *testing.T) {
+	code, said := runIn(writeModule(t, "a TestRed, it is red, issue 7\n"))
+	if code != exitPassed {
+		t.Fatalf("code %d:\n%s", code, said)
+	}
+	for _, want := range []string{"known red, passed over: ./a TestRed, it is red, issue 7", "TestRedder ran", "TestRed of b ran"} {
+		if !strings.Contains(said, want) {
+			t.Errorf("not said: %s\n%s", want, said)
+		}
+	}
+}
+
+func TestFailureThatIsNotListedFails(t *testing.T) {
+	for _, list := range []string{"", "b TestRed, another, issue 7\n", "a TestRedder, another, issue 7\n"} {
+		if code, said := runIn(writeModule(t, list)); code != exitFailed || !strings.Contains(said, "FAIL: TestRed") {
+			t.Errorf("list %q: code %d:\n%s", list, code, said)
+		}
+	}
+}
+
+func TestWrongListRunsNoTest(t *testing.T) {
+	tests := map[string]string{
+		"a TestGone, mended long ago, issue 7\n":       "has no test TestGone",
+		"a TestRedd, a part of the name, issue 7\n":    "has no test TestRedd",
+		"c TestRed, no such package, issue 7\n":        "./c",
+		strings.Repeat("a TestRed, red, issue 7\n", 4): "listed twice",
+		"all of it\n": "a line reads",
+	}
+	for list, want := range tests {
+		code, said := runIn(writeModule(t, list))
+		if code != exitList || !strings.Contains(said, want) || strings.Contains(said, "ran") {
+			t.Errorf("list %q: code %d, want %q:\n%s", list, code, want, said)
+		}
+	}
+}
+
+func TestWithoutAListNothingChanges(t *testing.T) {
+	root := writeModule(t, "")
+	if err := os.Remove(filepath.Join(root, listFile)); err != nil {
+		t.Fatal(err)
+	}
+	if code, said := runIn(root); code != exitFailed || strings.Contains(said, "known red") {
+		t.Errorf("code %d:\n%s", code, said)
+	}
+}
+
+// TestCIRunsAllTestsThroughTheList wants no call of go test in .ci/run beside this program.
+func TestCIRunsAllTestsThroughTheList(t *testing.T) {
+	script, err := os.ReadFile("../../.ci/run")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	for line := range strings.Lines(string(script)) {
+		if strings.HasPrefix(line, "go test") {
+			t.Errorf(".ci/run passes by the list: %s", line)
+		}
+		if strings.HasPrefix(line, "bin/knownred ") {
+			calls++
+		}
+	}
+	if calls == 0 {
+		t.Error(".ci/run runs no test")
+	}
+}
