--- a/cmd/otterctl/main.go
+++ b/cmd/otterctl/main.go
@@ -121,7 +121,8 @@
 	defer cancel()
 	state, err := status.Read(ctx, command.Control)
 	if err != nil {
-		return fmt.Errorf("no control process at %v answers with a fresh state: %w", command.Control, err)
+		return fmt.Errorf("no control process at %v answers with a fresh state; wanted are machines with their first internal port,"+
+			" not the port of the operator's HTTP calls: %w", command.Control, err)
 	}
 	if command.JSON {
 		encoder := json.NewEncoder(out)
--- a/cmd/otterctl/main_test.go
+++ b/cmd/otterctl/main_test.go
@@ -35,6 +35,7 @@
 		{arguments{CheckSettings: &fileCommand{write(t, "node=n\n")}}, "role is missing", false},
 		{arguments{Explain: &explainCommand{"301"}}, "budget-spent", true},
 		{arguments{Explain: &explainCommand{"7"}}, "is no result code", false},
+		{arguments{Status: &statusCommand{Control: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}}, "wanted are machines with their first internal port", false},
 		{arguments{Status: &statusCommand{Control: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}}, "no control process", false},
 	} {
 		var out bytes.Buffer
--- a/lab/tierhost/host.go
+++ b/lab/tierhost/host.go
@@ -167,13 +167,24 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+h.ID)
-	if count := r.Header.Get("X-Token-Count"); count != "" {
+	count := r.Header.Get("X-Token-Count")
+	if count == "" && h.Service == engineService {
+		count = defaultTokens
+	}
+	if count != "" {
 		h.stream(w, r, count, breakAfter)
 		return
 	}
 	fmt.Fprintf(w, "done by %s", h.Service)
 }
 
+const (
+	// engineService is the service whose hosts stream; the others answer plainly.
+	engineService = "engine"
+	// defaultTokens are generated where a request to an engine doesn't say how many.
+	defaultTokens = "0,30"
+)
+
 // stride is how many tokens an event carries.
 const stride = 3
 
--- a/lab/tierrig/rig.go
+++ b/lab/tierrig/rig.go
@@ -23,13 +23,35 @@
 type Options struct {
 	Program  string // the ottertier binary
 	Dir      string // for settings, data and logs
-	Network  int    // 1 to 250: the third part of the addresses 127.0.N.x, so that rigs don't meet
+	Network  int    // 1 to 250: the third part of the addresses, so that rigs of one program don't meet
+	Process  int    // number of the program, so that rigs of several don't meet; 0: addresses 127.0.N.x and the usual ports
 	Fronts   int
 	Controls int
 	Stores   int
 	Tolerate int
 }
 
+// Internal ports of rigs with a process number: below those that the system gives to outgoing connections.
+const (
+	ownPortsFrom   = 10000
+	ownPortRanges  = 1400
+	secondPartSize = 250
+)
+
+// ip is the address of a machine of the rig, by its number from 1 on.
+func (o Options) ip(machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", o.Process%secondPartSize, o.Network, machine)
+}
+
+// firstPort is the first internal port. Agents listen on 127.0.0.1, so that rigs of two programs with the same ports would meet
+// there whatever their addresses are.
+func (o Options) firstPort() int {
+	if o.Process == 0 {
+		return firstPort
+	}
+	return ownPortsFrom + o.Process%ownPortRanges*portCount
+}
+
 // Machine is one machine of the rig with its processes.
 type Machine struct {
 	Name      string
@@ -50,8 +72,8 @@
 	frontPort     = 8149
 	readinessPort = 8141
 	controlPort   = 8144
-	firstPort     = 7380
-	lastPort      = 7395
+	firstPort     = 7380 // of the internal ports, where Options.Process is 0
+	portCount     = 16
 	requestLimit  = 2 * time.Second
 	retryPause    = 10 * time.Millisecond
 )
@@ -79,7 +101,7 @@
 	for i := range count {
 		r.Machines = append(r.Machines, &Machine{
 			Name:      fmt.Sprintf("%s-%d", class, i+1),
-			IP:        fmt.Sprintf("127.0.%d.%d", r.options.Network, len(r.Machines)+2),
+			IP:        r.options.ip(len(r.Machines) + 2),
 			roles:     roles,
 			processes: map[string]*child.Child{},
 		})
@@ -119,7 +141,7 @@
 	line("listen.front", address(m.IP, frontPort))
 	line("listen.readiness", address(m.IP, readinessPort))
 	line("listen.control", address(m.IP, controlPort))
-	line("internal_ports", fmt.Sprintf("%d,%d", firstPort, lastPort))
+	line("internal_ports", fmt.Sprintf("%d,%d", r.options.firstPort(), r.options.firstPort()+portCount-1))
 	line("seeds", strings.Join(r.seeds(), ","))
 	line("bootstrap", strconv.FormatBool(!r.started[m.Name]))
 	line("data_dir", data)
@@ -141,6 +163,9 @@
 // Controls are the addresses that hosts and the operator call.
 func (r *Rig) Controls() []string { return r.addresses("core", controlPort) }
 
+// StatusAddresses are the addresses of control processes that otterctl status asks: those of their internal ports.
+func (r *Rig) StatusAddresses() []string { return r.addresses("core", r.options.firstPort()) }
+
 // Fronts are the addresses that clients call.
 func (r *Rig) Fronts() []string { return r.addresses("front", frontPort) }
 
@@ -188,7 +213,7 @@
 // AddHost starts a stand-in host.
 func (r *Rig) AddHost(id, service string, slots int) (*tierhost.Host, error) {
 	host := &tierhost.Host{ID: id, Service: service, Slots: slots, Controls: r.Controls}
-	if err := host.Start(fmt.Sprintf("127.0.%d.1:0", r.options.Network)); err != nil {
+	if err := host.Start(address(r.options.ip(1), 0)); err != nil {
 		return nil, err
 	}
 	r.Hosts = append(r.Hosts, host)
--- a/lab/tierrig/rig_test.go
+++ b/lab/tierrig/rig_test.go
@@ -57,7 +57,7 @@
 func newWorld(t *testing.T, controls, stores int) *world {
 	t.Helper()
 	rig, err := Start(Options{
-		Program: program, Dir: t.TempDir(), Network: int(network.Add(1)), Fronts: 2, Controls: controls, Stores: stores, Tolerate: 1,
+		Program: program, Dir: t.TempDir(), Network: int(network.Add(1)), Process: os.Getpid(), Fronts: 2, Controls: controls, Stores: stores, Tolerate: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/lab/tierrig/state.go
+++ b/lab/tierrig/state.go
@@ -13,7 +13,7 @@
 func (r *Rig) Status() (status.Status, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stateLimit)
 	defer cancel()
-	return status.Read(ctx, r.addresses("core", firstPort))
+	return status.Read(ctx, r.StatusAddresses())
 }
 
 // InSync tells whether control and every shard have so many replicas in sync.
