Copies: nothing is committed on fewer than tolerated + 1 disks; members change by agreement; what proves a lost disk

Another identity at an address counted as a lost disk whatever machine it was and however old the answer. A member was taken out only where a candidate stood by. KindTakeOver answered before it had tried.

Change: View.MinCopies, checked in one place (tier/replica), carried by register.Record and the shard map; the in-sync set in force has to have so many, a replica on its way in counts once a view holds it; silent replicas are not dropped below it. Package tier/membership (pure): first record, successor, one step of the members at a time, spares that hold a copy without a vote (Record.Learners), and Sightings, which tells whether a disk is provably lost: the member's own machine at its own address under another identity, after the last sign of the member. The primary of control keeps sessions of control processes also while it can commit nothing. Repairs go least protected first. Ruled out: demanding copies in the users of package replica (control and stores would each need the rule).

The simulation of package replica demands two copies now.

--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -12,6 +12,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
@@ -43,6 +44,7 @@
 	host    *groups.Host
 	clients *rpc.Clients
 	address string
+	policy  membership.Policy
 	log     *logrus.Entry
 
 	mu      sync.Mutex
@@ -52,8 +54,8 @@
 	led     bool // whether this process has become primary in its present life
 }
 
-func newElector(host *groups.Host, clients *rpc.Clients, address string, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{host: host, clients: clients, address: address, log: log}
+func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
+	e := &Elector{host: host, clients: clients, address: address, policy: policy, log: log}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
@@ -89,7 +91,7 @@
 	}
 	known := e.known
 	e.mu.Unlock()
-	for _, member := range known.Voters() {
+	for _, member := range append(known.Voters(), known.Learners...) {
 		e.host.SetAddress(member.ID, member.Address)
 	}
 }
@@ -236,7 +238,7 @@
 var errNotWanted = errors.New("another record has been decided meanwhile")
 
 // TakeOver makes this process primary in place of the one of the suspected epoch.
-func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, gone func(uint64) bool, floor func(members int) int) error {
+func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, lost func(uint64) bool) error {
 	start := e.Known()
 	took := false
 	record, err := e.propose(ctx, mode, start, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
@@ -245,7 +247,7 @@
 			return current, false
 		}
 		took = true
-		return successor(current, e.host.Identity, gone, floor(len(current.Members))), true
+		return e.policy.Successor(current, e.host.Identity, lost), true
 	})
 	if err != nil {
 		return err
@@ -257,39 +259,13 @@
 	return nil
 }
 
-// successor is the record of the next epoch: a new primary, and the in-sync set without the old one unless too few remain.
-// Replicas whose disk is gone leave the set in any case.
-func successor(current register.Record, primary uint64, gone func(uint64) bool, floor int) register.Record {
-	next := current
-	next.Epoch++
-	next.Primary = primary
-	next.InSync = nil
-	for _, id := range current.InSync {
-		if id == primary || !gone(id) {
-			next.InSync = append(next.InSync, id)
-		}
-	}
-	if current.Primary != primary && len(next.InSync) > floor {
-		next.InSync = register.Without(next.InSync, current.Primary)
-	}
-	return next
-}
-
 // lead has the replica act on a record that this process has decided.
 func (e *Elector) lead(record register.Record) {
 	e.mu.Lock()
 	e.led = true
 	e.mu.Unlock()
 	e.log.WithFields(logrus.Fields{"epoch": record.Epoch, "in_sync": len(record.InSync), "members": len(record.Members)}).Info("primary of control")
-	e.host.SetView(controlGroup, viewOf(record))
-}
-
-func viewOf(record register.Record) replica.View {
-	view := replica.View{Epoch: record.Epoch, Primary: record.Primary, InSync: record.InSync}
-	for _, member := range record.Members {
-		view.Replicas = append(view.Replicas, member.ID)
-	}
-	return view
+	e.host.SetView(controlGroup, membership.View(record))
 }
 
 // Adjust changes the record while this process is its primary: members, or the in-sync set.
@@ -305,6 +281,7 @@
 			return current, false
 		}
 		adjusted = true
+		next = e.policy.WithCopies(next)
 		next.Epoch = current.Epoch + 1
 		return next, true
 	})
@@ -327,11 +304,7 @@
 			return current, false
 		}
 		founded = true
-		next := register.Record{Epoch: 1, Primary: e.host.Identity, Members: members}
-		for _, member := range members {
-			next.InSync = append(next.InSync, member.ID)
-		}
-		return next, true
+		return e.policy.Found(e.host.Identity, members), true
 	})
 	if err == nil && founded {
 		e.lead(record)
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -9,10 +9,7 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
-	"otterseam/tier/periodic"
 	"otterseam/tier/placement"
-	"otterseam/tier/register"
-	"otterseam/tier/replica"
 )
 
 // storeForget is how long a store that holds nothing may be silent before it is forgotten, in milliseconds.
@@ -27,19 +24,6 @@
 	s.placeShards(ctx)
 }
 
-// adjustReplicas keeps control's own replicas in order while this process leads. It runs beside the other work of the primary,
-// which may wait for a replica that has to be dropped first.
-func (s *Server) adjustReplicas(ctx context.Context) {
-	periodic.Run(ctx, superviseEvery, func() {
-		leads := false
-		s.host.With(controlGroup, func(g *replica.Group) { leads = g.IsPrimary() })
-		if leads {
-			s.adjustInSync(ctx)
-			s.adjustMembers(ctx)
-		}
-	})
-}
-
 func (s *Server) beginSessions() {
 	epoch := s.elector.Known().Epoch
 	s.mu.Lock()
@@ -61,105 +45,6 @@
 	s.leading = 0
 }
 
-// adjustInSync drops silent replicas of control and takes in those that have caught up.
-func (s *Server) adjustInSync(ctx context.Context) {
-	var silent, caughtUp []uint64
-	s.host.With(controlGroup, func(g *replica.Group) {
-		silent = g.Silent(groups.Now())
-		caughtUp = g.CaughtUp(groups.Now())
-		for _, id := range caughtUp {
-			g.Admit(id)
-		}
-	})
-	// one that caught up comes first: the set may be too small to let a silent one go without it
-	if len(caughtUp) > 0 {
-		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-			next := record
-			for _, id := range caughtUp {
-				if register.HasMember(record.Members, id) {
-					next.InSync = append(register.Without(next.InSync, id), id)
-				}
-			}
-			return next, len(next.InSync) > len(record.InSync)
-		})
-		return
-	}
-	if len(silent) > 0 {
-		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-			next := record
-			for _, id := range silent {
-				if s.gone(id) || len(next.InSync) > s.floor(len(record.Members)) {
-					next.InSync = register.Without(next.InSync, id)
-				}
-			}
-			return next, true
-		})
-	}
-}
-
-// adjustMembers makes one change of the members: a lost one is replaced, a missing one added.
-func (s *Server) adjustMembers(ctx context.Context) {
-	known := s.elector.Known()
-	next, wanted := s.nextMembers(known)
-	if !wanted && len(known.Previous) == 0 {
-		return
-	}
-	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch != known.Epoch {
-			return record, false
-		}
-		if !wanted {
-			return record, true
-		}
-		return next, true
-	})
-}
-
-func (s *Server) nextMembers(record register.Record) (register.Record, bool) {
-	copies := 2*s.settings.TolerateMachine + 1
-	s.mu.Lock()
-	since := s.ledSince
-	s.mu.Unlock()
-	for _, candidate := range s.sessions.Controls() {
-		if register.HasMember(record.Members, candidate.ID) {
-			continue
-		}
-		if len(record.Members) < copies && !hasAddress(record.Members, candidate.Address) {
-			return withMember(record, 0, candidate), true
-		}
-		for _, member := range record.Members {
-			replaced := member.Address == candidate.Address
-			silent := s.sessions.ControlSilent(member.ID, since) && !record.IsInSync(member.ID)
-			if member.ID != s.self.ID && (replaced || silent) {
-				return withMember(record, member.ID, candidate), true
-			}
-		}
-	}
-	return record, false
-}
-
-func hasAddress(members []register.Member, address string) bool {
-	for _, member := range members {
-		if member.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
-func withMember(record register.Record, remove uint64, add register.Member) register.Record {
-	next := record
-	next.Members = nil
-	for _, member := range record.Members {
-		if member.ID != remove {
-			next.Members = append(next.Members, member)
-		}
-	}
-	next.Members = append(next.Members, add)
-	next.InSync = register.Without(record.InSync, remove)
-	return next
-}
-
 // publishMembers tells subscribers where control is.
 func (s *Server) publishMembers(ctx context.Context) {
 	known := s.elector.Known()
@@ -186,14 +71,8 @@
 	stores := directory.Stores(s.state.View)
 	shards := directory.Shards(s.state.View)
 	cluster := s.cluster()
-	aliveAt := map[string]bool{} // addresses at which a store is alive
 	for id, store := range stores {
-		if cluster.Machines[id].Alive {
-			aliveAt[store.Address] = true
-		}
-	}
-	for id, store := range stores {
-		replaced := !cluster.Machines[id].Alive && aliveAt[store.Address]
+		replaced := cluster.DiskLost(id)
 		idle := cluster.Machines[id].Away && placement.Empty(shards, id) && s.sessions.storeSilentFor(id) > storeForget
 		if !replaced && !idle {
 			continue
@@ -225,20 +104,33 @@
 func (s *Server) placeShards(ctx context.Context) {
 	cluster := s.cluster()
 	shards := directory.Shards(s.state.View)
-	var commands []Command
 	if len(shards) < placement.ShardCount {
 		s.mu.Lock()
 		waited := groups.Now()-s.ledSince > foundShardsAfter
 		s.mu.Unlock()
 		if waited {
-			commands = s.foundShards(cluster, shards)
+			s.submitAll(ctx, s.foundShards(cluster, shards))
 		}
 	}
-	for _, shard := range shards {
-		if next, changed := cluster.Next(shard); changed {
-			commands = append(commands, Command{Kind: CommandPutShard, Epoch: shard.View.Epoch, Shard: next})
+	var commands []Command
+	bears := -1
+	for _, shard := range placement.LeastProtectedFirst(shards) {
+		next, changed := cluster.Next(shard)
+		if !changed {
+			continue
 		}
+		if shard.View.BearsLosses() != bears {
+			s.submitAll(ctx, commands)
+			commands = nil
+			bears = shard.View.BearsLosses()
+		}
+		commands = append(commands, Command{Kind: CommandPutShard, Epoch: shard.View.Epoch, Shard: next})
 	}
+	s.submitAll(ctx, commands)
+}
+
+// submitAll has commands carried out side by side and waits for them.
+func (s *Server) submitAll(ctx context.Context, commands []Command) {
 	var wait sync.WaitGroup
 	for _, command := range commands {
 		wait.Add(1)
@@ -280,20 +172,3 @@
 	}
 	return Result{Body: []byte(retireCompleted)}, nil
 }
-
-// Stop hands the lead to a backup, if this process has it.
-func (s *Server) Stop(ctx context.Context) {
-	if !s.host.IsPrimary(controlGroup) {
-		return
-	}
-	known := s.elector.Known()
-	for _, id := range known.InSync {
-		member, found := known.Member(id)
-		if id == s.self.ID || !found {
-			continue
-		}
-		if _, err := s.clients.To(member.Address).Call(ctx, KindTakeOver, nil); err == nil {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/tier/control/members.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/groups"
+	"otterseam/tier/membership"
+	"otterseam/tier/periodic"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+)
+
+// controlGone is the silence in milliseconds after which a control process may be taken out of the members with none in its place.
+const controlGone = 6000
+
+// leadsControl tells whether this process is the primary of control, also while it waits for a copy and can commit nothing.
+func (s *Server) leadsControl() bool {
+	leads := false
+	s.host.With(controlGroup, func(g *replica.Group) { leads = g.IsPrimary() })
+	return leads
+}
+
+// adjustReplicas keeps control's own replicas in order while this process leads. It runs beside the other work of the primary,
+// which may wait for a replica that has to be dropped or taken in first.
+func (s *Server) adjustReplicas(ctx context.Context) {
+	ledSince := int64(0)
+	periodic.Run(ctx, superviseEvery, func() {
+		if !s.leadsControl() {
+			ledSince = 0
+			return
+		}
+		if ledSince == 0 {
+			ledSince = groups.Now()
+		}
+		s.adjustInSync(ctx)
+		s.adjustMembers(ctx, ledSince)
+	})
+}
+
+// adjustInSync drops silent members of control and takes in those that have caught up.
+func (s *Server) adjustInSync(ctx context.Context) {
+	var silent, caughtUp []uint64
+	s.host.With(controlGroup, func(g *replica.Group) {
+		silent = g.Silent(groups.Now())
+		for _, id := range g.CaughtUp(groups.Now()) {
+			if !register.Contains(g.View().Learners, id) {
+				g.Admit(id)
+				caughtUp = append(caughtUp, id)
+			}
+		}
+	})
+	// one that caught up comes first: the set may be too small to let a silent one go without it
+	if len(caughtUp) > 0 {
+		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
+			next := record
+			for _, id := range caughtUp {
+				if register.HasMember(record.Members, id) {
+					next.InSync = append(register.Without(next.InSync, id), id)
+				}
+			}
+			return next, len(next.InSync) > len(record.InSync)
+		})
+		return
+	}
+	if len(silent) > 0 {
+		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
+			next := record
+			for _, id := range silent {
+				if s.lost(id) || len(next.InSync) > s.elector.policy.Floor(record) {
+					next.InSync = register.Without(next.InSync, id)
+				}
+			}
+			return next, true
+		})
+	}
+}
+
+// adjustMembers takes one step of the members.
+func (s *Server) adjustMembers(ctx context.Context, ledSince int64) {
+	known := s.elector.Known()
+	step, wanted := s.elector.policy.Next(known, s.observe(ledSince))
+	if !wanted && len(known.Previous) == 0 {
+		return
+	}
+	if wanted && step.Admit != 0 && !s.admit(step.Admit) {
+		return
+	}
+	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
+		if record.Epoch != known.Epoch {
+			return record, false
+		}
+		if !wanted {
+			return record, true
+		}
+		return step.Record, true
+	})
+}
+
+// admit has commands wait for a replica that still holds the state.
+func (s *Server) admit(id uint64) bool {
+	admitted := false
+	s.host.With(controlGroup, func(g *replica.Group) {
+		if register.Contains(g.CaughtUp(groups.Now()), id) {
+			g.Admit(id)
+			admitted = true
+		}
+	})
+	return admitted
+}
+
+// observe gathers what is known of the control processes.
+func (s *Server) observe(ledSince int64) membership.Observation {
+	o := membership.Observation{
+		Alive:    s.sessions.Controls(),
+		HasState: map[uint64]bool{},
+		Lost:     s.lost,
+		Silent:   func(id uint64) bool { return s.sessions.ControlSilentFor(id, ledSince) > controlSilence },
+		Gone:     func(id uint64) bool { return s.sessions.ControlSilentFor(id, ledSince) > controlGone },
+		Leaving:  s.sessions.ControlLeaving,
+	}
+	s.host.With(controlGroup, func(g *replica.Group) {
+		for _, id := range g.CaughtUp(groups.Now()) {
+			o.HasState[id] = true
+		}
+	})
+	return o
+}
+
+// noteAnswered notes who answered at an address, and since when its answer counts.
+func (s *Server) noteAnswered(there register.Member, since int64) {
+	known := s.elector.Known()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteNamed(known)
+	s.seen.Answered(there, since)
+}
+
+// noteNamed notes the members that a record names; the lock is held.
+func (s *Server) noteNamed(record register.Record) {
+	for _, member := range append(record.Voters(), record.Learners...) {
+		s.seen.Named(member, groups.Now())
+	}
+}
+
+// lost tells whether a control process's disk is provably lost.
+func (s *Server) lost(id uint64) bool {
+	if id == s.self.ID {
+		return false
+	}
+	known := s.elector.Known()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteNamed(known)
+	if member, named := known.Member(id); named && member.Address == s.self.Address && member.Node == s.self.Node {
+		return true // this process is the one that came up on the empty disk
+	}
+	return s.seen.Lost(id)
+}
+
+// seenAt is who answered last at an address.
+func (s *Server) seenAt(address string) (register.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen.At(address)
+}
+
+func (s *Server) controlBeatMessage() []byte {
+	var e codec.Encoder
+	e.Uint64(s.self.ID)
+	e.String(s.self.Address)
+	e.String(s.self.Node)
+	e.Bool(s.isLeaving())
+	return e.Bytes
+}
+
+// answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
+// for may come with this very beat.
+func (s *Server) answerControlBeat(message rpc.Message) {
+	if !s.leadsControl() {
+		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
+		return
+	}
+	d := codec.NewDecoder(message.Payload)
+	member := register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()}
+	leaving := d.Bool()
+	if d.Err() != nil {
+		message.Answer(codes.Malformed, nil)
+		return
+	}
+	s.sessions.HeardControl(member, leaving)
+	s.noteAnswered(member, groups.Now())
+	message.Answer(codes.OK, encodeRecord(s.elector.Known()))
+}
+
+func encodeRecord(record register.Record) []byte {
+	var e codec.Encoder
+	register.EncodeRecord(&e, record)
+	return e.Bytes
+}
+
+// learnEncoded takes a record that another process sent.
+func (s *Server) learnEncoded(data []byte) {
+	d := codec.NewDecoder(data)
+	record := register.DecodeRecord(d)
+	if d.Err() == nil {
+		s.elector.Learn(record)
+	}
+}
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -17,6 +17,7 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/periodic"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -31,9 +32,6 @@
 	locateEvery    = 200 // milliseconds
 )
 
-// KindTakeOver asks a backup to become primary, since the primary is about to stop.
-const KindTakeOver rpc.Kind = 30
-
 // Server is a control process.
 type Server struct {
 	settings  *settings.Settings
@@ -55,18 +53,13 @@
 	locatedAt int64 // of the supervising goroutine
 
 	mu       sync.Mutex
-	located  map[string]located // by address
-	heard    map[string]bool    // hosts heard since the primary was told
-	leading  uint64             // the epoch for which sessions were begun
+	seen     *membership.Sightings
+	leaving  bool
+	heard    map[string]bool // hosts heard since the primary was told
+	leading  uint64          // the epoch for which sessions were begun
 	ledSince int64
 }
 
-// located is what a control process answered when it was asked who it is.
-type located struct {
-	identity uint64
-	at       int64
-}
-
 // New opens the state of a control process.
 func New(s *settings.Settings, log *logrus.Entry) (*Server, error) {
 	required := map[string]string{"data_dir": s.DataDir, "listen.control": s.ListenControl}
@@ -86,9 +79,9 @@
 		state:     NewState(),
 		clients:   clients,
 		sessions:  newSessions(),
-		self:      register.Member{ID: host.Identity, Address: s.ControlAddress()},
+		self:      register.Member{ID: host.Identity, Address: s.ControlAddress(), Node: s.Node},
 		startedAt: groups.Now(),
-		located:   map[string]located{},
+		seen:      membership.NewSightings(),
 		heard:     map[string]bool{},
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
@@ -96,7 +89,7 @@
 	}
 	server.publisher = &feed.Publisher{View: server.state.View, Fresh: server.fresh}
 	server.primary = controlclient.New(clients, server.otherAddresses)
-	if server.elector, err = newElector(host, clients, server.self.Address, log); err != nil {
+	if server.elector, err = newElector(host, clients, server.self.Address, membership.Policy{Tolerate: s.TolerateMachine}, log); err != nil {
 		return nil, err
 	}
 	if err := host.OpenGroup(controlGroup, server.state, replica.Options{EagerCommit: true}); err != nil {
@@ -189,43 +182,23 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
+			asked := groups.Now()
 			answer, err := s.clients.To(address).Call(call, controlclient.KindLocate, nil)
 			if err != nil {
 				return
 			}
 			d := codec.NewDecoder(answer)
-			identity := d.Uint64()
+			there := register.Member{ID: d.Uint64(), Address: address, Node: d.String()}
 			record := register.DecodeRecord(d)
 			if d.Err() == nil {
-				s.noteIdentity(address, identity)
 				s.elector.Learn(record)
+				s.noteAnswered(there, asked)
 			}
 		}()
 	}
 	wait.Wait()
 }
 
-func (s *Server) noteIdentity(address string, identity uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.located[address] = located{identity, groups.Now()}
-}
-
-// gone tells whether a member's disk is provably lost: its address answers with another identity.
-func (s *Server) gone(id uint64) bool {
-	member, known := s.elector.Known().Member(id)
-	if !known || id == s.self.ID {
-		return false
-	}
-	if member.Address == s.self.Address {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found, asked := s.located[member.Address]
-	return asked && found.identity != id
-}
-
 const foundAfter = 700 // milliseconds that a founder waits for all seeds
 
 // findOrFound looks for an installation, or founds it where the settings say that there is none.
@@ -237,11 +210,8 @@
 	}
 	members := []register.Member{s.self}
 	for _, seed := range seeds {
-		s.mu.Lock()
-		found, answered := s.located[seed]
-		s.mu.Unlock()
-		if answered && seed != s.self.Address {
-			members = append(members, register.Member{ID: found.identity, Address: seed})
+		if found, answered := s.seenAt(seed); answered && seed != s.self.Address {
+			members = append(members, found)
 		}
 	}
 	complete := len(members) == len(seeds)
@@ -265,11 +235,6 @@
 	return first
 }
 
-// floor is how many members stay in the in-sync set of control although they are silent.
-func (s *Server) floor(members int) int {
-	return max(1, min(2*s.settings.TolerateMachine+1, members)-s.settings.TolerateMachine)
-}
-
 // watchPrimary takes over when the primary has been silent for too long.
 func (s *Server) watchPrimary(ctx context.Context) {
 	known := s.elector.Known()
@@ -324,7 +289,7 @@
 	if s.elector.Known().Epoch != epoch {
 		return
 	}
-	if err := s.elector.TakeOver(ctx, mode, epoch, s.gone, s.floor); err != nil {
+	if err := s.elector.TakeOver(ctx, mode, epoch, s.lost); err != nil {
 		s.log.WithField("epoch", epoch).WithError(err).Info("takeover did not succeed")
 	}
 }
@@ -332,15 +297,12 @@
 // beat keeps this process's session with the primary.
 func (s *Server) beat(ctx context.Context) {
 	const every = 200 * time.Millisecond
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.String(s.self.Address)
 	for ctx.Err() == nil {
-		if s.host.IsPrimary(controlGroup) {
-			s.sessions.HeardControl(s.self)
+		if s.leadsControl() {
+			s.sessions.HeardControl(s.self, s.isLeaving())
 		} else if s.elector.Known().Known() {
 			call, cancel := context.WithTimeout(ctx, callTimeout)
-			answer, err := s.primary.Call(call, controlclient.KindControlBeat, e.Bytes)
+			answer, err := s.primary.Call(call, controlclient.KindControlBeat, s.controlBeatMessage())
 			cancel()
 			if err == nil {
 				s.elector.Learn(register.DecodeRecord(codec.NewDecoder(answer)))
@@ -405,8 +367,9 @@
 	case controlclient.KindAccept:
 		go s.elector.handleAccept(message)
 	case KindTakeOver:
-		message.Answer(codes.OK, nil)
-		go s.takeOver(context.Background(), prepareOnTransfer, s.elector.Known().Epoch)
+		go s.answerTakeOver(message)
+	case controlclient.KindControlBeat:
+		go s.answerControlBeat(message)
 	default:
 		go s.handleAsPrimary(message)
 	}
@@ -415,6 +378,7 @@
 func (s *Server) answerLocate(message rpc.Message) {
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
+	e.String(s.self.Node)
 	register.EncodeRecord(&e, s.elector.Known())
 	message.Answer(codes.OK, e.Bytes)
 }
@@ -447,8 +411,6 @@
 		return s.storeBeat(ctx, message.Payload)
 	case controlclient.KindShardChange:
 		return s.shardChange(ctx, message.Payload)
-	case controlclient.KindControlBeat:
-		return s.controlBeat(message.Payload)
 	case controlclient.KindHostBeat:
 		beat, err := controlclient.DecodeHostBeat(message.Payload)
 		if err != nil {
@@ -466,19 +428,6 @@
 	}
 }
 
-func (s *Server) controlBeat(payload []byte) (Result, error) {
-	d := codec.NewDecoder(payload)
-	member := register.Member{ID: d.Uint64(), Address: d.String()}
-	if d.Err() != nil {
-		return Result{}, d.Err()
-	}
-	s.sessions.HeardControl(member)
-	s.noteIdentity(member.Address, member.ID)
-	var e codec.Encoder
-	register.EncodeRecord(&e, s.elector.Known())
-	return Result{Body: e.Bytes}, nil
-}
-
 // storeBeat keeps a store's session, and registers a store that is new or was started again.
 func (s *Server) storeBeat(ctx context.Context, payload []byte) (Result, error) {
 	beat, err := controlclient.DecodeStoreBeat(payload)
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -27,6 +27,7 @@
 type controlSession struct {
 	heardAt int64
 	member  register.Member
+	leaving bool
 }
 
 // Sessions is who was heard when. It is kept by the primary alone; a new primary gives all the benefit of the doubt.
@@ -87,12 +88,12 @@
 }
 
 // HeardControl keeps a control process's session.
-func (s *Sessions) HeardControl(member register.Member) {
+func (s *Sessions) HeardControl(member register.Member, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.controls[member.ID] = controlSession{heardAt: groups.Now(), member: member}
+	s.controls[member.ID] = controlSession{heardAt: groups.Now(), member: member, leaving: leaving}
 	for id, session := range s.controls {
-		if id != member.ID && session.member.Address == member.Address {
+		if id != member.ID && session.member.Address == member.Address && session.member.Node == member.Node {
 			delete(s.controls, id)
 		}
 	}
@@ -160,13 +161,16 @@
 	return members
 }
 
-// ControlSilent tells whether a control process was not heard for so long that another may take its place.
-func (s *Sessions) ControlSilent(id uint64, since int64) bool {
+// ControlSilentFor is for how long a control process was not heard, counted from a moment at the earliest.
+func (s *Sessions) ControlSilentFor(id uint64, since int64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	session, heard := s.controls[id]
-	if !heard {
-		return groups.Now()-since > controlSilence
-	}
-	return groups.Now()-session.heardAt > controlSilence
+	return groups.Now() - max(since, s.controls[id].heardAt)
+}
+
+// ControlLeaving tells whether a control process has said that it will end.
+func (s *Sessions) ControlLeaving(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.controls[id].leaving
 }
--- /dev/null
+++ b/tier/membership/membership_test.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"testing"
+
+	"otterseam/tier/register"
+)
+
+func member(id uint64) register.Member {
+	return register.Member{ID: id, Address: string(rune('a' + id)), Node: string(rune('A' + id))}
+}
+
+func members(ids ...uint64) []register.Member {
+	var all []register.Member
+	for _, id := range ids {
+		all = append(all, member(id))
+	}
+	return all
+}
+
+func set(ids ...uint64) func(uint64) bool {
+	return func(id uint64) bool { return register.Contains(ids, id) }
+}
+
+// observed is a quiet group.
+func observed(alive ...uint64) Observation {
+	return Observation{Alive: members(alive...), HasState: map[uint64]bool{}, Lost: set(), Silent: set(), Gone: set(), Leaving: set()}
+}
+
+func ids(list []register.Member) []uint64 {
+	var all []uint64
+	for _, each := range list {
+		all = append(all, each.ID)
+	}
+	return all
+}
+
+func same(a, b []uint64) bool {
+	for _, id := range a {
+		if !register.Contains(b, id) {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+func TestCopiesRiseWithTheMembersAndNeverFall(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	if alone := p.Found(1, members(1)); alone.MinCopies != 1 {
+		t.Fatalf("a group of one demands %d copies", alone.MinCopies)
+	}
+	record := p.Found(1, members(1, 2, 3))
+	if record.MinCopies != 2 || p.Floor(record) != 2 {
+		t.Fatalf("copies %d, floor %d", record.MinCopies, p.Floor(record))
+	}
+	record.Members = members(1)
+	record.InSync = []uint64{1}
+	if p.WithCopies(record).MinCopies != 2 {
+		t.Fatal("the copies fell with the members")
+	}
+	grown := register.Record{Members: members(1, 2), InSync: []uint64{1}, MinCopies: 1}
+	if p.WithCopies(grown).MinCopies != 1 {
+		t.Fatal("the copies rose before so many were in sync")
+	}
+	if grown.InSync = []uint64{1, 2}; p.WithCopies(grown).MinCopies != 2 {
+		t.Fatal("the copies did not rise")
+	}
+}
+
+// With two members in sync and two copies demanded, a silent one stays: nothing could be acknowledged without it anyway, and it
+// may be the one that is left to lead.
+func TestTheInSyncSetStaysAtTheCopies(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2))
+	next := p.Successor(record, 2, set())
+	if !same(next.InSync, []uint64{1, 2}) || next.Epoch != 2 || next.Primary != 2 {
+		t.Fatalf("%+v", next)
+	}
+	if next = p.Successor(record, 2, set(1)); !same(next.InSync, []uint64{2}) || next.MinCopies != 2 {
+		t.Fatalf("a lost disk: %+v", next)
+	}
+	three := p.Found(1, members(1, 2, 3))
+	if next = p.Successor(three, 2, set()); !same(next.InSync, []uint64{2, 3}) {
+		t.Fatalf("%+v", next)
+	}
+}
+
+// The vote of a lost disk goes to another at once; it is not in sync before it holds the state.
+func TestALostVoteIsGivenToAnotherAtOnce(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2, 3))
+	record.InSync = []uint64{1, 2}
+	o := observed(1, 2, 7)
+	o.Lost = set(3)
+	step, wanted := p.Next(record, o)
+	if !wanted || !same(ids(step.Record.Members), []uint64{1, 2, 7}) || step.Record.IsInSync(7) || step.Admit != 0 {
+		t.Fatalf("%v %+v", wanted, step)
+	}
+}
+
+// A spare that holds the state goes before the empty process on the lost machine.
+func TestASpareWithTheStateTakesALostVote(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2, 3))
+	record.InSync = []uint64{1, 2}
+	record.Learners = members(9)
+	o := observed(1, 2, 7, 9)
+	o.Lost = set(3)
+	o.HasState[9] = true
+	step, _ := p.Next(record, o)
+	if !same(ids(step.Record.Members), []uint64{1, 2, 9}) || len(step.Record.Learners) != 0 {
+		t.Fatalf("%+v", step)
+	}
+}
+
+// A spare is given a copy before it is needed, and a vote only when it holds the state.
+func TestANewMemberVotesWhenItHoldsTheState(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2))
+	o := observed(1, 2, 3)
+	step, wanted := p.Next(record, o)
+	if !wanted || len(step.Record.Members) != 2 || !same(ids(step.Record.Learners), []uint64{3}) {
+		t.Fatalf("%+v", step)
+	}
+	if _, wanted = p.Next(step.Record, o); wanted {
+		t.Fatal("it was given a vote before it held the state")
+	}
+	o.HasState[3] = true
+	step, wanted = p.Next(step.Record, o)
+	if !wanted || len(step.Record.Members) != 3 || !step.Record.IsInSync(3) || step.Admit != 3 || len(step.Record.Learners) != 0 {
+		t.Fatalf("%+v", step)
+	}
+}
+
+// A spare that holds the state takes the place of a member that leaves before that one has ended, and of one that is silent.
+func TestASpareTakesThePlaceOfOneThatLeaves(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2, 3))
+	record.Learners = members(4)
+	o := observed(1, 2, 3, 4)
+	o.HasState[4] = true
+	if _, wanted := p.Next(record, o); wanted {
+		t.Fatal("a whole group changed its members")
+	}
+	o.Leaving = set(2)
+	step, wanted := p.Next(record, o)
+	if !wanted || !same(ids(step.Record.Members), []uint64{1, 3, 4}) || !same(step.Record.InSync, []uint64{1, 3, 4}) || step.Admit != 4 {
+		t.Fatalf("%+v", step)
+	}
+	o.Leaving = set()
+	o.Silent = set(2)
+	if _, wanted = p.Next(record, o); wanted {
+		t.Fatal("a silent member in sync was replaced")
+	}
+	record.InSync = []uint64{1, 3}
+	if step, wanted = p.Next(record, o); !wanted || !same(ids(step.Record.Members), []uint64{1, 3, 4}) {
+		t.Fatalf("%+v", step)
+	}
+}
+
+// The primary's own place is given away by another primary only, and leaving processes are no spares.
+func TestThePrimaryReplacesOthersOnly(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2, 3))
+	record.Learners = members(4)
+	o := observed(1, 2, 3, 4)
+	o.HasState[4] = true
+	o.Leaving = set(1)
+	if _, wanted := p.Next(record, o); wanted {
+		t.Fatal("the primary gave its own place away")
+	}
+	o.Leaving = set(2, 4)
+	if step, _ := p.Next(record, o); register.HasMember(step.Record.Members, 4) {
+		t.Fatalf("a leaving spare became a member: %+v", step)
+	}
+}
+
+// Of five members two leave for good: three are left, which bear the loss of one.
+func TestMembersThatAreGoneAreTakenOutInPairs(t *testing.T) {
+	p := Policy{Tolerate: 2}
+	record := p.Found(1, members(1, 2, 3, 4, 5))
+	record.InSync = []uint64{1, 2, 3}
+	o := observed(1, 2, 3, 4)
+	o.Gone = set(5)
+	if _, wanted := p.Next(record, o); wanted {
+		t.Fatal("one of five was taken out: four bear no more losses than five with one gone")
+	}
+	o = observed(1, 2, 3)
+	o.Gone = set(4, 5)
+	for range 2 {
+		step, wanted := p.Next(record, o)
+		if !wanted {
+			t.Fatalf("rests with %v", ids(record.Members))
+		}
+		record = step.Record
+	}
+	if !same(ids(record.Members), []uint64{1, 2, 3}) || record.MinCopies != 3 {
+		t.Fatalf("%+v", record)
+	}
+	if _, wanted := p.Next(record, o); wanted {
+		t.Fatal("it goes on shrinking")
+	}
+}
+
+// A member that is gone is not taken out while another process can follow it.
+func TestNoneIsTakenOutWhileASpareIsThere(t *testing.T) {
+	p := Policy{Tolerate: 2}
+	record := p.Found(1, members(1, 2, 3, 4, 5))
+	record.InSync = []uint64{1, 2, 3}
+	o := observed(1, 2, 3, 6)
+	o.Gone = set(4, 5)
+	o.Silent = set(4, 5)
+	if step, _ := p.Next(record, o); len(step.Record.Members) != 5 || len(step.Record.Learners) != 1 {
+		t.Fatalf("%+v", step)
+	}
+}
+
+func TestASilentSpareIsForgotten(t *testing.T) {
+	p := Policy{Tolerate: 1}
+	record := p.Found(1, members(1, 2, 3))
+	record.Learners = members(4)
+	o := observed(1, 2, 3)
+	o.Silent = set(4)
+	step, wanted := p.Next(record, o)
+	if !wanted || len(step.Record.Learners) != 0 || len(step.Record.Members) != 3 {
+		t.Fatalf("%+v", step)
+	}
+}
--- /dev/null
+++ b/tier/membership/sightings.go
@@ -0,0 +1,63 @@
+package membership
+
+import "otterseam/tier/register"
+
+// Sightings is where each identity was last seen, from which follows whose disk is lost. The proof is the member's own machine,
+// at its own address, answering with another identity after the last sign of the member: an identity is drawn only on an empty
+// disk. An address that another machine has taken proves nothing, nor does silence, nor an answer from before the member came.
+type Sightings struct {
+	members   map[uint64]sighting
+	addresses map[string]occupant
+}
+
+// sighting is the last sign of an identity.
+type sighting struct {
+	address string
+	node    string
+	at      int64
+}
+
+// occupant is who answered last at an address.
+type occupant struct {
+	identity uint64
+	node     string
+	at       int64
+}
+
+// NewSightings makes an empty record of sightings.
+func NewSightings() *Sightings {
+	return &Sightings{members: map[uint64]sighting{}, addresses: map[string]occupant{}}
+}
+
+// Named notes that a record names a member. Only the first time counts as a sign of it.
+func (s *Sightings) Named(member register.Member, now int64) {
+	if _, known := s.members[member.ID]; !known {
+		s.members[member.ID] = sighting{address: member.Address, node: member.Node, at: now}
+	}
+}
+
+// Answered notes who answered at an address; since is when it was asked, or when its message came if it was not asked.
+func (s *Sightings) Answered(member register.Member, since int64) {
+	if held := s.members[member.ID]; held.at <= since {
+		s.members[member.ID] = sighting{address: member.Address, node: member.Node, at: since}
+	}
+	if held := s.addresses[member.Address]; held.at <= since {
+		s.addresses[member.Address] = occupant{identity: member.ID, node: member.Node, at: since}
+	}
+}
+
+// Lost tells whether a member's disk is provably lost.
+func (s *Sightings) Lost(id uint64) bool {
+	seen, known := s.members[id]
+	if !known {
+		return false
+	}
+	there, answered := s.addresses[seen.address]
+	return answered && there.identity != id && there.node == seen.node && there.at > seen.at
+}
+
+// At is who answered last at an address.
+func (s *Sightings) At(address string) (register.Member, bool) {
+	there, answered := s.addresses[address]
+	return register.Member{ID: there.identity, Address: address, Node: there.node}, answered
+}
--- /dev/null
+++ b/tier/placement/copies_test.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"testing"
+
+	"otterseam/tier/directory"
+	"otterseam/tier/replica"
+)
+
+// A shard demands one copy more than losses are tolerated from its founding on, and keeps the demand whatever becomes of it.
+func TestAShardDemandsItsCopies(t *testing.T) {
+	for tolerate := range 3 {
+		c := Cluster{Machines: machines(2*tolerate+1, 3), Tolerate: tolerate}
+		shard, _ := c.Found(1)
+		if shard.View.MinCopies != tolerate+1 {
+			t.Fatalf("tolerate %d: %d copies", tolerate, shard.View.MinCopies)
+		}
+		decoded, err := directory.DecodeShard(shard.Encode())
+		if err != nil || decoded.View.MinCopies != tolerate+1 {
+			t.Fatalf("read %+v, %v", decoded, err)
+		}
+		lost := shard.View.InSync[len(shard.View.InSync)-1]
+		if len(shard.View.InSync) > 1 {
+			delete(c.Machines, lost)
+			if next, _ := c.Next(shard); next.View.MinCopies != tolerate+1 || next.View.IsInSync(lost) {
+				t.Fatalf("%+v", next.View)
+			}
+		}
+	}
+}
+
+// On two machines that have to bear the loss of one, a silent replica stays in the set: nothing could be acknowledged without it.
+func TestASilentReplicaStaysWhereTheCopiesNeedIt(t *testing.T) {
+	c := Cluster{Machines: machines(2, 2), Tolerate: 1}
+	shard, _ := c.Found(1)
+	silent := shard.View.InSync[1]
+	change(c, silent, func(m *Machine) { m.Alive = false })
+	if next, changed := c.Next(shard); changed {
+		t.Fatalf("%+v", next.View)
+	}
+	if c.MayDrop(shard.View, silent) {
+		t.Fatal("a primary may drop the only other copy")
+	}
+}
+
+// What proves that a disk is lost: the same machine, at its address, under another identity.
+func TestWhatProvesThatADiskIsLost(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	change(c, 1, func(m *Machine) { m.Alive = false; m.Store.Address = "x" })
+	if c.DiskLost(1) {
+		t.Fatal("silence counts as a lost disk")
+	}
+	other := directory.Store{Identity: 9, Boot: 1, Node: "store-9", Address: "x", Zone: "z0"}
+	c.Machines[9] = Machine{Store: other, Alive: true}
+	if c.DiskLost(1) {
+		t.Fatal("another machine at the address counts as proof")
+	}
+	other.Node = "store-1"
+	c.Machines[9] = Machine{Store: other, Alive: true}
+	if !c.DiskLost(1) || c.DiskLost(9) {
+		t.Fatal("an empty disk in the same machine is no proof")
+	}
+	change(c, 1, func(m *Machine) { m.Alive = true })
+	if c.DiskLost(1) {
+		t.Fatal("a store that is heard counts as lost")
+	}
+}
+
+// Of replicas that all leave, none takes the lead from another.
+func TestLeavingMachinesDoNotHandOverToEachOther(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	for id := range uint32(ShardCount) {
+		shard, _ := c.Found(id)
+		for machine := range c.Machines {
+			change(c, machine, func(m *Machine) { m.Leaving = true })
+		}
+		for _, primary := range shard.View.InSync {
+			shard.View.Primary = primary
+			shard.PrimaryBoot = c.Machines[primary].Store.Boot
+			if next, _ := c.Next(shard); next.View.Primary != primary {
+				t.Fatalf("shard %d: %d handed over to %d, which leaves too", id, primary, next.View.Primary)
+			}
+		}
+	}
+}
+
+// Of two that leave at once, the third leads.
+func TestTheOneThatStaysLeads(t *testing.T) {
+	c := Cluster{Machines: machines(3, 3), Tolerate: 1}
+	shard, _ := c.Found(1)
+	stays := shard.View.InSync[2]
+	for _, id := range shard.View.InSync[:2] {
+		change(c, id, func(m *Machine) { m.Leaving = true })
+	}
+	if next, _ := c.Next(shard); next.View.Primary != stays {
+		t.Fatalf("%d leads", next.View.Primary)
+	}
+}
+
+func view(inSync int) replica.View {
+	v := replica.View{MinCopies: 2}
+	for id := range uint64(inSync) {
+		v.InSync = append(v.InSync, id+1)
+	}
+	return v
+}
+
+// Repairs begin with the shards that bear the fewest losses.
+func TestTheLeastProtectedComesFirst(t *testing.T) {
+	shards := map[uint32]directory.Shard{1: {ID: 1, View: view(3)}, 2: {ID: 2, View: view(1)}, 3: {ID: 3, View: view(2)}, 4: {ID: 4, View: view(1)}}
+	var order []uint32
+	for _, shard := range LeastProtectedFirst(shards) {
+		order = append(order, shard.ID)
+	}
+	if len(order) != 4 || order[0] != 2 || order[1] != 4 || order[2] != 3 || order[3] != 1 {
+		t.Fatalf("order %v", order)
+	}
+}
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -34,9 +34,25 @@
 // more than those is left, so that none has to be taken out of the in-sync set below that.
 func (c Cluster) Copies() int { return 2*c.Tolerate + 1 }
 
-// floor is how many replicas stay in the in-sync set although their machine is silent.
-func (c Cluster) floor(replicas int) int {
-	return max(1, min(c.Copies(), replicas)-c.Tolerate)
+// floor is how many replicas stay in the in-sync set although their machine is silent: below the copies that an acknowledgement
+// needs, nothing would be gained by dropping one, and one that could lead would be lost.
+func (c Cluster) floor(view replica.View) int {
+	return max(view.MinCopies, min(c.Copies(), len(view.Replicas))-c.Tolerate)
+}
+
+// DiskLost tells whether a machine's disk is provably lost: the same machine is alive at the same address with another identity,
+// which is drawn only on an empty disk, and the former identity is not heard. Another machine at the address proves nothing.
+func (c Cluster) DiskLost(id uint64) bool {
+	lost, known := c.Machines[id]
+	if !known || lost.Alive {
+		return false
+	}
+	for other, machine := range c.Machines {
+		if other != id && machine.Alive && machine.Store.Address == lost.Store.Address && machine.Store.Node == lost.Store.Node {
+			return true
+		}
+	}
+	return false
 }
 
 // Found places a new shard. It reports false while too few machines are alive.
@@ -51,7 +67,9 @@
 		}
 	}
 	primary := c.Machines[desired[0]].Store
-	view := replica.View{Epoch: 1, Primary: primary.Identity, InSync: desired, Replicas: desired}
+	view := replica.View{
+		Epoch: 1, Primary: primary.Identity, InSync: desired, Replicas: desired, MinCopies: replica.MinCopies(c.Tolerate, len(desired)),
+	}
 	return directory.Shard{ID: id, Total: ShardCount, View: view, PrimaryBoot: primary.Boot}, true
 }
 
@@ -146,7 +164,7 @@
 	if c.silent(known) > c.Tolerate {
 		return known // all were stopped, or this process cannot hear; whoever comes back first must not be left alone
 	}
-	floor := c.floor(len(view.Replicas))
+	floor := c.floor(view)
 	rest := known
 	for _, id := range known {
 		if !c.Machines[id].Alive && len(rest) > floor {
@@ -233,8 +251,8 @@
 			bestScore = score
 		}
 	}
-	if best == 0 && fits {
-		return next.Primary
+	if fits && (best == 0 || c.Machines[best].Leaving) {
+		return next.Primary // one that leaves too would only hand it on
 	}
 	return best
 }
@@ -244,7 +262,7 @@
 	if !register.Contains(view.InSync, id) {
 		return true
 	}
-	return len(view.InSync)-1 >= c.floor(len(view.Replicas))
+	return len(view.InSync)-1 >= max(1, c.floor(view))
 }
 
 // Empty tells whether a machine holds no shard any more.
--- a/tier/register/register.go
+++ b/tier/register/register.go
@@ -13,15 +13,18 @@
 type Member struct {
 	ID      uint64
 	Address string
+	Node    string // the machine's name
 }
 
 // Record is the value of the register.
 type Record struct {
-	Epoch    uint64
-	Primary  uint64
-	InSync   []uint64
-	Members  []Member
-	Previous []Member // the members before a change that is not yet known by a majority of both
+	Epoch     uint64
+	Primary   uint64
+	InSync    []uint64
+	Members   []Member
+	Previous  []Member // the members before a change that is not yet known by a majority of both
+	MinCopies int      // in-sync replicas without which nothing is committed
+	Learners  []Member // spares that hold a copy, or are getting one, and have no vote
 }
 
 // Known tells whether the register has been founded.
@@ -38,9 +41,20 @@
 	return voters
 }
 
-// Member finds a voter by its identity.
+// Holders are all that are to hold a copy, with a vote or without.
+func (r Record) Holders() []Member {
+	holders := append([]Member(nil), r.Members...)
+	for _, learner := range r.Learners {
+		if !HasMember(holders, learner.ID) {
+			holders = append(holders, learner)
+		}
+	}
+	return holders
+}
+
+// Member finds a voter or a learner by its identity.
 func (r Record) Member(id uint64) (Member, bool) {
-	for _, member := range r.Voters() {
+	for _, member := range append(r.Voters(), r.Learners...) {
 		if member.ID == id {
 			return member, true
 		}
@@ -171,16 +185,20 @@
 	e.Uint64s(r.InSync)
 	encodeMembers(e, r.Members)
 	encodeMembers(e, r.Previous)
+	e.Uint32(uint32(r.MinCopies))
+	encodeMembers(e, r.Learners)
 }
 
 // DecodeRecord reads a record from a message.
 func DecodeRecord(d *codec.Decoder) Record {
 	return Record{
-		Epoch:    d.Uint64(),
-		Primary:  d.Uint64(),
-		InSync:   d.Uint64s(),
-		Members:  decodeMembers(d),
-		Previous: decodeMembers(d),
+		Epoch:     d.Uint64(),
+		Primary:   d.Uint64(),
+		InSync:    d.Uint64s(),
+		Members:   decodeMembers(d),
+		Previous:  decodeMembers(d),
+		MinCopies: int(d.Uint32()),
+		Learners:  decodeMembers(d),
 	}
 }
 
@@ -189,15 +207,16 @@
 	for _, member := range members {
 		e.Uint64(member.ID)
 		e.String(member.Address)
+		e.String(member.Node)
 	}
 }
 
-const smallestMember = 8 + 4
+const smallestMember = 8 + 4 + 4
 
 func decodeMembers(d *codec.Decoder) []Member {
 	var members []Member
 	for range d.Count(smallestMember) {
-		members = append(members, Member{ID: d.Uint64(), Address: d.String()})
+		members = append(members, Member{ID: d.Uint64(), Address: d.String(), Node: d.String()})
 	}
 	return members
 }
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -12,6 +12,11 @@
 	Primary  uint64
 	InSync   []uint64
 	Replicas []uint64 // all that are to hold the group, those in sync included
+	// MinCopies is how many replicas have to be in sync for anything to be committed. An in-sync set below it, after a lost disk,
+	// takes in another replica first.
+	MinCopies int
+	// Learners are the replicas that hold a copy without a vote, where the group's replicas vote.
+	Learners []uint64
 }
 
 // Entry is one replicated command.
@@ -289,8 +294,12 @@
 	g.output.Messages = append(g.output.Messages, Outgoing{To: to, Message: message})
 }
 
-// advanceCommit commits what every replica that counts has on disk.
+// advanceCommit commits what every replica that counts has on disk, if the in-sync set has as many replicas as the view demands.
+// A replica that is being taken in counts only once a view holds it: until then it may not lead, so it is no copy to rely upon.
 func (g *Group) advanceCommit() {
+	if !g.view.HasCopies() {
+		return
+	}
 	lowest := g.durable
 	for _, id := range g.view.InSync {
 		if id != g.self {
--- a/tier/replica/sim_test.go
+++ b/tier/replica/sim_test.go
@@ -108,6 +108,7 @@
 	s.view.Epoch = 1
 	s.view.Primary = s.view.InSync[0]
 	s.view.Replicas = append([]uint64(nil), s.view.InSync...)
+	s.view.MinCopies = MinCopies(simTolerate, simNodes)
 	s.boot = s.nodes[0].boot
 	return s
 }
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -1,6 +1,9 @@
 package replica
 
-import "otterseam/tier/codec"
+import (
+	"otterseam/tier/codec"
+	"otterseam/tier/register"
+)
 
 // MessageKind tells what a message between replicas says.
 type MessageKind uint8
@@ -285,11 +288,11 @@
 	return silent
 }
 
-// HeardWithin counts the replicas heard in the last milliseconds, this one included.
+// HeardWithin counts the voters heard in the last milliseconds, this one included.
 func (g *Group) HeardWithin(now, span int64) int {
 	count := 1
-	for _, peer := range g.peers {
-		if now-peer.heardAt <= span {
+	for id, peer := range g.peers {
+		if now-peer.heardAt <= span && !register.Contains(g.view.Learners, id) {
 			count++
 		}
 	}
--- a/tier/status/status.go
+++ b/tier/status/status.go
@@ -82,6 +82,7 @@
 			}
 			d := codec.NewDecoder(answer)
 			d.Uint64()
+			_ = d.String()
 			record := register.DecodeRecord(d)
 			mu.Lock()
 			defer mu.Unlock()
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -20,6 +20,7 @@
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
+	"otterseam/tier/placement"
 	"otterseam/tier/programs"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -204,8 +205,8 @@
 // watch asks control to change the in-sync sets of shards led here: silent replicas out, those that caught up in.
 func (s *Server) watch(ctx context.Context) {
 	periodic.Run(ctx, watchEvery, func() {
-		for id := range directory.Shards(s.view) {
-			s.watchShard(ctx, id)
+		for _, shard := range placement.LeastProtectedFirst(directory.Shards(s.view)) {
+			s.watchShard(ctx, shard.ID)
 		}
 	})
 }
