A process that leaves waits for what it alone holds, and for the spare that takes its vote

Cause: Stop returned once a backup had said yes, before it led; a member that left for good kept its vote until it had been silent for 2.5 s, while a spare stood by; a store left after 3 s whatever it alone held; retire was complete when the machine was empty, not when all copies stood elsewhere. Ruled out: taking a leaving member out of the in-sync set at once; it is alive and protects until it ends.

--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -165,8 +165,9 @@
 		return Result{Code: codes.RetireUnknown}, nil
 	}
 	shards := directory.Shards(s.state.View)
+	cluster := s.cluster()
 	for id, store := range directory.Stores(s.state.View) {
-		if store.Node == node && !placement.Empty(shards, id) {
+		if store.Node == node && !cluster.Retired(shards, id) {
 			return Result{Body: []byte(retireRunning)}, nil
 		}
 	}
--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"otterseam/tier/codes"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/rpc"
 )
@@ -52,7 +53,11 @@
 	if !register.HasMember(known.Members, s.self.ID) || len(known.Members) < 2 {
 		return false
 	}
-	return s.leadsControl() || known.Primary == s.self.ID || len(register.Without(known.InSync, s.self.ID)) == 0
+	if s.leadsControl() || known.Primary == s.self.ID {
+		return true
+	}
+	// a spare takes this member's vote while it is still there, so that no majority is missed
+	return len(known.Learners) > 0 || membership.View(known).LeavesTooFew(s.self.ID)
 }
 
 // handOver asks the in-sync members one after the other to take the lead, until one has it.
--- /dev/null
+++ b/tier/placement/leave.go
@@ -0,0 +1,27 @@
+package placement
+
+import "otterseam/tier/directory"
+
+// Needed tells whether shards can't do without a machine that is about to end: it leads one, or holds a copy that another machine
+// is still to get.
+func Needed(shards map[uint32]directory.Shard, identity uint64) bool {
+	for _, shard := range shards {
+		if shard.View.Primary == identity || shard.View.LeavesTooFew(identity) {
+			return true
+		}
+	}
+	return false
+}
+
+// Retired tells whether a machine may go for good: it holds nothing, and every shard has all its copies on the others.
+func (c Cluster) Retired(shards map[uint32]directory.Shard, identity uint64) bool {
+	if !Empty(shards, identity) {
+		return false
+	}
+	for _, shard := range shards {
+		if len(shard.View.InSync) < max(shard.View.MinCopies, len(c.Desired(shard.ID))) {
+			return false
+		}
+	}
+	return true
+}
--- a/tier/replica/copies.go
+++ b/tier/replica/copies.go
@@ -25,3 +25,13 @@
 // BearsLosses is how many disks of the group may be lost now, one after the other and without a repair between, with all that was
 // acknowledged still there.
 func (v View) BearsLosses() int { return max(0, len(v.InSync)-1) }
+
+// LeavesTooFew tells whether, without a replica, fewer copies would be in sync than are demanded, while another replica is still
+// being filled. A process that is about to end waits for that one.
+func (v View) LeavesTooFew(id uint64) bool {
+	if !v.IsInSync(id) {
+		return false
+	}
+	others := len(v.InSync) - 1
+	return others < v.MinCopies && len(register.Without(v.Replicas, id)) > others
+}
--- a/tier/replica/copies_test.go
+++ b/tier/replica/copies_test.go
@@ -65,3 +65,22 @@
 		}
 	}
 }
+
+// A replica that ends is waited for only where another one is on its way in.
+func TestAReplicaThatLeavesWaitsForTheCopyOnItsWay(t *testing.T) {
+	cases := []struct {
+		name string
+		view View
+		want bool
+	}{
+		{"enough others", View{InSync: []uint64{1, 2, 3}, Replicas: []uint64{1, 2, 3}, MinCopies: 2}, false},
+		{"one is being filled", View{InSync: []uint64{1, 2}, Replicas: []uint64{1, 2, 3}, MinCopies: 2}, true},
+		{"nobody could be filled", View{InSync: []uint64{1, 2}, Replicas: []uint64{1, 2}, MinCopies: 2}, false},
+		{"it is not in sync", View{InSync: []uint64{2}, Replicas: []uint64{1, 2}, MinCopies: 2}, false},
+	}
+	for _, c := range cases {
+		if got := c.view.LeavesTooFew(1); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -261,29 +261,3 @@
 	delete(s.asking, change.Shard)
 	s.mu.Unlock()
 }
-
-const leaveLimit = 3 * time.Second
-
-// Leave has control give the shards led here to others, and returns when none is left or time is up.
-func (s *Server) Leave(ctx context.Context) {
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
-	limit, cancel := context.WithTimeout(ctx, leaveLimit)
-	defer cancel()
-	for limit.Err() == nil && s.leadsAny() {
-		select {
-		case <-limit.Done():
-		case <-time.After(watchEvery):
-		}
-	}
-}
-
-func (s *Server) leadsAny() bool {
-	for id := range directory.Shards(s.view) {
-		if s.host.IsPrimary(id) {
-			return true
-		}
-	}
-	return false
-}
