--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -471,19 +471,9 @@
 	if !known || shard.View.Epoch != change.Epoch {
 		return Result{Code: codes.HostStale}, nil
 	}
-	cluster := s.cluster()
-	next := shard
-	next.View.Epoch++
-	if change.Admit {
-		if !register.Contains(shard.View.Replicas, change.Replica) || !cluster.Machines[change.Replica].Alive {
-			return Result{Code: codes.Unavailable}, nil
-		}
-		next.View.InSync = append(register.Without(shard.View.InSync, change.Replica), change.Replica)
-	} else {
-		if !cluster.MayDrop(shard.View, change.Replica) {
-			return Result{Code: codes.Unavailable}, nil
-		}
-		next.View.InSync = register.Without(shard.View.InSync, change.Replica)
+	next, allowed := s.cluster().Change(shard, change.Replica, change.Admit)
+	if !allowed {
+		return Result{Code: codes.Unavailable}, nil
 	}
 	return s.submitHere(ctx, Command{Kind: CommandPutShard, Epoch: change.Epoch, Shard: next}.Encode())
 }
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -257,6 +257,18 @@
 	return best
 }
 
+// Change takes a replica into a shard's in-sync set, or out of it, as the shard's primary asks. It reports false if it may not.
+func (c Cluster) Change(shard directory.Shard, id uint64, admit bool) (directory.Shard, bool) {
+	next := shard
+	next.View.Epoch++
+	next.View.InSync = register.Without(shard.View.InSync, id)
+	if !admit {
+		return next, c.MayDrop(shard.View, id)
+	}
+	next.View.InSync = append(next.View.InSync, id)
+	return next, register.Contains(shard.View.Replicas, id) && c.Machines[id].Alive
+}
+
 // MayDrop tells whether a replica may be taken out of the in-sync set because its primary does not hear it.
 func (c Cluster) MayDrop(view replica.View, id uint64) bool {
 	if !register.Contains(view.InSync, id) {
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -277,8 +277,9 @@
 	if g.role != Primary {
 		return nil
 	}
-	for id, peer := range g.peers {
-		if !g.view.IsInSync(id) && !g.admitting[id] {
+	for _, id := range g.view.Replicas {
+		peer := g.peers[id]
+		if peer == nil || (!g.view.IsInSync(id) && !g.admitting[id]) {
 			continue
 		}
 		if peer.match < g.lastIndex() && now-peer.heardAt > complainAfter {
