--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -40,6 +40,9 @@
 	AnswerNotKept     Code = 412
 	DiskDamaged       Code = 501
 	DiskWrite         Code = 502
+	DiskRegressed     Code = 503
+	DiskForeign       Code = 504
+	DiskStalled       Code = 505
 	LinkBroken        Code = 511
 	LinkBusy          Code = 512
 	SubscriptionStale Code = 513
@@ -85,6 +88,9 @@
 	{AnswerNotKept, "answer-not-kept", "the turn was served but could not be made durable; its answer is broken off"},
 	{DiskDamaged, "disk-damaged", "a file on disk is torn, cut or altered"},
 	{DiskWrite, "disk-write", "a write or sync failed"},
+	{DiskRegressed, "disk-regressed", "a member's disk holds less than it acknowledged: an older copy of it was put back"},
+	{DiskForeign, "disk-foreign", "a disk, message or view belongs to another installation"},
+	{DiskStalled, "disk-stalled", "writes have failed or waited for too long; the member gives its leads away"},
 	{LinkBroken, "link-broken", "a connection between processes ended"},
 	{LinkBusy, "link-busy", "a peer does not read; the connection was closed"},
 	{SubscriptionStale, "subscription-stale", "the control process has not heard from the primary; subscribe elsewhere"},
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -29,6 +29,8 @@
 	submitTimeout  = 850 * time.Millisecond
 	freshFor       = 800 // milliseconds
 	locateEvery    = 200 // milliseconds
+	// controlBytesKept bounds the changes kept in memory for members that lag: 80 configurations of 100 KB.
+	controlBytesKept = 8 << 20
 )
 
 // KindTakeOver asks a backup to become primary, since the primary is about to stop.
@@ -99,7 +101,7 @@
 	if server.elector, err = newElector(host, clients, server.self.Address, log); err != nil {
 		return nil, err
 	}
-	if err := host.OpenGroup(controlGroup, server.state, replica.Options{EagerCommit: true}); err != nil {
+	if err := host.OpenGroup(controlGroup, server.state, replica.Options{EagerCommit: true, BytesKept: controlBytesKept}); err != nil {
 		return nil, err
 	}
 	server.elector.Learn(register.Record{})
--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -28,6 +28,8 @@
 	tickEvery     = 40 * time.Millisecond
 	writeRetry    = 100 * time.Millisecond
 	identityValue = "identity"
+	// transfersAtOnce is how many snapshots a process sends at once, whatever the number of its groups.
+	transfersAtOnce = 2
 )
 
 // Now is the steady clock in milliseconds, as the replicas count it.
@@ -66,6 +68,7 @@
 	clients    *rpc.Clients
 	log        *logrus.Entry
 	heartbeats bool
+	slots      *replica.TransferSlots
 
 	mu        sync.Mutex
 	groups    map[uint32]*hosted
@@ -91,6 +94,7 @@
 		clients:    clients,
 		log:        log,
 		heartbeats: heartbeats,
+		slots:      replica.NewTransferSlots(transfersAtOnce),
 		groups:     map[uint32]*hosted{},
 		addresses:  map[uint64]string{},
 		wake:       make(chan struct{}, 1),
@@ -131,6 +135,7 @@
 	if h.groups[id] != nil {
 		return nil
 	}
+	options.Slots = h.slots
 	var base replica.Snapshot
 	var entries []replica.Entry
 	if log := h.found[id]; log != nil {
@@ -154,6 +159,7 @@
 	defer h.mu.Unlock()
 	if g := h.groups[id]; g != nil {
 		g.failWaiters()
+		g.group.Close()
 		delete(h.groups, id)
 		h.queue = append(h.queue, pendingWrite{group: g, dropped: true})
 		h.wakeWriter()
@@ -201,7 +207,7 @@
 }
 
 // Submit proposes a command and waits until it is committed. NotPrimary says that it was not proposed; Timeout that it may
-// or may not be committed.
+// or may not be committed; Unavailable that too much waits to be committed and nothing was proposed.
 func (h *Host) Submit(ctx context.Context, id uint32, command []byte) (any, error) {
 	h.mu.Lock()
 	g := h.groups[id]
@@ -209,6 +215,10 @@
 		h.mu.Unlock()
 		return nil, codes.NotPrimary
 	}
+	if !g.group.HasRoom() {
+		h.mu.Unlock()
+		return nil, codes.Unavailable
+	}
 	index := g.group.Propose(command, Now())
 	result := make(chan any, 1)
 	g.waiters[index] = waiter{epoch: g.group.View().Epoch, result: result}
@@ -247,6 +257,10 @@
 	if len(output.Writes) > 0 {
 		h.wakeWriter()
 	}
+	for _, id := range output.Regressed {
+		h.log.WithFields(logrus.Fields{"code": uint16(codes.DiskRegressed), "group": g.id, "member": id}).Error(
+			"a member's log ends before what it acknowledged: an older copy of its disk was put back")
+	}
 	for _, out := range output.Messages {
 		h.sendMessage(g.id, out)
 	}
--- /dev/null
+++ b/tier/replica/bounds_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"bytes"
+	"testing"
+)
+
+// blobMachine keeps the bytes of the last command and a count, so that its state has the size of a configuration.
+type blobMachine struct {
+	count uint64
+	last  []byte
+}
+
+func (m *blobMachine) Apply(_ uint64, command []byte) any {
+	m.count++
+	m.last = command
+	return nil
+}
+
+func (m *blobMachine) Snapshot() []byte { return append([]byte(nil), m.last...) }
+
+func (m *blobMachine) Restore(snapshot []byte) error {
+	m.last = snapshot
+	return nil
+}
+
+// keptBytes is what the entries in memory hold.
+func keptBytes(g *Group) int {
+	total := 0
+	for _, entry := range g.log {
+		total += len(entry.Data)
+	}
+	return total
+}
+
+// newPrimaryOfTwo leads a group whose only in-sync replica is itself; replica 2 has acknowledged the opening entry.
+func newPrimaryOfTwo(t testing.TB, options Options) *Group {
+	t.Helper()
+	g, err := NewGroup(1, &blobMachine{}, Snapshot{}, nil, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.SetView(View{Epoch: 1, Primary: 1, InSync: []uint64{1}, Replicas: []uint64{1, 2}}, 10)
+	g.Durable(1, 1, 10)
+	g.Step(2, Message{Kind: MessageAck, Epoch: 1, Index: 1}, 10)
+	g.Take()
+	return g
+}
+
+// A replica that acknowledged once and then fell silent does not keep the primary's entries in memory for ever.
+func TestASilentReplicaDoesNotFillThePrimarysMemory(t *testing.T) {
+	const kept = 1 << 20
+	g := newPrimaryOfTwo(t, Options{BytesKept: kept})
+	command := bytes.Repeat([]byte{1}, 10<<10)
+	most := 0
+	for now := int64(11); now < 5011; now++ {
+		index := g.Propose(command, now)
+		g.Durable(index, 1, now)
+		g.Tick(now, true)
+		g.Take()
+		g.Trim()
+		most = max(most, keptBytes(g))
+	}
+	if most > 2*kept {
+		t.Fatalf("up to %d bytes of entries were kept, %d are allowed", most, kept)
+	}
+}
+
+// What has not been committed is bounded too: beyond the bound the primary takes no more commands.
+func TestAPrimaryTakesNoMoreThanItMayHold(t *testing.T) {
+	const kept = 1 << 20
+	g := newPrimaryOfTwo(t, Options{BytesKept: kept})
+	command := bytes.Repeat([]byte{1}, 10<<10)
+	taken := 0
+	for g.HasRoom() && taken < 10_000 {
+		g.Propose(command, 11)
+		taken++
+	}
+	if held := keptBytes(g); held < kept || held > kept+2*uncommittedSlack {
+		t.Fatalf("%d bytes are held that are not committed", held)
+	}
+	g.Durable(g.LastIndex(), 1, 12)
+	if !g.HasRoom() {
+		t.Fatal("no room though all is committed")
+	}
+}
+
+// A backup's memory is bounded as well.
+func TestABackupsMemoryIsBounded(t *testing.T) {
+	const kept = 1 << 20
+	g, err := NewGroup(2, &blobMachine{}, Snapshot{}, nil, Options{BytesKept: kept})
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := bytes.Repeat([]byte{1}, 100<<10)
+	most := 0
+	for index := uint64(1); index <= 1000; index++ {
+		g.Step(1, appendFrom(1, index-1, min(index-1, 1), index, Entry{index, 1, command}), int64(index))
+		g.Durable(index, 1, int64(index))
+		g.Take()
+		g.Trim()
+		most = max(most, keptBytes(g))
+	}
+	if most > 2*kept {
+		t.Fatalf("up to %d bytes of entries were kept, %d are allowed", most, kept)
+	}
+}
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -71,16 +71,24 @@
 	Applied  []Applied
 	// Dropped says that this replica is no longer primary: whether commands that it took will be committed is not known.
 	Dropped bool
+	// Regressed lists replicas whose log ends before what they acknowledged in this epoch, as after an older copy of a disk was
+	// put back.
+	Regressed []uint64
 }
 
 // progress is what a primary knows of one replica.
 type progress struct {
-	match     uint64 // durable there
-	next      uint64 // the next entry to send
-	probing   bool   // whether the logs have not been found alike yet
-	installed uint64 // the index of a snapshot under way, 0 for none
-	heardAt   int64
-	sentAt    int64
+	match    uint64    // durable there
+	next     uint64    // the next entry to send
+	probing  bool      // whether the logs have not been found alike yet
+	inFlight int       // bytes of entries sent and not acknowledged
+	transfer *transfer // a snapshot under way
+	outgrown int       // transfers that the log outgrew, since the replica last held a snapshot
+	retryAt  int64     // no transfer before
+	resends  int       // of entries, without progress
+	heardAt  int64
+	sentAt   int64
+	beatAt   int64 // of the last heartbeat beside a transfer
 }
 
 // Group is one replica of a group.
@@ -103,6 +111,14 @@
 	output        Output
 	eagerCommit   bool
 	entriesKept   uint64
+	bytesKept     int
+	pieceBytes    int
+	logBytes      int // size of the log in memory
+	trimAtEntries int // the log is looked through for entries to forget when it has grown so far
+	trimAtBytes   int
+	slots         *TransferSlots
+	incoming      *incomingSnapshot
+	clock         int64 // of the newest event
 }
 
 // Options tune a group.
@@ -112,14 +128,33 @@
 	// EntriesKept is how many applied entries stay in memory for replicas that lag; 0 means a standard number. Replicas that
 	// lag further get a snapshot.
 	EntriesKept uint64
+	// BytesKept is how many bytes of applied entries stay in memory for replicas that lag; 0 means a standard number. It also
+	// bounds what a primary holds that is not committed.
+	BytesKept int
+	// PieceBytes is the size of one piece of a snapshot; 0 means a standard size.
+	PieceBytes int
+	// Slots bounds the snapshots sent at once together with other groups; nil means no bound.
+	Slots *TransferSlots
 }
 
 // NewGroup makes a replica from what was found on disk: a snapshot and the entries behind it.
 func NewGroup(self uint64, machine StateMachine, base Snapshot, entries []Entry, options Options) (*Group, error) {
 	g := &Group{self: self, machine: machine, base: base, log: entries, eagerCommit: options.EagerCommit, entriesKept: options.EntriesKept}
+	g.bytesKept = options.BytesKept
+	g.pieceBytes = options.PieceBytes
+	g.slots = options.Slots
 	if g.entriesKept == 0 {
 		g.entriesKept = standardEntriesKept
 	}
+	if g.pieceBytes == 0 {
+		g.pieceBytes = standardPieceBytes
+	}
+	if g.bytesKept == 0 {
+		g.bytesKept = standardBytesKept
+	}
+	g.logBytes = sizeOf(entries)
+	g.trimAtEntries = 2 * int(g.entriesKept)
+	g.trimAtBytes = g.bytesKept
 	if base.Index > 0 {
 		if err := machine.Restore(base.State); err != nil {
 			return nil, err
@@ -204,6 +239,7 @@
 	if g.role == Primary {
 		g.output.Dropped = true
 	}
+	g.Close()
 	g.role = Backup
 	g.peers = nil
 	g.admitting = nil
@@ -211,6 +247,7 @@
 
 func (g *Group) becomePrimary(now int64) {
 	g.role = Primary
+	g.incoming = nil
 	g.peers = map[uint64]*progress{}
 	g.admitting = map[uint64]bool{}
 	g.openedEpochAt = g.lastIndex() + 1
@@ -220,8 +257,9 @@
 
 // updatePeers follows the replicas of the view.
 func (g *Group) updatePeers(now int64) {
-	for id := range g.peers {
+	for id, peer := range g.peers {
 		if !register.Contains(g.view.Replicas, id) {
+			g.endTransfer(peer)
 			delete(g.peers, id)
 		}
 	}
@@ -238,12 +276,12 @@
 // Propose appends a command and returns its index. Only a primary may be asked.
 func (g *Group) Propose(command []byte, now int64) uint64 {
 	entry := Entry{Index: g.lastIndex() + 1, Epoch: g.view.Epoch, Data: command}
-	g.log = append(g.log, entry)
+	g.extendLog(entry)
 	g.writeEntries([]Entry{entry})
 	opensEpoch := entry.Index == g.openedEpochAt
 	for _, id := range g.view.Replicas {
 		peer := g.peers[id]
-		if peer != nil && (opensEpoch || (!peer.probing && peer.installed == 0)) {
+		if peer != nil && (opensEpoch || (!peer.probing && peer.transfer == nil)) {
 			g.sendEntries(id, peer, now)
 		}
 	}
@@ -307,7 +345,7 @@
 	g.applyCommitted()
 	if g.eagerCommit {
 		for _, id := range g.view.Replicas {
-			if peer := g.peers[id]; peer != nil && !peer.probing && peer.installed == 0 && peer.next > g.lastIndex() {
+			if peer := g.peers[id]; peer != nil && !peer.probing && peer.transfer == nil && peer.next > g.lastIndex() {
 				g.sendEntries(id, peer, peer.sentAt)
 			}
 		}
@@ -348,24 +386,3 @@
 	snapshot := Snapshot{Index: g.applied, Epoch: epoch, State: g.machine.Snapshot()}
 	return snapshot, g.log[g.applied-g.base.Index:]
 }
-
-const standardEntriesKept = 128
-
-// Trim forgets applied entries that no replica is likely to need; those that lag further get a snapshot.
-func (g *Group) Trim() {
-	if uint64(len(g.log)) < 2*g.entriesKept || g.applied < g.base.Index+g.entriesKept {
-		return
-	}
-	keepFrom := g.applied - g.entriesKept
-	for _, peer := range g.peers {
-		if peer.match > 0 {
-			keepFrom = min(keepFrom, max(peer.match, g.base.Index))
-		}
-	}
-	if keepFrom <= g.base.Index {
-		return
-	}
-	epoch, _ := g.epochAt(keepFrom)
-	g.log = append([]Entry(nil), g.log[keepFrom-g.base.Index:]...)
-	g.base = Snapshot{Index: keepFrom, Epoch: epoch}
-}
--- a/tier/replica/group_test.go
+++ b/tier/replica/group_test.go
@@ -1,6 +1,9 @@
 package replica
 
-import "testing"
+import (
+	"hash/crc32"
+	"testing"
+)
 
 func newBackup(t *testing.T) (*Group, *journalMachine) {
 	t.Helper()
@@ -16,6 +19,14 @@
 	return Message{Kind: MessageAppend, Epoch: epoch, Index: index, PrevEpoch: prevEpoch, Commit: commit, Entries: entries}
 }
 
+// wholeInstall is a snapshot that fits into one piece.
+func wholeInstall(epoch, index, entryEpoch uint64, state []byte) Message {
+	return Message{
+		Kind: MessageInstall, Epoch: epoch, Index: index, PrevEpoch: entryEpoch, Commit: index,
+		Total: uint32(len(state)), Checksum: crc32.Checksum(state, checksumTable), State: state,
+	}
+}
+
 // acks are the positions that a group has acknowledged since the last look.
 func acks(g *Group) []uint64 {
 	var positions []uint64
@@ -59,7 +70,7 @@
 func TestASnapshotIsAcknowledgedWhenItIsDurable(t *testing.T) {
 	g, _ := newBackup(t)
 	state := (&journalMachine{applied: []string{"a", "b"}}).Snapshot()
-	g.Step(1, Message{Kind: MessageInstall, Epoch: 1, Index: 2, PrevEpoch: 1, Commit: 2, State: state}, 10)
+	g.Step(1, wholeInstall(1, 2, 1, state), 10)
 	g.Step(1, appendFrom(1, 2, 1, 2), 11)
 	if got := acks(g); len(got) != 0 {
 		t.Fatalf("acknowledged %v before the write", got)
@@ -78,7 +89,7 @@
 	acks(g)
 	state := (&journalMachine{applied: []string{"a", "b"}}).Snapshot()
 	for range 2 { // the second one comes when the entries it covers have been applied
-		g.Step(1, Message{Kind: MessageInstall, Epoch: 1, Index: 2, PrevEpoch: 1, Commit: 2, State: state}, 12)
+		g.Step(1, wholeInstall(1, 2, 1, state), 12)
 		if g.LastIndex() != 3 || len(machine.applied) != 2 {
 			t.Fatalf("last entry %d, applied %v", g.LastIndex(), machine.applied)
 		}
--- a/tier/replica/sim_test.go
+++ b/tier/replica/sim_test.go
@@ -76,6 +76,7 @@
 	writes  []Write
 	waiting map[uint64]string // commands taken as primary, by index
 	seen    uint64            // epoch of the newest view told
+	slots   *TransferSlots
 }
 
 type envelope struct {
@@ -126,7 +127,8 @@
 	node.boot = s.random.Uint64()
 	node.up = true
 	node.frozen = 0
-	group, err := NewGroup(node.id, node.machine, node.disk.base, append([]Entry(nil), node.disk.entries...), Options{EagerCommit: true, EntriesKept: 6})
+	node.slots = NewTransferSlots(1)
+	group, err := NewGroup(node.id, node.machine, node.disk.base, append([]Entry(nil), node.disk.entries...), Options{EagerCommit: true, EntriesKept: 6, PieceBytes: 400, Slots: node.slots})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- /dev/null
+++ b/tier/replica/snapshot_test.go
@@ -0,0 +1,250 @@
+package replica
+
+import (
+	"bytes"
+	"testing"
+)
+
+// transferPair is a primary with a state of several pieces and an empty backup, which the primary's log cannot reach.
+type transferPair struct {
+	t       *testing.T
+	now     int64
+	primary *Group
+	backup  *Group
+	state   []byte
+}
+
+const testPiece = 100
+
+func newTransferPair(t *testing.T) *transferPair {
+	t.Helper()
+	options := Options{EntriesKept: 1, BytesKept: 4000, PieceBytes: testPiece}
+	p := &transferPair{t: t, now: 1000, primary: newPrimaryOfTwo(t, options), state: bytes.Repeat([]byte("abcdefg"), 200)}
+	p.now = 2000 // replica 2 has been silent since
+	p.propose(bytes.Repeat([]byte("x"), 3000))
+	p.propose(bytes.Repeat([]byte("x"), 3000))
+	p.propose(p.state)
+	p.primary.Trim()
+	p.startBackup()
+	return p
+}
+
+func (p *transferPair) startBackup() {
+	p.t.Helper()
+	backup, err := NewGroup(2, &blobMachine{}, Snapshot{}, nil, Options{PieceBytes: testPiece})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.backup = backup
+}
+
+func (p *transferPair) propose(command []byte) {
+	index := p.primary.Propose(command, p.now)
+	p.primary.Durable(index, 1, p.now)
+}
+
+// pieces are the positions of the snapshot's pieces among messages.
+func pieces(messages []Outgoing) []int {
+	var offsets []int
+	for _, out := range messages {
+		if out.Message.Kind == MessageInstall {
+			offsets = append(offsets, int(out.Message.Offset))
+		}
+	}
+	return offsets
+}
+
+// begin has the backup say that it is empty and returns what the primary sends.
+func (p *transferPair) begin() []Outgoing {
+	p.primary.Take()
+	p.primary.Step(2, Message{Kind: MessageMismatch, Epoch: 1, Index: 0}, p.now)
+	return p.primary.Take().Messages
+}
+
+// exchange carries messages both ways until nobody says anything more, and makes writes durable.
+func (p *transferPair) exchange(toBackup []Outgoing) {
+	for len(toBackup) > 0 {
+		for _, out := range toBackup {
+			p.backup.Step(1, out.Message, p.now)
+		}
+		output := p.backup.Take()
+		for _, write := range output.Writes {
+			if write.Snapshot != nil {
+				p.backup.Durable(write.Snapshot.Index, write.Snapshot.Epoch, p.now)
+			}
+			if n := len(write.Entries); n > 0 {
+				p.backup.Durable(write.Entries[n-1].Index, write.Entries[n-1].Epoch, p.now)
+			}
+		}
+		answers := append(output.Messages, p.backup.Take().Messages...)
+		for _, out := range answers {
+			p.primary.Step(2, out.Message, p.now)
+		}
+		toBackup = p.primary.Take().Messages
+	}
+}
+
+func (p *transferPair) caughtUp() bool { return len(p.primary.CaughtUp(p.now)) == 1 }
+
+// A snapshot goes in pieces, no more of them at once than the window, and the next one on an answer.
+func TestASnapshotGoesInPiecesWithinAWindow(t *testing.T) {
+	p := newTransferPair(t)
+	sent := p.begin()
+	if got := pieces(sent); len(got) != windowPieces || got[0] != 0 || got[1] != testPiece {
+		t.Fatalf("sent %v", got)
+	}
+	p.backup.Step(1, sent[0].Message, p.now)
+	answer := p.backup.Take().Messages
+	p.primary.Step(2, answer[0].Message, p.now)
+	if got := pieces(p.primary.Take().Messages); len(got) != 1 || got[0] != windowPieces*testPiece {
+		t.Fatalf("after one answer: %v", got)
+	}
+	p.exchange(sent[1:])
+	for range 30 {
+		p.now += 100
+		p.primary.Tick(p.now, true)
+		p.exchange(p.primary.Take().Messages)
+	}
+	if !p.caughtUp() || !bytes.Equal(p.backup.machine.(*blobMachine).last, p.state) {
+		t.Fatal("the snapshot did not arrive")
+	}
+}
+
+// After a break the transfer goes on with the piece that was lost, although the state has changed meanwhile.
+func TestATransferGoesOnAfterABreak(t *testing.T) {
+	p := newTransferPair(t)
+	sent := p.begin()
+	index := sent[0].Message.Index
+	for _, out := range sent[:2] {
+		p.backup.Step(1, out.Message, p.now)
+	}
+	for _, out := range p.backup.Take().Messages {
+		p.primary.Step(2, out.Message, p.now)
+	}
+	p.primary.Take() // lost with the connection, as are two of the first four
+	p.propose([]byte("newer"))
+	p.now += 1200
+	p.primary.Step(2, Message{Kind: MessageMismatch, Epoch: 1, Index: 0}, p.now) // the answer to a heartbeat
+	p.primary.Tick(p.now, true)
+	again := p.primary.Take().Messages
+	if got := pieces(again); len(got) != 1 || got[0] != 2*testPiece {
+		t.Fatalf("after the break: %v", got)
+	}
+	for _, out := range again {
+		if out.Message.Kind == MessageInstall && out.Message.Index != index {
+			t.Fatal("a newer snapshot was begun")
+		}
+	}
+	p.exchange(again)
+	for range 4 {
+		p.now += 100
+		p.primary.Tick(p.now, true)
+		p.exchange(p.primary.Take().Messages)
+	}
+	if !p.caughtUp() || string(p.backup.machine.(*blobMachine).last) != "newer" {
+		t.Fatal("the backup has not caught up")
+	}
+}
+
+// A backup that starts again in the middle gets the same snapshot from its beginning.
+func TestABackupThatStartsAgainGetsTheSameSnapshot(t *testing.T) {
+	p := newTransferPair(t)
+	sent := p.begin()
+	for _, out := range sent {
+		p.backup.Step(1, out.Message, p.now)
+	}
+	for _, out := range p.backup.Take().Messages {
+		p.primary.Step(2, out.Message, p.now)
+	}
+	p.startBackup()
+	p.exchange(p.primary.Take().Messages)
+	for range 4 {
+		p.now += 100
+		p.primary.Tick(p.now, true)
+		p.exchange(p.primary.Take().Messages)
+	}
+	if !p.caughtUp() || !bytes.Equal(p.backup.machine.(*blobMachine).last, p.state) {
+		t.Fatal("the backup has not caught up")
+	}
+}
+
+// An altered piece is found by the checksum; nothing is installed.
+func TestAnAlteredSnapshotIsNotInstalled(t *testing.T) {
+	p := newTransferPair(t)
+	p.now = 2001
+	state := append([]byte(nil), p.state...)
+	message := wholeInstall(1, 4, 1, state)
+	state[5] ^= 1
+	p.backup.Step(1, message, p.now)
+	if p.backup.AppliedIndex() != 0 || len(p.backup.Take().Writes) != 0 {
+		t.Fatal("an altered snapshot was installed")
+	}
+}
+
+// Two groups that share one slot send their snapshots one after the other, and a silent replica gives the slot back.
+func TestTransfersShareTheSlots(t *testing.T) {
+	slots := NewTransferSlots(1)
+	first, second := newTransferPair(t), newTransferPair(t)
+	first.primary.slots = slots
+	second.primary.slots = slots
+	if got := pieces(first.begin()); len(got) != windowPieces {
+		t.Fatalf("the first sent %v", got)
+	}
+	if got := pieces(second.begin()); len(got) != 0 {
+		t.Fatalf("the second sent %v without a slot", got)
+	}
+	first.primary.Tick(first.now+slotSilence+1, true)
+	second.primary.Step(2, Message{Kind: MessageMismatch, Epoch: 1, Index: 0}, second.now)
+	second.primary.Tick(second.now+1, true)
+	if got := pieces(second.primary.Take().Messages); len(got) == 0 {
+		t.Fatal("a silent replica keeps the slot")
+	}
+}
+
+// A silent replica's snapshot is forgotten after a while, and the entries behind it.
+func TestTheSnapshotOfASilentReplicaIsForgotten(t *testing.T) {
+	p := newTransferPair(t)
+	p.begin()
+	p.primary.Tick(p.now+transferPatience+1, true)
+	if p.primary.peers[2].transfer != nil {
+		t.Fatal("the snapshot is still kept")
+	}
+}
+
+// A transfer that the log outgrows is cancelled, so that memory stays bounded, and the next one waits.
+func TestATransferThatTheLogOutgrowsIsCancelled(t *testing.T) {
+	p := newTransferPair(t)
+	p.begin()
+	for range 10 {
+		p.propose(bytes.Repeat([]byte("y"), 3000))
+		p.primary.Trim()
+	}
+	if p.primary.peers[2].transfer != nil || keptBytes(p.primary) > 2*4000 {
+		t.Fatalf("%d bytes are kept", keptBytes(p.primary))
+	}
+	if got := pieces(p.begin()); len(got) != 0 {
+		t.Fatalf("sent again at once: %v", got)
+	}
+	p.now += 2 * retryPause
+	if got := pieces(p.begin()); len(got) != windowPieces {
+		t.Fatalf("not sent again later: %v", got)
+	}
+}
+
+// A replica whose log ends before what it acknowledged is named, and counts no longer for what it lost.
+func TestAReplicaThatLostAcknowledgedEntriesIsNamed(t *testing.T) {
+	g := newPrimaryOfTwo(t, Options{})
+	g.SetView(View{Epoch: 2, Primary: 1, InSync: []uint64{1, 2}, Replicas: []uint64{1, 2}}, 11)
+	index := g.Propose([]byte("a"), 12)
+	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: index}, 13)
+	g.Take()
+	g.Step(2, Message{Kind: MessageMismatch, Epoch: 2, Index: 1}, 14)
+	output := g.Take()
+	if len(output.Regressed) != 1 || output.Regressed[0] != 2 {
+		t.Fatalf("named: %v", output.Regressed)
+	}
+	g.Durable(index, 1, 15)
+	if g.AppliedIndex() >= index {
+		t.Fatal("committed by the word of a disk that no longer holds it")
+	}
+}
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -9,7 +9,7 @@
 const (
 	// MessageAppend carries entries behind one that both are to hold.
 	MessageAppend MessageKind = iota + 1
-	// MessageInstall carries a snapshot, for a replica whose log can't be continued.
+	// MessageInstall carries a piece of a snapshot, for a replica whose log can't be continued.
 	MessageInstall
 	// MessageAck says what is durable at a replica.
 	MessageAck
@@ -17,6 +17,8 @@
 	MessageMismatch
 	// MessageStale says that the sender's epoch has passed.
 	MessageStale
+	// MessagePieceReceived says how many bytes of a snapshot a replica holds.
+	MessagePieceReceived
 )
 
 // Message is what replicas of a group say to each other.
@@ -27,13 +29,17 @@
 	PrevEpoch uint64 // epoch of the entry at Index
 	Commit    uint64
 	Entries   []Entry
-	State     []byte
+	Offset    uint32 // of a piece in the snapshot, or bytes held of it
+	Total     uint32 // bytes of the snapshot
+	Checksum  uint32 // of the snapshot
+	State     []byte // a piece of the snapshot
 }
 
 const (
-	maxAppendBytes   = 1 << 20
-	resendAfter      = 150 // milliseconds
-	installResend    = 2000
+	maxAppendBytes   = 256 << 10
+	maxInFlight      = 2 << 20 // bytes of entries sent to a replica and not acknowledged
+	resendAfter      = 150     // milliseconds; twice as long each time without progress, up to the limit
+	resendLimit      = 2400
 	smallestEntry    = 8 + 8 + 4
 	complainAfter    = 450
 	admitLag         = 64 // entries that a replica may lack when it is asked into the in-sync set
@@ -45,36 +51,51 @@
 func (g *Group) sendEntries(id uint64, peer *progress, now int64) {
 	prevEpoch, known := g.epochAt(peer.next - 1)
 	if !known {
-		g.sendSnapshot(id, peer, now)
+		g.startTransfer(id, peer, now)
 		return
 	}
 	message := Message{Kind: MessageAppend, Epoch: g.view.Epoch, Index: peer.next - 1, PrevEpoch: prevEpoch, Commit: g.commit}
 	size := 0
-	for _, entry := range g.log[peer.next-1-g.base.Index:] {
-		if size > maxAppendBytes {
-			break
-		}
-		message.Entries = append(message.Entries, entry)
-		size += len(entry.Data)
+	if peer.inFlight < maxInFlight {
+		message.Entries, size = g.entriesFrom(peer.next)
 	}
 	if !peer.probing {
 		peer.next += uint64(len(message.Entries))
+		peer.inFlight += size
 	}
 	peer.sentAt = now
 	g.send(id, message)
 }
 
-func (g *Group) sendSnapshot(id uint64, peer *progress, now int64) {
-	epoch, _ := g.epochAt(g.applied)
-	g.send(id, Message{
-		Kind: MessageInstall, Epoch: g.view.Epoch, Index: g.applied, PrevEpoch: epoch, Commit: g.commit, State: g.machine.Snapshot(),
-	})
-	peer.installed = g.applied
+// entriesFrom collects entries for one message, and their size.
+func (g *Group) entriesFrom(index uint64) (entries []Entry, size int) {
+	for _, entry := range g.log[index-1-g.base.Index:] {
+		if size > maxAppendBytes {
+			break
+		}
+		entries = append(entries, entry)
+		size += entry.size()
+	}
+	return entries, size
+}
+
+// sendProbe asks a replica where it stands with an append that carries nothing.
+func (g *Group) sendProbe(id uint64, peer *progress, now int64) {
+	peer.inFlight = 0
+	peer.next = peer.match + 1
+	prevEpoch, known := g.epochAt(peer.match)
+	if !known || peer.match == 0 {
+		peer.probing = true
+		peer.next = g.lastIndex() + 1
+		prevEpoch = g.lastEpoch()
+	}
 	peer.sentAt = now
+	g.send(id, Message{Kind: MessageAppend, Epoch: g.view.Epoch, Index: peer.next - 1, PrevEpoch: prevEpoch, Commit: g.commit})
 }
 
 // Step takes a message from another replica.
 func (g *Group) Step(from uint64, message Message, now int64) {
+	g.clock = max(g.clock, now)
 	if message.Epoch < g.view.Epoch {
 		if message.Kind == MessageAppend || message.Kind == MessageInstall {
 			g.send(from, Message{Kind: MessageStale, Epoch: g.view.Epoch})
@@ -107,7 +128,7 @@
 	}
 	g.primaryHeard = now
 	if message.Kind == MessageInstall {
-		g.install(message)
+		g.receivePiece(message)
 		return
 	}
 	g.append(from, message)
@@ -127,7 +148,7 @@
 	fresh := g.skipHeld(message.Entries)
 	if len(fresh) > 0 {
 		g.truncate(fresh[0].Index)
-		g.log = append(g.log, fresh...)
+		g.extendLog(fresh...)
 		g.writeEntries(fresh)
 	}
 	g.follow(message, message.Index+uint64(len(message.Entries)))
@@ -136,6 +157,9 @@
 // follow applies what the primary has committed, as far as the logs are known to be alike, and acknowledges.
 func (g *Group) follow(message Message, alike uint64) {
 	g.alike = max(g.alike, alike)
+	if g.incoming != nil && alike >= g.incoming.index {
+		g.incoming = nil // the log goes on without it
+	}
 	if commit := min(message.Commit, alike); commit > g.commit {
 		g.commit = commit
 		g.applyCommitted()
@@ -176,30 +200,11 @@
 	if from > g.lastIndex() {
 		return
 	}
+	g.logBytes -= g.bytesBetween(from-1, g.lastIndex())
 	g.log = g.log[:from-g.base.Index-1]
 	g.durable = min(g.durable, from-1)
 }
 
-// install replaces the state and the log by a snapshot. Where the log reaches that far already it stays: entries behind the
-// snapshot may have been acknowledged, and a snapshot may come late.
-func (g *Group) install(message Message) {
-	epoch, known := g.epochAt(message.Index)
-	if message.Index <= g.applied || (known && epoch == message.PrevEpoch) {
-		g.follow(Message{Commit: message.Index}, message.Index)
-		return
-	}
-	if err := g.machine.Restore(message.State); err != nil {
-		return
-	}
-	g.base = Snapshot{Index: message.Index, Epoch: message.PrevEpoch}
-	g.log = nil
-	g.applied = message.Index
-	g.commit = message.Index
-	g.durable = 0
-	g.alike = message.Index
-	g.output.Writes = append(g.output.Writes, Write{Snapshot: &Snapshot{Index: message.Index, Epoch: message.PrevEpoch, State: message.State}})
-}
-
 func (g *Group) stepAsPrimary(from uint64, message Message, now int64) {
 	peer := g.peers[from]
 	if peer == nil {
@@ -208,64 +213,107 @@
 	peer.heardAt = now
 	switch message.Kind {
 	case MessageAck:
-		peer.match = max(peer.match, message.Index)
-		if peer.installed > 0 && peer.match >= peer.installed {
-			peer.installed = 0
-		}
-		if peer.probing {
-			peer.probing = false
-			peer.next = peer.match + 1
-		}
-		peer.next = max(peer.next, peer.match+1)
-		if peer.installed == 0 && peer.next <= g.lastIndex() {
-			g.sendEntries(from, peer, now)
-		}
-		g.advanceCommit()
+		g.stepAck(from, peer, message.Index, now)
 	case MessageMismatch:
-		if peer.installed > 0 {
-			return
-		}
-		peer.probing = true
-		if peer.next > message.Index+1 {
-			peer.next = message.Index + 1
-		} else if peer.next > 1 {
-			peer.next--
-		}
-		g.sendEntries(from, peer, now)
+		g.stepMismatch(from, peer, message.Index, now)
+	case MessagePieceReceived:
+		g.stepPieceReceived(from, peer, message, now)
 	}
 }
 
+// stepAck takes note of what is durable at a replica and sends on.
+func (g *Group) stepAck(id uint64, peer *progress, index uint64, now int64) {
+	if index > peer.match {
+		peer.inFlight = max(0, peer.inFlight-g.bytesBetween(peer.match, index))
+		peer.match = index
+		peer.resends = 0
+	}
+	if peer.transfer != nil && peer.match >= min(peer.transfer.snapshot.index, g.base.Index) {
+		g.endTransfer(peer)
+		peer.outgrown = 0
+		peer.next = peer.match + 1
+		peer.inFlight = 0
+	}
+	if peer.probing {
+		peer.probing = false
+		peer.next = peer.match + 1
+		peer.inFlight = 0
+	}
+	peer.next = max(peer.next, peer.match+1)
+	if peer.next == peer.match+1 {
+		peer.inFlight = 0
+	}
+	if peer.transfer == nil && peer.next <= g.lastIndex() && peer.inFlight < maxInFlight {
+		g.sendEntries(id, peer, now)
+	}
+	g.advanceCommit()
+}
+
+// stepMismatch looks for an entry further down that both logs hold.
+func (g *Group) stepMismatch(id uint64, peer *progress, index uint64, now int64) {
+	if peer.transfer != nil {
+		g.restartWhenLost(id, peer, now)
+		return
+	}
+	peer.probing = true
+	peer.inFlight = 0
+	if index < peer.match {
+		// its disk holds less than it acknowledged: what it was counted for has to be written there again
+		peer.match = 0
+		g.output.Regressed = append(g.output.Regressed, id)
+	}
+	if peer.next > index+1 {
+		peer.next = index + 1
+	} else if peer.next > 1 {
+		peer.next--
+	}
+	g.sendEntries(id, peer, now)
+}
+
 // Tick sends again what was not acknowledged, and heartbeats: to all where wanted, and always to replicas that are not in sync,
 // which could join when they answer. Call it every 50 ms or so.
 func (g *Group) Tick(now int64, heartbeats bool) {
+	g.clock = max(g.clock, now)
 	if g.role != Primary {
 		return
 	}
 	for _, id := range g.view.Replicas {
-		peer := g.peers[id]
-		if peer == nil {
-			continue
+		if peer := g.peers[id]; peer != nil {
+			g.tickPeer(id, peer, now, heartbeats)
 		}
-		switch {
-		case peer.installed > 0:
-			if now-peer.sentAt > installResend {
-				peer.installed = 0
-				peer.probing = true
-				peer.next = g.lastIndex() + 1
-			}
-		case peer.match < g.lastIndex() || peer.probing:
-			if now-peer.sentAt > resendAfter {
-				peer.next = min(peer.next, max(peer.match+1, 1))
-				if peer.match == 0 {
-					peer.next = g.lastIndex() + 1
-					peer.probing = true
-				}
-				g.sendEntries(id, peer, now)
+	}
+}
+
+func (g *Group) tickPeer(id uint64, peer *progress, now int64, heartbeats bool) {
+	unanswered := now - peer.sentAt
+	switch {
+	case peer.transfer != nil:
+		g.tickTransfer(id, peer, now)
+	case peer.match < g.lastIndex() || peer.probing:
+		if now-peer.heardAt > complainAfter {
+			if unanswered > resendAfter {
+				g.sendProbe(id, peer, now)
 			}
-		case (heartbeats || !g.view.IsInSync(id)) && now-peer.sentAt >= heartbeatSilence:
-			g.sendEntries(id, peer, now)
+			return
+		}
+		if unanswered > min(int64(resendAfter)<<min(peer.resends, 4), resendLimit) {
+			g.resend(id, peer, now)
 		}
+	case (heartbeats || !g.view.IsInSync(id)) && unanswered >= heartbeatSilence:
+		g.sendEntries(id, peer, now)
+	}
+}
+
+// resend starts again behind what the replica has acknowledged.
+func (g *Group) resend(id uint64, peer *progress, now int64) {
+	peer.resends++
+	peer.inFlight = 0
+	peer.next = min(peer.next, max(peer.match+1, 1))
+	if peer.match == 0 {
+		peer.next = g.lastIndex() + 1
+		peer.probing = true
 	}
+	g.sendEntries(id, peer, now)
 }
 
 // Silent lists in-sync replicas from which an answer has been due for too long.
@@ -307,7 +355,7 @@
 	}
 	for _, id := range g.view.Replicas {
 		peer := g.peers[id]
-		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.installed > 0 || peer.match == 0 || now-peer.heardAt > admitHeard {
+		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.transfer != nil || peer.match == 0 || now-peer.heardAt > admitHeard {
 			continue
 		}
 		if peer.match+admitLag >= g.lastIndex() && peer.match >= max(g.commit, g.openedEpochAt) {
@@ -338,6 +386,9 @@
 		e.Uint64(entry.Epoch)
 		e.Blob(entry.Data)
 	}
+	e.Uint32(m.Offset)
+	e.Uint32(m.Total)
+	e.Uint32(m.Checksum)
 	e.Blob(m.State)
 }
 
@@ -349,6 +400,9 @@
 	for range d.Count(smallestEntry) {
 		m.Entries = append(m.Entries, Entry{Index: d.Uint64(), Epoch: d.Uint64(), Data: d.Blob()})
 	}
+	m.Offset = d.Uint32()
+	m.Total = d.Uint32()
+	m.Checksum = d.Uint32()
 	m.State = d.Blob()
 	return m
 }
