--- a/tier/replica/bounds_test.go
+++ b/tier/replica/bounds_test.go
@@ -105,3 +105,35 @@
 		t.Fatalf("up to %d bytes of entries were kept, %d are allowed", most, kept)
 	}
 }
+
+// A replica whose acknowledgements always come just behind the commit is caught up all the same, because commands wait for it for
+// a moment; one that doesn't answer meanwhile holds nobody up for long.
+func TestAReplicaThatFollowsCloselyCatchesUpUnderASteadyStream(t *testing.T) {
+	g := newPrimaryOfTwo(t, Options{})
+	now := int64(1000)
+	step := func() {
+		index := g.Propose([]byte("a"), now)
+		g.Durable(index, 1, now)
+		g.Step(2, Message{Kind: MessageAck, Epoch: 1, Index: index - 1}, now) // one behind
+		g.Tick(now, true)
+		now += 5
+	}
+	caughtUp := false
+	for range 100 {
+		step()
+		caughtUp = caughtUp || len(g.CaughtUp(now)) == 1
+	}
+	if !caughtUp {
+		t.Fatal("never caught up though it follows closely")
+	}
+	before := g.commit
+	for range joinWait { // it stops answering
+		index := g.Propose([]byte("a"), now)
+		g.Durable(index, 1, now)
+		g.Tick(now, true)
+		now += 5
+	}
+	if g.commit < before+100 {
+		t.Fatalf("a silent replica holds the group up: %d commands committed", g.commit-before)
+	}
+}
--- /dev/null
+++ b/tier/replica/catchup_sim_test.go
@@ -0,0 +1,689 @@
+package replica
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"testing"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/register"
+)
+
+// This simulation plays hundreds to thousands of changes against a group of which members are down, wiped, cut off or started
+// again and again while they catch up. Time is virtual. Links have a bandwidth and a delay and keep the order of messages; disks
+// have a delay and a bandwidth; what was not synced is lost with the power.
+
+const (
+	catchupSeedsVariable = "TIER_CATCHUP_SEEDS"
+	standardCatchupSeeds = 200
+
+	millisecond  = int64(1000) // virtual time is counted in microseconds
+	catchupNodes = 3
+	minimumSync  = 2 // replicas that stay in the in-sync set
+	tickPeriod   = 40 * millisecond
+	primaryLost  = 600 * millisecond
+	watchPeriod  = 50 * millisecond
+)
+
+// countedMachine keeps the numbers of the changes applied, and bytes that stand for the rest of a state.
+type countedMachine struct {
+	applied []uint32
+	held    map[uint32]bool
+	padding []byte
+}
+
+func newCountedMachine(padding int) *countedMachine {
+	return &countedMachine{held: map[uint32]bool{}, padding: make([]byte, padding)}
+}
+
+func (m *countedMachine) Apply(_ uint64, command []byte) any {
+	number := binary.BigEndian.Uint32(command)
+	m.applied = append(m.applied, number)
+	m.held[number] = true
+	return nil
+}
+
+func (m *countedMachine) Snapshot() []byte {
+	var e codec.Encoder
+	e.Blob(m.padding)
+	e.Uint32(uint32(len(m.applied)))
+	for _, number := range m.applied {
+		e.Uint32(number)
+	}
+	return e.Bytes
+}
+
+func (m *countedMachine) Restore(snapshot []byte) error {
+	d := codec.NewDecoder(snapshot)
+	m.padding = d.Blob()
+	m.applied = nil
+	m.held = map[uint32]bool{}
+	for range d.Count(4) {
+		number := d.Uint32()
+		m.applied = append(m.applied, number)
+		m.held[number] = true
+	}
+	return d.Err()
+}
+
+// catchupPlan is what one seed plays.
+type catchupPlan struct {
+	changes     int
+	changeBytes int
+	interval    int64 // between changes
+	padding     int   // of the state
+	bytesKept   int
+	pieceBytes  int
+	slowLink    int64 // bytes a second of the member that is troubled
+	link        int64 // bytes a second of the others
+	delay       int64
+	sync        int64 // of a disk
+	trouble     string
+	upFor       int64 // between restarts
+}
+
+var troubles = []string{"down", "down for all", "wiped", "wiped twice", "restarted often", "cut off often", "primary lost", "power lost", "primary lost in a transfer"}
+
+func drawPlan(random *rand.Rand) catchupPlan {
+	p := catchupPlan{
+		changes:     500 + random.Intn(700),
+		changeBytes: 200 + random.Intn(2000),
+		interval:    (5 + random.Int63n(45)) * millisecond,
+		padding:     random.Intn(200_000),
+		bytesKept:   (8 + random.Intn(120)) << 10,
+		pieceBytes:  (1 + random.Intn(16)) << 10,
+		delay:       (100 + random.Int63n(5000)),
+		sync:        (1 + random.Int63n(8)) * millisecond,
+		trouble:     troubles[random.Intn(len(troubles))],
+		upFor:       (50 + random.Int63n(1500)) * millisecond,
+	}
+	if random.Intn(20) == 0 {
+		p.changes = 5000
+		p.changeBytes = 200
+		p.interval = (5 + random.Int63n(5)) * millisecond
+	}
+	// a link that carries the changes at least twice as fast as they come
+	rate := int64(p.changeBytes+200) * 1_000_000 / p.interval
+	p.slowLink = 2*rate + 20_000 + random.Int63n(4*rate+200_000)
+	p.link = 4*p.slowLink + 1_000_000
+	return p
+}
+
+type catchupNode struct {
+	position int
+	id       uint64
+	life     int
+	boot     uint64
+	up       bool
+	group    *Group
+	machine  *countedMachine
+	slots    *TransferSlots
+	disk     simDisk
+	queued   []Write
+	syncing  []Write
+	seen     uint64
+	ready    bool
+	lostAt   int64
+}
+
+type catchupLink struct {
+	freeAt int64
+	cut    bool
+	life   int // of the connection
+}
+
+type event struct {
+	at    int64
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+type catchupSim struct {
+	t       testing.TB
+	random  *rand.Rand
+	plan    catchupPlan
+	now     int64
+	order   int
+	events  eventQueue
+	nodes   []*catchupNode
+	links   [catchupNodes][catchupNodes]catchupLink
+	view    View
+	boot    uint64
+	nextID  uint64
+	waiting map[uint64]map[uint64]uint32 // by boot of the primary and index
+	acked   map[uint32]bool
+	next    uint32
+	calmAt  int64 // when the last trouble ended
+	insync  int64 // when all were in sync for good
+	ended   bool
+	mostMem int
+	mostOut int64 // longest queue of a link, in bytes
+}
+
+func newCatchupSim(t testing.TB, seed int64) *catchupSim {
+	random := rand.New(rand.NewSource(seed))
+	s := &catchupSim{
+		t: t, random: random, plan: drawPlan(random), now: 1000 * millisecond, nextID: 1,
+		waiting: map[uint64]map[uint64]uint32{}, acked: map[uint32]bool{},
+	}
+	for position := range catchupNodes {
+		node := &catchupNode{position: position}
+		s.nodes = append(s.nodes, node)
+		s.wipe(node)
+		s.start(node)
+		s.view.InSync = append(s.view.InSync, node.id)
+	}
+	s.view.Replicas = append([]uint64(nil), s.view.InSync...)
+	s.view.Primary = s.view.InSync[0]
+	s.view.Epoch = 1
+	s.boot = s.nodes[0].boot
+	return s
+}
+
+func (s *catchupSim) at(after int64, run func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now + after, s.order, run})
+}
+
+func (s *catchupSim) ms() int64 { return s.now / millisecond }
+
+func (s *catchupSim) find(id uint64) *catchupNode {
+	for _, node := range s.nodes {
+		if node.id == id {
+			return node
+		}
+	}
+	return nil
+}
+
+func (s *catchupSim) wipe(node *catchupNode) {
+	node.id = s.nextID
+	s.nextID++
+	node.disk = simDisk{}
+}
+
+func (s *catchupSim) start(node *catchupNode) {
+	node.life++
+	node.boot = s.random.Uint64()
+	node.up = true
+	node.ready = false
+	node.seen = 0
+	node.queued, node.syncing = nil, nil
+	node.machine = newCountedMachine(s.plan.padding)
+	node.slots = NewTransferSlots(1)
+	group, err := NewGroup(node.id, node.machine, node.disk.base, append([]Entry(nil), node.disk.entries...), Options{
+		EagerCommit: true, EntriesKept: 16, BytesKept: s.plan.bytesKept, PieceBytes: s.plan.pieceBytes, Slots: node.slots,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	node.group = group
+	life := node.life
+	var tick func()
+	tick = func() {
+		if node.life != life || !node.up {
+			return
+		}
+		node.group.Tick(s.ms(), true)
+		s.carryOut(node)
+		s.at(tickPeriod, tick)
+	}
+	s.at(s.random.Int63n(tickPeriod), tick)
+}
+
+// stop loses the power: some prefix of the writes that are not synced may be on the disk.
+func (s *catchupSim) stop(node *catchupNode) {
+	if !node.up {
+		return
+	}
+	node.up = false
+	node.lostAt = s.now
+	pending := append(node.syncing, node.queued...)
+	for _, write := range pending[:s.random.Intn(len(pending)+1)] {
+		node.disk.write(write)
+	}
+	for other := range s.nodes {
+		s.links[node.position][other].life++
+		s.links[other][node.position].life++
+		s.links[node.position][other].freeAt = s.now
+		s.links[other][node.position].freeAt = s.now
+	}
+}
+
+func (s *catchupSim) bandwidth(from, to int) int64 {
+	if from == catchupNodes-1 || to == catchupNodes-1 {
+		return s.plan.slowLink
+	}
+	return s.plan.link
+}
+
+func (s *catchupSim) send(from *catchupNode, out Outgoing) {
+	to := s.find(out.To)
+	if to == nil || !to.up {
+		return
+	}
+	link := &s.links[from.position][to.position]
+	if link.cut {
+		return
+	}
+	size := int64(100 + len(out.Message.State))
+	for _, entry := range out.Message.Entries {
+		size += int64(20 + len(entry.Data))
+	}
+	rate := s.bandwidth(from.position, to.position)
+	link.freeAt = max(link.freeAt, s.now) + size*1_000_000/rate
+	s.mostOut = max(s.mostOut, (link.freeAt-s.now)*rate/1_000_000)
+	life := link.life
+	message := out.Message
+	sender := from.id
+	s.at(link.freeAt-s.now+s.plan.delay, func() {
+		if link.life != life || !to.up || to.id != out.To {
+			return
+		}
+		to.group.Step(sender, message, s.ms())
+		s.carryOut(to)
+	})
+}
+
+func (s *catchupSim) carryOut(node *catchupNode) {
+	output := node.group.Take()
+	if output.Dropped {
+		delete(s.waiting, node.boot)
+	}
+	node.queued = append(node.queued, output.Writes...)
+	s.sync(node)
+	for _, out := range output.Messages {
+		s.send(node, out)
+	}
+	for _, applied := range output.Applied {
+		if number, waits := s.waiting[node.boot][applied.Index]; waits {
+			s.acked[number] = true
+			delete(s.waiting[node.boot], applied.Index)
+		}
+	}
+	node.group.Trim()
+	s.checkMemory(node)
+	s.checkLead(node)
+}
+
+// checkMemory holds the log in memory against its bound: what is kept, what is not committed, and what stays behind a snapshot.
+func (s *catchupSim) checkMemory(node *catchupNode) {
+	state := s.plan.padding + 8 + 4*len(node.machine.applied)
+	bound := s.plan.bytesKept*5/4 + 2*(s.plan.changeBytes+entryOverhead)
+	if node.group.IsPrimary() {
+		bound += s.plan.bytesKept + 2*state // behind a snapshot that is under way
+	}
+	s.mostMem = max(s.mostMem, node.group.logBytes)
+	if applied := sizeOf(node.group.log[:node.group.applied-node.group.base.Index]); applied > bound {
+		s.t.Fatalf("%d bytes of applied entries in memory, %d are allowed: %+v", applied, bound, s.plan)
+	}
+}
+
+// checkLead checks that a primary begins with all that was acknowledged.
+func (s *catchupSim) checkLead(node *catchupNode) {
+	ready := node.group.IsReady()
+	if ready && !node.ready {
+		for number := range s.acked {
+			if !node.machine.held[number] {
+				s.t.Fatalf("primary of epoch %d leads without change %d: %+v", node.group.View().Epoch, number, s.plan)
+			}
+		}
+	}
+	node.ready = ready
+}
+
+// sync makes queued writes durable after the disk's delay, one group commit after the other.
+func (s *catchupSim) sync(node *catchupNode) {
+	if len(node.syncing) > 0 || len(node.queued) == 0 {
+		return
+	}
+	node.syncing, node.queued = node.queued, nil
+	life := node.life
+	s.at(s.plan.sync, func() {
+		if node.life != life || !node.up {
+			return
+		}
+		writes := node.syncing
+		node.syncing = nil
+		for _, write := range writes {
+			node.disk.write(write)
+		}
+		for _, write := range writes {
+			if write.Snapshot != nil {
+				node.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, s.ms())
+			}
+			if n := len(write.Entries); n > 0 {
+				node.group.Durable(write.Entries[n-1].Index, write.Entries[n-1].Epoch, s.ms())
+			}
+		}
+		if s.random.Intn(50) == 0 {
+			s.compact(node)
+		}
+		s.carryOut(node)
+	})
+}
+
+// compact writes the disk's state anew.
+func (s *catchupSim) compact(node *catchupNode) {
+	if len(node.queued) > 0 {
+		return
+	}
+	snapshot, entries := node.group.CompactionState()
+	node.disk = simDisk{base: snapshot, entries: append([]Entry(nil), entries...)}
+}
+
+func (s *catchupSim) propose() {
+	if int(s.next) >= s.plan.changes {
+		return
+	}
+	s.at(s.plan.interval, s.propose)
+	for _, node := range s.nodes {
+		if !node.up || !node.group.IsReady() || !node.group.HasRoom() {
+			continue
+		}
+		s.next++
+		command := make([]byte, s.plan.changeBytes)
+		binary.BigEndian.PutUint32(command, s.next)
+		if s.waiting[node.boot] == nil {
+			s.waiting[node.boot] = map[uint64]uint32{}
+		}
+		s.waiting[node.boot][node.group.Propose(command, s.ms())] = s.next
+		s.carryOut(node)
+		return
+	}
+}
+
+// watch is the authority that control is for a group.
+func (s *catchupSim) watch() {
+	s.at(watchPeriod, s.watch)
+	s.adjustView()
+	for _, node := range s.nodes {
+		if !node.up || node.seen == s.view.Epoch || (s.view.Primary == node.id && s.boot != node.boot) {
+			continue
+		}
+		node.seen = s.view.Epoch
+		node.group.SetView(s.view, s.ms())
+		s.carryOut(node)
+	}
+	if s.ended && s.insync == 0 && s.allInSync() {
+		s.insync = s.now
+	}
+}
+
+func (s *catchupSim) alive(id uint64) bool {
+	node := s.find(id)
+	return node != nil && (node.up || s.now-node.lostAt < primaryLost)
+}
+
+func (s *catchupSim) adjustView() {
+	next := s.view
+	next.Replicas = nil
+	for _, node := range s.nodes {
+		next.Replicas = append(next.Replicas, node.id)
+	}
+	next.InSync = nil
+	for _, id := range s.view.InSync {
+		if s.find(id) != nil {
+			next.InSync = append(next.InSync, id)
+		}
+	}
+	primary := s.find(next.Primary)
+	if !s.alive(next.Primary) || primary.boot != s.boot {
+		next.Primary = 0
+		for _, id := range next.InSync {
+			if node := s.find(id); node.up && next.Primary == 0 {
+				next.Primary = id
+			}
+		}
+		if next.Primary == 0 {
+			return
+		}
+		s.setView(next)
+		return
+	}
+	if len(next.InSync) != len(s.view.InSync) || fmt.Sprint(next.Replicas) != fmt.Sprint(s.view.Replicas) {
+		s.setView(next)
+		return
+	}
+	s.admitOrDrop(primary)
+}
+
+func (s *catchupSim) setView(next View) {
+	next.Epoch = s.view.Epoch + 1
+	s.view = next
+	s.boot = s.find(next.Primary).boot
+}
+
+func (s *catchupSim) admitOrDrop(primary *catchupNode) {
+	if !primary.up || primary.group.View().Epoch != s.view.Epoch {
+		return
+	}
+	if caughtUp := primary.group.CaughtUp(s.ms()); len(caughtUp) > 0 {
+		primary.group.Admit(caughtUp[0])
+		next := s.view
+		next.InSync = append(append([]uint64(nil), s.view.InSync...), caughtUp[0])
+		s.setView(next)
+		return
+	}
+	for _, id := range primary.group.Silent(s.ms()) {
+		if len(s.view.InSync) > minimumSync || !s.view.IsInSync(id) {
+			next := s.view
+			next.InSync = register.Without(s.view.InSync, id)
+			s.setView(next)
+			return
+		}
+	}
+}
+
+func (s *catchupSim) allInSync() bool {
+	for _, node := range s.nodes {
+		if !s.view.IsInSync(node.id) {
+			return false
+		}
+	}
+	return true
+}
+
+// play runs events until a moment.
+func (s *catchupSim) play(until int64) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		each := heap.Pop(&s.events).(event)
+		s.now = each.at
+		each.run()
+	}
+	s.now = max(s.now, until)
+}
+
+func (s *catchupSim) backup() *catchupNode { return s.nodes[catchupNodes-1] }
+
+// safeToLose tells whether the in-sync set can do without a node's disk.
+func (s *catchupSim) safeToLose(node *catchupNode) bool {
+	up := 0
+	for _, id := range s.view.InSync {
+		if other := s.find(id); other != nil && other.up && other != node {
+			up++
+		}
+	}
+	return up >= minimumSync
+}
+
+// bringTrouble plays what the plan has for the last node, for a part of the changes or all, and returns when it is over.
+func (s *catchupSim) bringTrouble() {
+	node := s.backup()
+	length := s.plan.interval * int64(s.plan.changes) / 4
+	switch s.plan.trouble {
+	case "down":
+		s.stop(node)
+		s.play(s.now + length)
+		s.start(node)
+	case "down for all":
+		s.stop(node)
+		s.play(s.now + length*7/2)
+		s.start(node)
+	case "wiped", "wiped twice":
+		s.loseDisk(node, length)
+		if s.plan.trouble == "wiped twice" {
+			s.play(s.now + length/2)
+			s.loseDisk(node, length/8)
+		}
+	case "restarted often":
+		s.stop(node)
+		s.play(s.now + length)
+		for range 8 {
+			s.start(node)
+			s.play(s.now + s.plan.upFor)
+			s.stop(node)
+			s.play(s.now + 100*millisecond)
+		}
+		s.start(node)
+	case "cut off often":
+		s.loseDisk(node, length)
+		for range 8 {
+			s.play(s.now + s.plan.upFor)
+			s.setCut(node, true)
+			s.play(s.now + 700*millisecond)
+			s.setCut(node, false)
+		}
+	case "primary lost":
+		s.loseDisk(node, length)
+		s.loseOther(length / 2)
+	case "primary lost in a transfer":
+		s.loseDisk(node, length)
+		s.play(s.now + s.plan.upFor/4)
+		s.loseOther(2000 * millisecond)
+	case "power lost":
+		s.stop(node)
+		s.play(s.now + length)
+		for _, each := range s.nodes {
+			s.stop(each)
+		}
+		for _, each := range s.nodes {
+			s.start(each)
+		}
+	}
+}
+
+func (s *catchupSim) loseDisk(node *catchupNode, away int64) {
+	if !s.safeToLose(node) {
+		return
+	}
+	s.stop(node)
+	s.wipe(node)
+	s.play(s.now + away)
+	s.start(node)
+}
+
+// loseOther stops the primary for a while.
+func (s *catchupSim) loseOther(away int64) {
+	primary := s.find(s.view.Primary)
+	s.stop(primary)
+	s.play(s.now + away)
+	s.start(primary)
+}
+
+func (s *catchupSim) setCut(node *catchupNode, cut bool) {
+	for other := range s.nodes {
+		for _, link := range []*catchupLink{&s.links[node.position][other], &s.links[other][node.position]} {
+			link.cut = cut
+			link.life++
+			link.freeAt = s.now
+		}
+	}
+}
+
+// bound is how long a member may need to be in sync again: the time to be heard, replaced as primary or taken in, waits of
+// transfers (a piece asked for again, a pause after the log outgrew one), and the bytes of the state and of the log over what the
+// changes leave of the link. A link carries at least twice the changes.
+func (s *catchupSim) bound() int64 {
+	state := int64(s.plan.padding + 16 + 4*s.plan.changes)
+	log := int64(2*s.plan.bytesKept) + 2*state + uncommittedSlack/8
+	rest := s.plan.slowLink / 2
+	waits := int64(primaryLost/millisecond+2*pieceResend+2*retryPause+1000) * millisecond
+	return waits + 20*s.plan.sync + (2*state+log)*1_000_000/rest
+}
+
+// run plays the plan and returns how long the last member needed after the trouble.
+func (s *catchupSim) run() (took, bound int64) {
+	s.at(0, s.watch)
+	s.play(s.now + 500*millisecond)
+	s.propose()
+	s.play(s.now + s.plan.interval*int64(s.plan.changes)/10)
+	s.bringTrouble()
+	s.calmAt = s.now
+	s.ended = true
+	bound = s.bound()
+	s.play(s.now + bound)
+	took = s.insync - s.calmAt
+	s.judge()
+	return took, bound
+}
+
+func (s *catchupSim) judge() {
+	if s.insync == 0 {
+		s.t.Fatalf("not all members are in sync %d ms after the last trouble: %+v", s.bound()/millisecond, s.plan)
+	}
+	queue := int64(maxInFlight+2*maxAppendBytes) + int64(2*windowPieces*s.plan.pieceBytes+s.plan.changeBytes) + 200_000
+	if s.mostOut > queue {
+		s.t.Fatalf("up to %d bytes waited on a link, %d are allowed: %+v", s.mostOut, queue, s.plan)
+	}
+	for int(s.next) < s.plan.changes { // the changes that are left
+		s.play(s.now + 1000*millisecond)
+	}
+	s.play(s.now + s.bound())
+	primary := s.find(s.view.Primary)
+	for number := range s.acked {
+		if !primary.machine.held[number] {
+			s.t.Fatalf("change %d was acknowledged and is lost: %+v", number, s.plan)
+		}
+	}
+	if len(s.acked) < s.plan.changes*9/10-50 {
+		s.t.Fatalf("only %d of %d changes were acknowledged: %+v", len(s.acked), s.plan.changes, s.plan)
+	}
+	for _, node := range s.nodes {
+		if fmt.Sprint(node.machine.applied) != fmt.Sprint(primary.machine.applied) {
+			s.t.Fatalf("member %d holds %d changes, the primary %d: %+v", node.id, len(node.machine.applied), len(primary.machine.applied), s.plan)
+		}
+	}
+}
+
+func catchupSeeds() int {
+	if n, err := strconv.Atoi(os.Getenv(catchupSeedsVariable)); err == nil {
+		return n
+	}
+	return standardCatchupSeeds
+}
+
+// Every member is in sync within the bound after the last trouble, nothing acknowledged is lost, no primary begins with an old
+// state, and memory and queues stay bounded. TIER_CATCHUP_SEEDS sets how many seeds.
+func TestMembersCatchUpAfterHundredsOfChanges(t *testing.T) {
+	for seed := range int64(catchupSeeds()) {
+		t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			s := newCatchupSim(t, seed)
+			took, bound := s.run()
+			if testing.Verbose() {
+				t.Logf("%-28s %5d changes, in sync after %6d ms, bound %6d ms, log in memory up to %7d bytes",
+					s.plan.trouble, s.plan.changes, took/millisecond, bound/millisecond, s.mostMem)
+			}
+		})
+	}
+}
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -88,6 +88,8 @@
 	resends  int       // of entries, without progress
 	heardAt  int64
 	sentAt   int64
+	joining  bool // commands wait for it, so that it can catch up
+	joinedAt int64
 	beatAt   int64 // of the last heartbeat beside a transfer
 }
 
@@ -113,8 +115,9 @@
 	entriesKept   uint64
 	bytesKept     int
 	pieceBytes    int
-	logBytes      int // size of the log in memory
-	trimAtEntries int // the log is looked through for entries to forget when it has grown so far
+	logBytes      int    // size of the log in memory
+	appliedBytes  int    // size of its applied entries
+	trimAtEntries uint64 // the log is looked through for entries to forget when it has grown so far
 	trimAtBytes   int
 	slots         *TransferSlots
 	incoming      *incomingSnapshot
@@ -153,7 +156,7 @@
 		g.bytesKept = standardBytesKept
 	}
 	g.logBytes = sizeOf(entries)
-	g.trimAtEntries = 2 * int(g.entriesKept)
+	g.trimAtEntries = 2 * g.entriesKept
 	g.trimAtBytes = g.bytesKept
 	if base.Index > 0 {
 		if err := machine.Restore(base.State); err != nil {
@@ -338,6 +341,11 @@
 	for id := range g.admitting {
 		lowest = min(lowest, g.matchOf(id))
 	}
+	for _, peer := range g.peers {
+		if peer.joining {
+			lowest = min(lowest, peer.match)
+		}
+	}
 	if lowest <= g.commit {
 		return
 	}
@@ -363,6 +371,7 @@
 	for g.applied < g.commit {
 		entry := g.log[g.applied-g.base.Index]
 		g.applied++
+		g.appliedBytes += entry.size()
 		if len(entry.Data) == 0 {
 			continue
 		}
--- a/tier/replica/retention.go
+++ b/tier/replica/retention.go
@@ -40,21 +40,20 @@
 
 // HasRoom tells whether a primary may take a command: what is not committed yet is bounded, whoever keeps it from being so.
 func (g *Group) HasRoom() bool {
-	limit := g.bytesKept + uncommittedSlack
-	return g.logBytes < limit || g.bytesBetween(g.commit, g.lastIndex()) < limit
+	return g.logBytes-g.appliedBytes < g.bytesKept+uncommittedSlack
 }
 
 // Trim forgets applied entries beyond the bounds. Replicas that lag further get a snapshot. The log is looked through only
 // when it has grown by a part of its bounds since the last time.
 func (g *Group) Trim() {
-	if len(g.log) < g.trimAtEntries && g.logBytes < g.trimAtBytes {
+	if g.applied-g.base.Index < g.trimAtEntries && g.appliedBytes < g.trimAtBytes {
 		return
 	}
 	if keepFrom := g.keepFrom(); keepFrom > g.base.Index {
 		g.forgetUpTo(keepFrom)
 	}
-	g.trimAtEntries = len(g.log) + int(g.entriesKept)
-	g.trimAtBytes = g.logBytes + g.bytesKept/4
+	g.trimAtEntries = g.applied - g.base.Index + g.entriesKept
+	g.trimAtBytes = g.appliedBytes + g.bytesKept/4
 }
 
 // keepFrom is the index behind which entries stay in memory.
@@ -101,5 +100,6 @@
 	epoch, _ := g.epochAt(index)
 	g.log = append([]Entry(nil), g.log[index-g.base.Index:]...)
 	g.logBytes = sizeOf(g.log)
+	g.appliedBytes = sizeOf(g.log[:g.applied-index])
 	g.base = Snapshot{Index: index, Epoch: epoch}
 }
--- a/tier/replica/snapshot.go
+++ b/tier/replica/snapshot.go
@@ -295,6 +295,7 @@
 	g.base = Snapshot{Index: incoming.index, Epoch: incoming.epoch}
 	g.log = nil
 	g.logBytes = 0
+	g.appliedBytes = 0
 	g.applied = incoming.index
 	g.commit = incoming.index
 	g.durable = 0
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -279,6 +279,7 @@
 	}
 	for _, id := range g.view.Replicas {
 		if peer := g.peers[id]; peer != nil {
+			g.tickJoining(id, peer, now)
 			g.tickPeer(id, peer, now, heartbeats)
 		}
 	}
@@ -355,10 +356,10 @@
 	}
 	for _, id := range g.view.Replicas {
 		peer := g.peers[id]
-		if peer == nil || g.view.IsInSync(id) || peer.probing || peer.transfer != nil || peer.match == 0 || now-peer.heardAt > admitHeard {
+		if peer == nil || g.view.IsInSync(id) {
 			continue
 		}
-		if peer.match+admitLag >= g.lastIndex() && peer.match >= max(g.commit, g.openedEpochAt) {
+		if g.followsClosely(peer, now) && peer.match >= g.commit {
 			ids = append(ids, id)
 		}
 	}
