--- a/tier/replica/bounds_test.go
+++ b/tier/replica/bounds_test.go
@@ -137,3 +137,34 @@
 		t.Fatalf("a silent replica holds the group up: %d commands committed", g.commit-before)
 	}
 }
+
+// What is on its way to a replica is bounded, and what was sent is not sent again every moment while acknowledgements are late.
+func TestEntriesOnTheirWayAreBounded(t *testing.T) {
+	g := newPrimaryOfTwo(t, Options{BytesKept: 64 << 20})
+	g.SetView(View{Epoch: 2, Primary: 1, InSync: []uint64{1, 2}, Replicas: []uint64{1, 2}}, 1000)
+	g.Step(2, Message{Kind: MessageAck, Epoch: 2, Index: 1}, 1000)
+	g.Take()
+	command := make([]byte, 100<<10)
+	sent := 0
+	count := func() {
+		for _, out := range g.Take().Messages {
+			sent += sizeOf(out.Message.Entries)
+		}
+	}
+	for range 100 {
+		g.Propose(command, 1000)
+		count()
+	}
+	if sent > maxInFlight+maxAppendBytes {
+		t.Fatalf("%d bytes are on their way", sent)
+	}
+	sent = 0
+	for now := int64(1000); now < 4000; now += 40 {
+		g.Step(2, Message{Kind: MessagePieceReceived, Epoch: 2}, now) // it is heard, but acknowledges nothing
+		g.Tick(now, true)
+		count()
+	}
+	if sent > 8*maxAppendBytes {
+		t.Fatalf("%d bytes were sent again in 3 s", sent)
+	}
+}
--- a/tier/replica/catchup_sim_test.go
+++ b/tier/replica/catchup_sim_test.go
@@ -133,7 +133,8 @@
 type catchupLink struct {
 	freeAt int64
 	cut    bool
-	life   int // of the connection
+	life   int   // of the connection
+	pieces int64 // bytes of snapshots that wait
 }
 
 type event struct {
@@ -158,25 +159,26 @@
 }
 
 type catchupSim struct {
-	t       testing.TB
-	random  *rand.Rand
-	plan    catchupPlan
-	now     int64
-	order   int
-	events  eventQueue
-	nodes   []*catchupNode
-	links   [catchupNodes][catchupNodes]catchupLink
-	view    View
-	boot    uint64
-	nextID  uint64
-	waiting map[uint64]map[uint64]uint32 // by boot of the primary and index
-	acked   map[uint32]bool
-	next    uint32
-	calmAt  int64 // when the last trouble ended
-	insync  int64 // when all were in sync for good
-	ended   bool
-	mostMem int
-	mostOut int64 // longest queue of a link, in bytes
+	t          testing.TB
+	random     *rand.Rand
+	plan       catchupPlan
+	now        int64
+	order      int
+	events     eventQueue
+	nodes      []*catchupNode
+	links      [catchupNodes][catchupNodes]catchupLink
+	view       View
+	boot       uint64
+	nextID     uint64
+	waiting    map[uint64]map[uint64]uint32 // by boot of the primary and index
+	acked      map[uint32]bool
+	next       uint32
+	calmAt     int64 // when the last trouble ended
+	insync     int64 // when all were in sync for good
+	ended      bool
+	mostMem    int
+	mostOut    int64 // longest queue of a link, in bytes
+	mostPieces int64 // most bytes of snapshots that waited on a link
 }
 
 func newCatchupSim(t testing.TB, seed int64) *catchupSim {
@@ -292,6 +294,10 @@
 	rate := s.bandwidth(from.position, to.position)
 	link.freeAt = max(link.freeAt, s.now) + size*1_000_000/rate
 	s.mostOut = max(s.mostOut, (link.freeAt-s.now)*rate/1_000_000)
+	piece := int64(len(out.Message.State))
+	link.pieces += piece
+	s.mostPieces = max(s.mostPieces, link.pieces)
+	s.at(link.freeAt-s.now, func() { link.pieces -= piece })
 	life := link.life
 	message := out.Message
 	sender := from.id
@@ -645,6 +651,10 @@
 	if s.mostOut > queue {
 		s.t.Fatalf("up to %d bytes waited on a link, %d are allowed: %+v", s.mostOut, queue, s.plan)
 	}
+	// a window, and what was asked for again while pieces were late
+	if window := int64((windowPieces + 3) * s.plan.pieceBytes); s.mostPieces > window {
+		s.t.Fatalf("up to %d bytes of a snapshot waited on a link, %d are allowed: %+v", s.mostPieces, window, s.plan)
+	}
 	for int(s.next) < s.plan.changes { // the changes that are left
 		s.play(s.now + 1000*millisecond)
 	}
