replica: contact as a round trip that counts from the question, and step-down without a majority

Cause: contact was counted by the moment a message was read, so a late read out of a socket buffer renewed it, and a primary that sends but hears nobody never gave up. Ruled out: counting acknowledgements of entries, since they wait for the disk; lists of open rounds, since a stamp of the asker's own clock and life says the same.

--- /dev/null
+++ b/tier/replica/contact_test.go
@@ -0,0 +1,211 @@
+package replica
+
+import (
+	"testing"
+
+	"otterseam/tier/codec"
+)
+
+const testStepDown = 1000
+
+func contactGroup(t *testing.T, self uint64) *Group {
+	t.Helper()
+	g, err := NewGroup(self, &journalMachine{}, Snapshot{}, nil, Options{Life: 100 + self, StepDownAfter: testStepDown})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+var threeReplicas = View{Epoch: 1, Primary: 1, InSync: []uint64{1, 2, 3}, Replicas: []uint64{1, 2, 3}}
+
+// probesTo are the probes that a group has sent to a replica since the last look.
+func probesTo(g *Group, to uint64) []Message {
+	var probes []Message
+	for _, out := range g.Take().Messages {
+		if out.To == to && out.Message.carriesProbe() {
+			probes = append(probes, out.Message)
+		}
+	}
+	return probes
+}
+
+func onlyProbe(t *testing.T, g *Group, to uint64) Message {
+	t.Helper()
+	probes := probesTo(g, to)
+	if len(probes) != 1 {
+		t.Fatalf("%d probes", len(probes))
+	}
+	return probes[0]
+}
+
+// An answer proves contact as of the question, however late it is read.
+func TestContactCountsFromTheQuestion(t *testing.T) {
+	primary, backup := contactGroup(t, 1), contactGroup(t, 2)
+	primary.SetView(threeReplicas, 1000)
+	backup.Step(1, onlyProbe(t, primary, 2), 1005)
+	answer := onlyProbe(t, backup, 1)
+	if since := primary.ConfirmedSince(1006); since != 0 {
+		t.Fatalf("confirmed since %d before any answer", since)
+	}
+	primary.Step(2, answer, 6000) // out of the socket buffer, after a freeze
+	if since := primary.ConfirmedSince(6000); since != 1000 {
+		t.Fatalf("confirmed since %d, but the question was asked at 1000", since)
+	}
+}
+
+// One answer of four is no majority of five.
+func TestContactNeedsAMajority(t *testing.T) {
+	primary := contactGroup(t, 1)
+	view := View{Epoch: 1, Primary: 1, InSync: []uint64{1}, Replicas: []uint64{1, 2, 3, 4, 5}}
+	primary.SetView(view, 1000)
+	answer := Message{Kind: MessageProbeAnswer, Epoch: 1, Probe: Probe{Asked: Stamp{102, 7}, Echoed: Stamp{101, 1000}}}
+	primary.Step(2, answer, 1010)
+	if since := primary.ConfirmedSince(1010); since != 0 {
+		t.Fatalf("confirmed since %d by two of five", since)
+	}
+	primary.Step(3, answer, 1011)
+	if since := primary.ConfirmedSince(1011); since != 1000 {
+		t.Fatalf("confirmed since %d by three of five", since)
+	}
+}
+
+// Answers to a former life of the process, or to what it has not asked yet, prove nothing.
+func TestContactIgnoresAnswersToAnotherLife(t *testing.T) {
+	primary := contactGroup(t, 1)
+	primary.SetView(threeReplicas, 1000)
+	for _, echoed := range []Stamp{{999, 1000}, {101, 2000}} {
+		primary.Step(2, Message{Kind: MessageProbeAnswer, Epoch: 1, Probe: Probe{Echoed: echoed}}, 1010)
+		if since := primary.ConfirmedSince(1010); since != 0 {
+			t.Fatalf("confirmed since %d by an answer to %+v", since, echoed)
+		}
+	}
+}
+
+// A primary that no majority answers gives up within the bound, though the others still read what it sends.
+func TestAPrimaryThatNobodyAnswersGivesUp(t *testing.T) {
+	primary := contactGroup(t, 1)
+	primary.SetView(threeReplicas, 1000)
+	now := int64(1000)
+	for ; primary.IsPrimary(); now += 40 {
+		if now > 1000+testStepDown+80 {
+			t.Fatal("it leads on")
+		}
+		primary.Tick(now, true)
+	}
+	if now < 1000+testStepDown {
+		t.Fatalf("it gave up after %d ms already", now-1000)
+	}
+	primary.Take()
+	primary.Tick(now+200, true)
+	if output := primary.Take(); len(output.Messages) != 0 {
+		t.Fatalf("it still sends: %+v", output.Messages)
+	}
+}
+
+// A primary that stood still asks before it gives up; until it is answered it proves nothing.
+func TestAPrimaryThatStoodStillAsksFirst(t *testing.T) {
+	primary := contactGroup(t, 1)
+	primary.SetView(threeReplicas, 1000)
+	primary.Step(2, Message{Kind: MessageProbeAnswer, Epoch: 1, Probe: Probe{Echoed: Stamp{101, 1000}}}, 1010)
+	primary.Take()
+	primary.Tick(9000, true)
+	if !primary.IsPrimary() {
+		t.Fatal("it gave up though it has not asked since")
+	}
+	if since := primary.ConfirmedSince(9000); since != 1000 {
+		t.Fatalf("confirmed since %d", since)
+	}
+	onlyProbe(t, primary, 2)
+	primary.Step(2, Message{Kind: MessageProbeAnswer, Epoch: 1, Probe: Probe{Echoed: Stamp{101, 9000}}}, 9004)
+	if since := primary.ConfirmedSince(9004); since != 9000 {
+		t.Fatalf("confirmed since %d after the answer", since)
+	}
+}
+
+func probeFrom(epoch uint64, echoed Stamp, age int64) Message {
+	return Message{Kind: MessageProbe, Epoch: epoch, Probe: Probe{Asked: Stamp{101, 1}, Echoed: echoed, Age: age}}
+}
+
+// A backup counts from its own question less the age of the primary's contact, and only what the primary has read.
+func TestABackupIsConfirmedForWhatThePrimaryRead(t *testing.T) {
+	own := uint64(102)
+	for name, step := range map[string]struct {
+		message Message
+		since   int64
+	}{
+		"never read":            {probeFrom(1, Stamp{}, 10), 0},
+		"without a majority":    {probeFrom(1, Stamp{own, 900}, noContact), 0},
+		"of a former life":      {probeFrom(1, Stamp{77, 900}, 10), 0},
+		"of the future":         {probeFrom(1, Stamp{own, 5000}, 10), 0},
+		"read, with a majority": {probeFrom(1, Stamp{own, 900}, 70), 830},
+	} {
+		backup := contactGroup(t, 2)
+		backup.Step(1, step.message, 1000)
+		if since := backup.ConfirmedSince(1000); since != step.since {
+			t.Errorf("%s: confirmed since %d, not %d", name, since, step.since)
+		}
+	}
+}
+
+// What a backup reads late confirms it no later than when it asked.
+func TestABackupCountsFromItsQuestion(t *testing.T) {
+	backup := contactGroup(t, 2)
+	backup.Step(1, probeFrom(1, Stamp{102, 900}, 20), 1000)
+	backup.Step(1, probeFrom(1, Stamp{102, 980}, 20), 8000)
+	if since := backup.ConfirmedSince(8000); since != 960 {
+		t.Fatalf("confirmed since %d", since)
+	}
+}
+
+// Whoever has voted for a successor confirms nothing to the one before, and relies on nothing that it says.
+func TestAVoteForASuccessorEndsTheConfirmation(t *testing.T) {
+	backup := contactGroup(t, 2)
+	backup.Step(1, probeFrom(1, Stamp{102, 900}, 20), 1000)
+	backup.Take()
+	backup.Voted(2, 3)
+	if since := backup.ConfirmedSince(1001); since != 0 {
+		t.Fatalf("confirmed since %d", since)
+	}
+	backup.Step(1, probeFrom(1, Stamp{102, 990}, 20), 1010)
+	if probes := probesTo(backup, 1); len(probes) != 0 {
+		t.Fatalf("it confirms the primary that it helped to replace: %+v", probes)
+	}
+	backup.Step(3, probeFrom(2, Stamp{102, 1005}, 5), 1015)
+	if since := backup.ConfirmedSince(1015); since != 1000 {
+		t.Fatalf("confirmed since %d by the successor", since)
+	}
+}
+
+// A change by the primary itself leaves its confirmation alone.
+func TestAVoteForTheSamePrimaryChangesNothing(t *testing.T) {
+	backup := contactGroup(t, 2)
+	backup.Step(1, probeFrom(1, Stamp{102, 900}, 20), 1000)
+	backup.Voted(2, 1)
+	if since := backup.ConfirmedSince(1001); since != 880 {
+		t.Fatalf("confirmed since %d", since)
+	}
+}
+
+// A primary without a majority does not count as well, however often it is heard.
+func TestAPrimaryWithoutAMajorityIsNotProven(t *testing.T) {
+	backup := contactGroup(t, 2)
+	backup.Step(1, probeFrom(1, Stamp{}, 30), 1000)
+	proven := backup.PrimaryProven()
+	for now := int64(1080); now < 3000; now += 80 {
+		backup.Step(1, probeFrom(1, Stamp{}, noContact), now)
+	}
+	if backup.PrimaryProven() != proven {
+		t.Fatalf("proven at %d, before at %d", backup.PrimaryProven(), proven)
+	}
+}
+
+func TestAProbeKeepsItsFormOnTheWire(t *testing.T) {
+	sent := Message{Kind: MessageProbe, Epoch: 3, Probe: Probe{Asked: Stamp{1, 2}, Echoed: Stamp{3, 4}, Age: noContact}}
+	var e codec.Encoder
+	sent.Encode(&e)
+	d := codec.NewDecoder(e.Bytes)
+	if got := DecodeMessage(d); got.Probe != sent.Probe || got.Epoch != 3 || d.Err() != nil {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -103,6 +103,8 @@
 	output        Output
 	eagerCommit   bool
 	entriesKept   uint64
+	stepDownAfter int64
+	contact       contact
 }
 
 // Options tune a group.
@@ -112,11 +114,18 @@
 	// EntriesKept is how many applied entries stay in memory for replicas that lag; 0 means a standard number. Replicas that
 	// lag further get a snapshot.
 	EntriesKept uint64
+	// Life is a number drawn for the present life of the process. With one, the group keeps contact: its primary can prove that
+	// a majority answers it, and its backups that such a primary does.
+	Life uint64
+	// StepDownAfter is how many milliseconds a primary leads on without the answers of a majority; 0 means for ever.
+	StepDownAfter int64
 }
 
 // NewGroup makes a replica from what was found on disk: a snapshot and the entries behind it.
 func NewGroup(self uint64, machine StateMachine, base Snapshot, entries []Entry, options Options) (*Group, error) {
 	g := &Group{self: self, machine: machine, base: base, log: entries, eagerCommit: options.EagerCommit, entriesKept: options.EntriesKept}
+	g.contact.life = options.Life
+	g.stepDownAfter = options.StepDownAfter
 	if g.entriesKept == 0 {
 		g.entriesKept = standardEntriesKept
 	}
@@ -215,6 +224,7 @@
 	g.admitting = map[uint64]bool{}
 	g.openedEpochAt = g.lastIndex() + 1
 	g.updatePeers(now)
+	g.beginContact(now)
 	g.Propose(nil, now)
 }
 
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -17,6 +17,10 @@
 	MessageMismatch
 	// MessageStale says that the sender's epoch has passed.
 	MessageStale
+	// MessageProbe asks a backup to confirm the primary, and confirms the backup.
+	MessageProbe
+	// MessageProbeAnswer confirms the primary.
+	MessageProbeAnswer
 )
 
 // Message is what replicas of a group say to each other.
@@ -28,6 +32,7 @@
 	Commit    uint64
 	Entries   []Entry
 	State     []byte
+	Probe     Probe // of probes and their answers alone
 }
 
 const (
@@ -76,13 +81,13 @@
 // Step takes a message from another replica.
 func (g *Group) Step(from uint64, message Message, now int64) {
 	if message.Epoch < g.view.Epoch {
-		if message.Kind == MessageAppend || message.Kind == MessageInstall {
+		if message.Kind == MessageAppend || message.Kind == MessageInstall || message.Kind == MessageProbe {
 			g.send(from, Message{Kind: MessageStale, Epoch: g.view.Epoch})
 		}
 		return
 	}
 	switch message.Kind {
-	case MessageAppend, MessageInstall:
+	case MessageAppend, MessageInstall, MessageProbe:
 		g.stepAsBackup(from, message, now)
 	case MessageStale:
 		if message.Epoch > g.view.Epoch {
@@ -104,13 +109,17 @@
 		g.view = View{Epoch: message.Epoch, Primary: from}
 		g.alike = 0
 		g.stepDown()
+		g.contact.primaryProven = now // a majority has just decided for it
 	}
 	g.primaryHeard = now
-	if message.Kind == MessageInstall {
+	switch message.Kind {
+	case MessageInstall:
 		g.install(message)
-		return
+	case MessageProbe:
+		g.stepProbe(from, message.Probe, now)
+	default:
+		g.append(from, message)
 	}
-	g.append(from, message)
 }
 
 func (g *Group) append(from uint64, message Message) {
@@ -205,6 +214,10 @@
 	if peer == nil {
 		return
 	}
+	if message.Kind == MessageProbeAnswer {
+		g.stepProbeAnswer(from, message.Probe, now)
+		return
+	}
 	peer.heardAt = now
 	switch message.Kind {
 	case MessageAck:
@@ -238,6 +251,7 @@
 // Tick sends again what was not acknowledged, and heartbeats: to all where wanted, and always to replicas that are not in sync,
 // which could join when they answer. Call it every 50 ms or so.
 func (g *Group) Tick(now int64, heartbeats bool) {
+	g.tickContact(now)
 	if g.role != Primary {
 		return
 	}
@@ -339,8 +353,13 @@
 		e.Blob(entry.Data)
 	}
 	e.Blob(m.State)
+	if m.carriesProbe() {
+		m.Probe.encode(e)
+	}
 }
 
+func (m Message) carriesProbe() bool { return m.Kind == MessageProbe || m.Kind == MessageProbeAnswer }
+
 // DecodeMessage reads a message.
 func DecodeMessage(d *codec.Decoder) Message {
 	m := Message{
@@ -350,5 +369,8 @@
 		m.Entries = append(m.Entries, Entry{Index: d.Uint64(), Epoch: d.Uint64(), Data: d.Blob()})
 	}
 	m.State = d.Blob()
+	if m.carriesProbe() {
+		m.Probe = decodeProbe(d)
+	}
 	return m
 }
