authority: what a control process may stand behind, as one pure package with its bounds

Cause: each answer of control had a notion of its own of being in touch; two heartbeat paths had none. Ruled out: one patience for every host. A host whose control process fell silent, or that a new primary has not heard, needs its heartbeat, two silent processes and a report; all others stay with four heartbeats. Change: lease, basis of each kind of answer, step-down and succession, sessions of hosts and stores as pure decisions; the sums of bounds are tests. Not used by the server yet.

--- /dev/null
+++ b/tier/authority/authority_test.go
@@ -0,0 +1,185 @@
+package authority
+
+import (
+	"errors"
+	"testing"
+
+	"otterseam/tier/codes"
+)
+
+// Whoever acknowledges a host's heartbeat promises that the successor hears of it in time: the last acknowledgement may come a
+// lease after the successor began; the next heartbeat then meets silent processes before it reaches one whose report arrives.
+func TestTheSuccessorOutwaitsEveryPromise(t *testing.T) {
+	for _, heartbeat := range []int64{100, 300, 500, 1000, 2000, 5000} {
+		late := heartbeat / 2 // heartbeats come about that often
+		needed := LeaseLength + heartbeat + late + HostAttempts*HostAttempt + ReportEvery + ReportTimeout
+		if patience := HeartbeatsLost*heartbeat + HostGrace; needed >= patience {
+			t.Errorf("heartbeat %d: the host may need %d ms, the successor waits %d", heartbeat, needed, patience)
+		}
+	}
+}
+
+func TestANewPrimaryOutwaitsAStore(t *testing.T) {
+	needed := LeaseLength + StoreBeatEvery + PrimaryAttempt + 2*PrimaryPause
+	if needed >= StoreFirstSilence {
+		t.Errorf("the store may need %d ms, the successor waits %d", needed, StoreFirstSilence)
+	}
+}
+
+// The lease ends before the primary gives up, so that it never leads without one for long, and backups wait less than that.
+func TestTheBoundsOfTheLeadFollowEachOther(t *testing.T) {
+	if !(StickyFor < SuspectAfter && SuspectAfter < LeaseLength && LeaseLength < StepDownAfter) {
+		t.Error("sticky, suspicion, lease and step-down are out of order")
+	}
+	if HolderSilence >= HeartbeatsLost*300 || HolderSilence <= ReportEvery {
+		t.Error("a holder is doubted too late for its hosts, or too soon for its reports")
+	}
+}
+
+func TestEveryAnswerHasABasis(t *testing.T) {
+	for answer := ConfigOrder; answer <= SessionEnd; answer++ {
+		if _, found := bases[answer]; !found {
+			t.Errorf("answer %d rests on nothing", answer)
+		}
+	}
+}
+
+func TestNobodyAnswersWithoutALease(t *testing.T) {
+	const now = 10_000
+	fresh, old := int64(now-LeaseLength+1), int64(now-LeaseLength)
+	for name, step := range map[string]struct {
+		standing Standing
+		decide   error
+		passOn   error
+		serve    bool
+	}{
+		"primary":                  {Standing{Primary, true, fresh}, nil, nil, true},
+		"primary, lease over":      {Standing{Primary, true, old}, codes.Unavailable, codes.Unavailable, false},
+		"primary, never answered":  {Standing{Primary, true, 0}, codes.Unavailable, codes.Unavailable, false},
+		"primary, not ready":       {Standing{Primary, false, fresh}, codes.NotPrimary, nil, false},
+		"backup":                   {Standing{Backup, false, fresh}, codes.NotPrimary, nil, true},
+		"backup, lease over":       {Standing{Backup, false, old}, codes.NotPrimary, codes.Unavailable, false},
+		"outsider":                 {Standing{Outsider, false, fresh}, codes.NotPrimary, nil, false},
+		"outsider, out of contact": {Standing{Outsider, false, old}, codes.NotPrimary, codes.Unavailable, false},
+	} {
+		s := step.standing
+		if !errors.Is(s.MayDecide(now), step.decide) || !errors.Is(s.MayPassOn(now), step.passOn) || s.MayServe(now) != step.serve {
+			t.Errorf("%s: decide %v, pass on %v, serve %v", name, s.MayDecide(now), s.MayPassOn(now), s.MayServe(now))
+		}
+	}
+}
+
+const beat = 300
+
+func silentAt(s *HostSessions, now int64) bool { return len(s.Silent(beat, now)) > 0 }
+
+func TestAHostThatFallsSilentIsFoundWithinItsPatience(t *testing.T) {
+	s := NewHostSessions()
+	for now := int64(1000); now <= 4000; now += 200 {
+		s.HeardHolder(7, now)
+		if now <= 2000 {
+			s.Heard("h", 7, now)
+		}
+		if silent := silentAt(s, now); silent != (now > 2000+HeartbeatsLost*beat) {
+			t.Fatalf("at %d: silent %v", now, silent)
+		}
+	}
+}
+
+// The control process that kept a host falls silent: the host has time to find another.
+func TestAHostOutlivesTheProcessThatKeptIt(t *testing.T) {
+	s := NewHostSessions()
+	s.HeardHolder(7, 1000)
+	s.Heard("h", 7, 1000)
+	end := int64(1000 + HeartbeatsLost*beat + HostGrace)
+	for now := int64(1200); now <= end; now += 100 {
+		if silentAt(s, now) {
+			t.Fatalf("removed after %d ms", now-1000)
+		}
+	}
+	if !silentAt(s, end+1) {
+		t.Fatal("it is never removed")
+	}
+}
+
+// A process that stood still and is back does not make its hosts' silence their own fault.
+func TestAHostOutlivesAFreezeOfTheProcessThatKeptIt(t *testing.T) {
+	s := NewHostSessions()
+	s.HeardHolder(7, 1000)
+	s.Heard("h", 7, 1000)
+	for now := int64(2150); now <= 4000; now += 50 {
+		s.HeardHolder(7, now)
+		if silentAt(s, now) {
+			t.Fatalf("removed after %d ms, %d after the freeze", now-1000, now-2150)
+		}
+	}
+}
+
+func TestANewPrimaryGivesAllHostsTime(t *testing.T) {
+	s := NewHostSessions()
+	s.Begin([]string{"a", "b"}, 1000)
+	s.Heard("b", 7, 1100)
+	end := int64(1000 + HeartbeatsLost*beat + HostGrace)
+	for now := int64(1100); now <= end; now += 200 {
+		s.HeardHolder(7, now)
+		silent := s.Silent(beat, now)
+		if now > 1100+HeartbeatsLost*beat && len(silent) == 1 && silent[0] == "b" {
+			continue
+		}
+		if len(silent) != 0 {
+			t.Fatalf("%d ms after the takeover silent: %v", now-1000, silent)
+		}
+	}
+	if silent := s.Silent(beat, end+1); len(silent) != 2 {
+		t.Fatalf("a host that never came is kept for ever: silent are %v", silent)
+	}
+}
+
+func TestAStoreGetsMoreTimeUntilItIsHeard(t *testing.T) {
+	s := NewStoreSessions()
+	s.Begin(map[uint64]uint64{5: 1}, 1000)
+	if !s.IsAlive(5, 1, 1000+StoreFirstSilence) || s.IsAlive(5, 1, 1001+StoreFirstSilence) {
+		t.Fatal("not heard yet")
+	}
+	s.Heard(5, 1, false, 2000)
+	if !s.IsAlive(5, 1, 2000+StoreSilence) || s.IsAlive(5, 1, 2001+StoreSilence) || s.IsAlive(5, 2, 2000) {
+		t.Fatal("heard")
+	}
+}
+
+func TestABackupWaitsForTheLastProofOfThePrimary(t *testing.T) {
+	s := Situation{InSync: true, PrimaryProven: 1000, Rank: 1}
+	for _, step := range []struct {
+		now  int64
+		next Action
+	}{{1000 + SuspectAfter + SuspectStep, Wait}, {1001 + SuspectAfter + SuspectStep, ReplaceOther}} {
+		if s.Now = step.now; s.Next() != step.next {
+			t.Errorf("at %d: %d", step.now, s.Next())
+		}
+	}
+	s.RecordLearned = s.Now
+	if s.Next() != Wait {
+		t.Error("it replaces a primary of which it has just learned")
+	}
+}
+
+func TestAVoterKeepsAPrimaryThatAMajorityStandsBehind(t *testing.T) {
+	v := Voter{Now: 5000, KnownEpoch: 4, KnownPrimary: 1, PrimaryProven: 5001 - StickyFor}
+	for name, step := range map[string]struct {
+		ballot Ballot
+		want   bool
+	}{
+		"on silence":       {Ballot{Candidate: 2, Epoch: 4}, false},
+		"by itself":        {Ballot{Candidate: 1, Epoch: 4}, true},
+		"on request":       {Ballot{Candidate: 2, Epoch: 4, OnRequest: true}, true},
+		"of an old epoch":  {Ballot{Candidate: 2, Epoch: 3, OnRequest: true}, false},
+		"itself, too late": {Ballot{Candidate: 1, Epoch: 3}, false},
+	} {
+		if v.Supports(step.ballot) != step.want {
+			t.Errorf("%s: %v", name, !step.want)
+		}
+	}
+	if v.PrimaryProven--; !v.Supports(Ballot{Candidate: 2, Epoch: 4}) {
+		t.Error("it protects a primary without a majority")
+	}
+}
--- /dev/null
+++ b/tier/authority/hosts.go
@@ -0,0 +1,91 @@
+package authority
+
+import "sort"
+
+// HostSessions is who of the hosts was heard when, and by which control process. The primary keeps it. A new primary begins
+// anew and gives all hosts the time in which they, wherever they were acknowledged before, must reach it.
+type HostSessions struct {
+	hosts   map[string]hostSession
+	holders map[uint64]holder
+}
+
+type hostSession struct {
+	heardAt int64
+	holder  uint64 // the control process that heard it last, 0 if no one has told this primary
+}
+
+// holder is a control process that keeps sessions of hosts.
+type holder struct {
+	heardAt     int64
+	recoveredAt int64 // when it was heard again after a silence
+}
+
+// NewHostSessions makes an empty table.
+func NewHostSessions() *HostSessions {
+	return &HostSessions{hosts: map[string]hostSession{}, holders: map[uint64]holder{}}
+}
+
+// Begin starts the sessions of all hosts anew.
+func (s *HostSessions) Begin(hosts []string, now int64) {
+	s.hosts = make(map[string]hostSession, len(hosts))
+	for _, id := range hosts {
+		s.hosts[id] = hostSession{heardAt: now}
+	}
+}
+
+// Doubt starts all sessions anew, after this process stood still.
+func (s *HostSessions) Doubt(now int64) {
+	for id := range s.hosts {
+		s.hosts[id] = hostSession{heardAt: now}
+	}
+}
+
+// Heard keeps a host's session.
+func (s *HostSessions) Heard(id string, by uint64, now int64) {
+	s.hosts[id] = hostSession{heardAt: now, holder: by}
+}
+
+// HeardHolder notes that a control process is in contact.
+func (s *HostSessions) HeardHolder(id uint64, now int64) {
+	held, known := s.holders[id]
+	if known && now-held.heardAt > HolderSilence {
+		held.recoveredAt = now
+	}
+	held.heardAt = now
+	s.holders[id] = held
+}
+
+// Forget ends a host's session.
+func (s *HostSessions) Forget(id string) { delete(s.hosts, id) }
+
+// Silent lists the hosts whose sessions have ended, for heartbeats of the given length.
+func (s *HostSessions) Silent(heartbeat, now int64) []string {
+	var silent []string
+	for id, session := range s.hosts {
+		if now > s.endOf(session, heartbeat, now) {
+			silent = append(silent, id)
+		}
+	}
+	sort.Strings(silent)
+	return silent
+}
+
+// endOf is when a session ends unless the host is heard. The silence of a host may be the fault of the control process that
+// kept it, or of the one that led before; then there is time for the host to find another.
+func (s *HostSessions) endOf(session hostSession, heartbeat, now int64) int64 {
+	patience := HeartbeatsLost * heartbeat
+	if session.holder == 0 {
+		return session.heardAt + patience + HostGrace
+	}
+	held, known := s.holders[session.holder]
+	switch {
+	case !known:
+		return session.heardAt + patience
+	case now-held.heardAt > HolderSilence:
+		return max(session.heardAt, held.heardAt) + patience + HostGrace
+	case held.recoveredAt > session.heardAt:
+		return held.recoveredAt + patience + HostGrace
+	default:
+		return session.heardAt + patience
+	}
+}
--- /dev/null
+++ b/tier/authority/stores.go
@@ -0,0 +1,64 @@
+package authority
+
+// StoreSessions is who of the stores was heard when. The primary keeps it.
+type StoreSessions struct {
+	stores map[uint64]storeSession
+}
+
+type storeSession struct {
+	heardAt int64
+	boot    uint64
+	leaving bool
+	unheard bool // this primary has not heard the store yet
+}
+
+// NewStoreSessions makes an empty table.
+func NewStoreSessions() *StoreSessions {
+	return &StoreSessions{stores: map[uint64]storeSession{}}
+}
+
+// Begin starts the sessions of all stores anew; boots names the start of each.
+func (s *StoreSessions) Begin(boots map[uint64]uint64, now int64) {
+	s.stores = make(map[uint64]storeSession, len(boots))
+	for id, boot := range boots {
+		s.stores[id] = storeSession{heardAt: now, boot: boot, unheard: true}
+	}
+}
+
+// Stalled makes up for the time in which this process stood still.
+func (s *StoreSessions) Stalled(span int64) {
+	for id, session := range s.stores {
+		session.heardAt += span
+		s.stores[id] = session
+	}
+}
+
+// Heard keeps a store's session.
+func (s *StoreSessions) Heard(id, boot uint64, leaving bool, now int64) {
+	s.stores[id] = storeSession{heardAt: now, boot: boot, leaving: leaving}
+}
+
+// IsAlive tells whether a store's session of that start of its holds.
+func (s *StoreSessions) IsAlive(id, boot uint64, now int64) bool {
+	session, known := s.stores[id]
+	if !known || session.boot != boot {
+		return false
+	}
+	patience := int64(StoreSilence)
+	if session.unheard {
+		patience = StoreFirstSilence
+	}
+	return now-session.heardAt <= patience
+}
+
+// IsAway tells whether a store was silent for so long that what it holds is placed elsewhere.
+func (s *StoreSessions) IsAway(id uint64, now int64) bool {
+	session, known := s.stores[id]
+	return !known || now-session.heardAt > StoreAway
+}
+
+// IsLeaving tells whether a store said that it is about to end.
+func (s *StoreSessions) IsLeaving(id uint64) bool { return s.stores[id].leaving }
+
+// Silence is how long a store has been silent.
+func (s *StoreSessions) Silence(id uint64, now int64) int64 { return now - s.stores[id].heardAt }
