control: every answer rests on one standing; step-down, support asked before promises, sessions that outwait the successor

Cause: a replaced primary said yes to heartbeats it could tell nobody of, counted late reads as contact, and kept its backups from electing while it heard nobody; a candidate raised promises before it knew whether it could win; a host whose control process fell silent was removed after four heartbeats, which is less than the second that it waits for an answer. Change: answers go through Server.standing (tier/authority); probes are on for the control group; takeovers ask for support first (KindSupport); lists of hosts heard name their holder, and the primary answers which of them it has removed, which are then put back; a heartbeat that races a removal is committed behind it; subscriptions end within 50 ms of the lease; 503 at once without it. server.go is split by job: failover, founding, submit, beats, shards, standing, prevote. Ruled out: sending session tables to backups.

--- a/tier/authority/hosts.go
+++ b/tier/authority/hosts.go
@@ -5,8 +5,9 @@
 // HostSessions is who of the hosts was heard when, and by which control process. The primary keeps it. A new primary begins
 // anew and gives all hosts the time in which they, wherever they were acknowledged before, must reach it.
 type HostSessions struct {
-	hosts   map[string]hostSession
-	holders map[uint64]holder
+	hosts    map[string]hostSession
+	holders  map[uint64]holder
+	removing map[string]bool // hosts whose removal may be committed yet
 }
 
 type hostSession struct {
@@ -22,12 +23,13 @@
 
 // NewHostSessions makes an empty table.
 func NewHostSessions() *HostSessions {
-	return &HostSessions{hosts: map[string]hostSession{}, holders: map[uint64]holder{}}
+	return &HostSessions{hosts: map[string]hostSession{}, holders: map[uint64]holder{}, removing: map[string]bool{}}
 }
 
 // Begin starts the sessions of all hosts anew.
 func (s *HostSessions) Begin(hosts []string, now int64) {
 	s.hosts = make(map[string]hostSession, len(hosts))
+	clear(s.removing)
 	for _, id := range hosts {
 		s.hosts[id] = hostSession{heardAt: now}
 	}
@@ -40,11 +42,33 @@
 	}
 }
 
-// Heard keeps a host's session.
-func (s *HostSessions) Heard(id string, by uint64, now int64) {
+// Heard keeps a host's session. It tells whether a removal of the host may be under way: then the heartbeat is worth nothing
+// unless it is committed behind the removal.
+func (s *HostSessions) Heard(id string, by uint64, now int64) (removing bool) {
 	s.hosts[id] = hostSession{heardAt: now, holder: by}
+	return s.removing[id]
 }
 
+// Removing notes that a host is to be removed; its session ends.
+func (s *HostSessions) Removing(id string) {
+	delete(s.hosts, id)
+	s.removing[id] = true
+}
+
+// Removed notes what became of a removal. One that may still be committed leaves the host under suspicion.
+func (s *HostSessions) Removed(id string, committed bool, now int64) {
+	if committed {
+		delete(s.removing, id)
+		return
+	}
+	if _, heard := s.hosts[id]; !heard {
+		s.hosts[id] = hostSession{heardAt: now}
+	}
+}
+
+// Kept notes that a host was put on the list behind any removal.
+func (s *HostSessions) Kept(id string) { delete(s.removing, id) }
+
 // HeardHolder notes that a control process is in contact.
 func (s *HostSessions) HeardHolder(id uint64, now int64) {
 	held, known := s.holders[id]
--- a/tier/control/api.go
+++ b/tier/control/api.go
@@ -16,6 +16,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/directory"
+	"otterseam/tier/groups"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/rpc"
 )
@@ -117,6 +118,15 @@
 	return true
 }
 
+// mayPassOn tells whether this process can expect an answer of the primary in force, and else says at once that it can't.
+func (s *Server) mayPassOn(w http.ResponseWriter) bool {
+	err := s.standing().MayPassOn(groups.Now())
+	if err != nil {
+		writeProblem(w, codes.Unavailable, "this process has no contact with the primary in force; call another")
+	}
+	return err == nil
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err == nil {
@@ -146,6 +156,9 @@
 		writeProblem(w, codes.ConfigInvalid, err.Error())
 		return
 	}
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
 	command := Command{Kind: CommandReplaceConfig, Base: base, Version: config.Version, Body: body}
@@ -156,6 +169,9 @@
 }
 
 func (s *Server) readConfig(w http.ResponseWriter, r *http.Request) {
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
 	result, err := s.submit(ctx, Command{Kind: CommandReadConfig})
@@ -181,13 +197,16 @@
 		ID: chi.URLParam(r, "id"), Service: beat.Service, Address: beat.Address, Zone: beat.Zone, Version: beat.Version,
 		Slots: beat.Slots, Draining: beat.State == opconfig.StateDraining, Stage: beat.Stage, Models: string(beat.Models),
 	}
-	if s.keepsHost(host) {
+	message := controlclient.HostBeat{Host: host, Seq: beat.SeqNo}
+	if s.keepsHost(message) {
 		s.writeBeatAnswer(w)
 		return
 	}
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
-	message := controlclient.HostBeat{Host: host, Seq: beat.SeqNo}
 	result, err := s.onPrimary(ctx, controlclient.KindHostBeat, message.Encode(), func() (Result, error) {
 		return s.hostBeat(ctx, message)
 	})
@@ -200,7 +219,7 @@
 // spread over the control processes and none has to pass their heartbeats on.
 func (s *Server) writeBeatAnswer(w http.ResponseWriter) {
 	body := s.beatElsewhere
-	if s.fresh() {
+	if s.mayServe() {
 		body = s.beatHere
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -225,6 +244,9 @@
 
 func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
 	result, err := s.onPrimary(ctx, controlclient.KindHostGone, []byte(id), func() (Result, error) { return s.hostGone(ctx, id, true) })
@@ -245,6 +267,9 @@
 		writeProblem(w, codes.Malformed, "the body is no JSON object with deadline_s")
 		return
 	}
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
 	needed := uint32(s.settings.TolerateMachine + 1)
@@ -256,6 +281,9 @@
 
 func (s *Server) readRetire(w http.ResponseWriter, r *http.Request) {
 	node := chi.URLParam(r, "node")
+	if !s.mayPassOn(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
 	defer cancel()
 	result, err := s.onPrimary(ctx, controlclient.KindRetireRead, []byte(node), func() (Result, error) {
--- /dev/null
+++ b/tier/control/beats.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"otterseam/tier/codec"
+	"otterseam/tier/controlclient"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+	"otterseam/tier/groups"
+	"otterseam/tier/periodic"
+	"otterseam/tier/register"
+)
+
+// controlBeatEvery is how often a control process keeps its session with the primary.
+const controlBeatEvery = 200 * time.Millisecond
+
+// beat keeps this process's session with the primary.
+func (s *Server) beat(ctx context.Context) {
+	periodic.Run(ctx, controlBeatEvery, func() {
+		if s.host.IsPrimary(controlGroup) {
+			s.sessions.HeardControl(s.self)
+		} else if s.elector.Known().Known() {
+			s.beatPrimary(ctx)
+		}
+	})
+}
+
+// beatPrimary tells the primary that this process is there. The answer says how old the primary's contact with a majority is; it
+// counts from before the question was sent.
+func (s *Server) beatPrimary(ctx context.Context) {
+	var e codec.Encoder
+	e.Uint64(s.self.ID)
+	e.String(s.self.Address)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := groups.Now()
+	answer, err := s.primary.Call(call, controlclient.KindControlBeat, e.Bytes)
+	if err != nil {
+		return
+	}
+	d := codec.NewDecoder(answer)
+	record := register.DecodeRecord(d)
+	age := d.Int64()
+	if d.Err() == nil {
+		s.elector.Learn(record)
+		s.noteReached(asked - age)
+	}
+}
+
+// controlBeat keeps a control process's session.
+func (s *Server) controlBeat(payload []byte) (Result, error) {
+	d := codec.NewDecoder(payload)
+	member := register.Member{ID: d.Uint64(), Address: d.String()}
+	if d.Err() != nil {
+		return Result{}, d.Err()
+	}
+	s.sessions.HeardControl(member)
+	s.noteIdentity(member.Address, member.ID)
+	var e codec.Encoder
+	register.EncodeRecord(&e, s.elector.Known())
+	e.Int64(s.standing().Age(groups.Now()))
+	return Result{Body: e.Bytes}, nil
+}
+
+// storeBeat keeps a store's session, and registers a store that is new or was started again.
+func (s *Server) storeBeat(ctx context.Context, payload []byte) (Result, error) {
+	beat, err := controlclient.DecodeStoreBeat(payload)
+	if err != nil {
+		return Result{}, err
+	}
+	s.sessions.HeardStore(beat)
+	held, known := s.state.View.Get(feed.SectionStore, directory.StoreKey(beat.Store.Identity))
+	if known && bytes.Equal(held, beat.Store.Encode()) {
+		return Result{}, s.standing().MayDecide(groups.Now())
+	}
+	return s.submitHere(ctx, Command{Kind: CommandPutStore, Store: beat.Store}.Encode())
+}
+
+// hostBeat keeps a host's session; only what changed is replicated.
+func (s *Server) hostBeat(ctx context.Context, beat controlclient.HostBeat) (Result, error) {
+	removing := s.sessions.HeardHost(beat.Host.ID, s.self.ID)
+	held, known := s.state.Host(beat.Host.ID)
+	if known && held == beat.Host && !removing {
+		return Result{}, s.standing().MayDecide(groups.Now())
+	}
+	result, err := s.submitHere(ctx, Command{Kind: CommandPutHost, Host: beat.Host, Seq: beat.Seq}.Encode())
+	if err == nil {
+		s.sessions.KeptHost(beat.Host.ID)
+	}
+	return result, err
+}
+
+// hostGone removes a host. One that deregistered never comes back, whatever heartbeats of its arrive late.
+func (s *Server) hostGone(ctx context.Context, id string, deregistered bool) (Result, error) {
+	if _, known := s.state.Host(id); !known && !deregistered {
+		s.sessions.ForgetHost(id)
+		return Result{}, nil
+	}
+	s.sessions.RemovingHost(id)
+	result, err := s.submitHere(ctx, Command{Kind: CommandRemoveHost, Key: id, Final: deregistered}.Encode())
+	s.sessions.RemovedHost(id, err == nil)
+	return result, err
+}
--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -21,12 +21,9 @@
 const controlGroup uint32 = 0
 
 const (
-	witnessValue    = "witness"
-	callTimeout     = 350 * time.Millisecond
-	proposeTimeout  = 1200 * time.Millisecond
-	suspectAfter    = 500 // milliseconds without the primary
-	stickyFor       = 350 // a witness that heard the primary so lately helps nobody to replace it
-	suspectRankStep = 120 // milliseconds that each further candidate waits
+	witnessValue   = "witness"
+	callTimeout    = 350 * time.Millisecond
+	proposeTimeout = 1200 * time.Millisecond
 )
 
 // prepareMode tells a witness why it is asked.
@@ -48,6 +45,7 @@
 	mu      sync.Mutex
 	witness register.Witness
 	known   register.Record // the newest record seen, accepted here or told
+	learned int64           // when it was seen first
 	round   uint64
 	led     bool // whether this process has become primary in its present life
 }
@@ -86,21 +84,21 @@
 	e.mu.Lock()
 	if record.Epoch > e.known.Epoch {
 		e.known = record
+		e.learned = groups.Now()
 	}
 	known := e.known
 	e.mu.Unlock()
+	e.host.With(controlGroup, func(g *replica.Group) { g.Voted(record.Epoch, record.Primary) })
 	for _, member := range known.Voters() {
 		e.host.SetAddress(member.ID, member.Address)
 	}
 }
 
-// primaryHeardLately tells whether this process has a primary, itself or one heard.
-func (e *Elector) primaryHeardLately(span int64) bool {
-	heard := false
-	e.host.With(controlGroup, func(g *replica.Group) {
-		heard = groups.Now()-g.PrimaryHeard() < span && !g.IsPrimary()
-	})
-	return heard
+// KnownSince is the newest record seen, and when it was seen first.
+func (e *Elector) KnownSince() (record register.Record, since int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known, e.learned
 }
 
 // handlePrepare answers a prepare for this process's witness.
@@ -117,7 +115,7 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
-	if mode == prepareOnSilence && e.primaryHeardLately(stickyFor) {
+	if mode == prepareOnSilence && e.protectsPrimary() {
 		message.Answer(codes.PrimaryAlive, nil)
 		return
 	}
--- /dev/null
+++ b/tier/control/failover.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"otterseam/tier/authority"
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/controlclient"
+	"otterseam/tier/groups"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+)
+
+// locate asks all control processes known who they are and what they know.
+func (s *Server) locate(ctx context.Context) {
+	s.locatedAt = groups.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, address := range s.otherAddresses() {
+		if address == s.self.Address {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answer, err := s.clients.To(address).Call(call, controlclient.KindLocate, nil)
+			if err != nil {
+				return
+			}
+			d := codec.NewDecoder(answer)
+			identity := d.Uint64()
+			record := register.DecodeRecord(d)
+			if d.Err() == nil {
+				s.noteIdentity(address, identity)
+				s.elector.Learn(record)
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *Server) noteIdentity(address string, identity uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.located[address] = located{identity, groups.Now()}
+}
+
+// gone tells whether a member's disk is provably lost: its address answers with another identity.
+func (s *Server) gone(id uint64) bool {
+	member, known := s.elector.Known().Member(id)
+	if !known || id == s.self.ID {
+		return false
+	}
+	if member.Address == s.self.Address {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, asked := s.located[member.Address]
+	return asked && found.identity != id
+}
+
+func (s *Server) answerLocate(message rpc.Message) {
+	var e codec.Encoder
+	e.Uint64(s.self.ID)
+	register.EncodeRecord(&e, s.elector.Known())
+	message.Answer(codes.OK, e.Bytes)
+}
+
+// floor is how many members stay in the in-sync set of control although they are silent.
+func (s *Server) floor(members int) int {
+	return max(1, min(2*s.settings.TolerateMachine+1, members)-s.settings.TolerateMachine)
+}
+
+// situation is what this process knows of its primary.
+func (s *Server) situation() authority.Situation {
+	known, learned := s.elector.KnownSince()
+	situation := authority.Situation{
+		Now:           groups.Now(),
+		StartedAt:     s.startedAt,
+		RecordLearned: learned,
+		InSync:        known.IsInSync(s.self.ID),
+		NamedPrimary:  known.Primary == s.self.ID,
+		HasLed:        s.elector.hasLed(),
+		Rank:          rank(known, s.self.ID),
+		Jitter:        rand.Int64N(authority.SuspectStep),
+	}
+	s.host.With(controlGroup, func(g *replica.Group) {
+		situation.PrimaryProven = g.PrimaryProven()
+		situation.Leads = g.IsPrimary()
+	})
+	return situation
+}
+
+// watchPrimary takes over when the primary has been silent, or without a majority, for too long.
+func (s *Server) watchPrimary(ctx context.Context) {
+	epoch := s.elector.Known().Epoch
+	switch s.situation().Next() {
+	case authority.Locate:
+		if groups.Now()-s.locatedAt > locateEvery {
+			s.locate(ctx)
+		}
+	case authority.ReplaceItself:
+		s.takeOver(ctx, prepareBySelf, epoch)
+	case authority.ReplaceOther:
+		s.takeOver(ctx, prepareOnSilence, epoch)
+	}
+}
+
+// rank is a replica's place among those that may follow the primary.
+func rank(record register.Record, id uint64) int {
+	place := 0
+	for _, each := range record.InSync {
+		if each == id {
+			return place
+		}
+		if each != record.Primary {
+			place++
+		}
+	}
+	return place
+}
+
+// takeOver asks the others first whether they would follow, and only then for their promises, so that a process that could not
+// win disturbs nobody. Meanwhile it finds out whose disks are lost.
+func (s *Server) takeOver(ctx context.Context, mode prepareMode, epoch uint64) {
+	located := make(chan struct{})
+	go func() {
+		defer close(located)
+		if mode != prepareOnTransfer {
+			s.locate(ctx)
+		}
+	}()
+	supported := s.elector.askSupport(ctx, mode, epoch)
+	<-located
+	if !supported || s.elector.Known().Epoch != epoch {
+		return
+	}
+	if err := s.elector.TakeOver(ctx, mode, epoch, s.gone, s.floor); err != nil {
+		s.log.WithField("epoch", epoch).WithError(err).Info("takeover did not succeed")
+	}
+}
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
@@ -21,6 +22,9 @@
 // lead does the primary's periodic work.
 func (s *Server) lead(ctx context.Context) {
 	s.beginSessions()
+	if s.standing().MayDecide(groups.Now()) != nil {
+		return
+	}
 	s.publishMembers(ctx)
 	s.removeSilentHosts(ctx)
 	s.removeLostStores(ctx)
@@ -31,25 +35,25 @@
 // which may wait for a replica that has to be dropped first.
 func (s *Server) adjustReplicas(ctx context.Context) {
 	periodic.Run(ctx, superviseEvery, func() {
-		leads := false
-		s.host.With(controlGroup, func(g *replica.Group) { leads = g.IsPrimary() })
-		if leads {
+		if standing := s.standing(); standing.Role == authority.Primary && standing.HasLease(groups.Now()) {
 			s.adjustInSync(ctx)
 			s.adjustMembers(ctx)
 		}
 	})
 }
 
+// beginSessions starts sessions anew when this process has begun to lead.
 func (s *Server) beginSessions() {
-	epoch := s.elector.Known().Epoch
+	opened := uint64(0)
+	s.host.With(controlGroup, func(g *replica.Group) { opened = g.OpenedAt() })
 	s.mu.Lock()
-	fresh := s.leading == 0
-	s.leading = epoch
-	if fresh {
+	began := s.leading != opened
+	s.leading = opened
+	if began {
 		s.ledSince = groups.Now()
 	}
 	s.mu.Unlock()
-	if fresh {
+	if began {
 		s.sessions.Begin(s.state)
 	}
 }
@@ -203,12 +207,6 @@
 	}
 }
 
-func (s *Sessions) storeSilentFor(id uint64) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return groups.Now() - s.stores[id].heardAt
-}
-
 func (s *Server) cluster() placement.Cluster {
 	retiring := func(node string) bool {
 		_, found := s.state.View.Get(feed.SectionRetire, node)
--- /dev/null
+++ b/tier/control/prevote.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+
+	"otterseam/tier/authority"
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/controlclient"
+	"otterseam/tier/groups"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+)
+
+// voter is what this process knows when it is asked to help to replace a primary.
+func (e *Elector) voter() authority.Voter {
+	known := e.Known()
+	voter := authority.Voter{Now: groups.Now(), KnownEpoch: known.Epoch, KnownPrimary: known.Primary}
+	e.host.With(controlGroup, func(g *replica.Group) {
+		if view := g.View(); view.Epoch > known.Epoch {
+			voter.KnownEpoch, voter.KnownPrimary = view.Epoch, view.Primary
+		}
+		voter.PrimaryProven = g.PrimaryProven()
+		standing := authority.Standing{Role: authority.Primary, Ready: g.IsReady(), ConfirmedSince: g.ConfirmedSince(voter.Now)}
+		voter.Leads = g.IsPrimary() && standing.HasLease(voter.Now)
+	})
+	return voter
+}
+
+// supports tells whether this process would help a candidate.
+func (e *Elector) supports(candidate, epoch uint64, mode prepareMode) bool {
+	return e.voter().Supports(authority.Ballot{Candidate: candidate, Epoch: epoch, OnRequest: mode == prepareOnTransfer})
+}
+
+// protectsPrimary tells whether a majority stood behind a primary so lately that this process helps nobody to replace it.
+func (e *Elector) protectsPrimary() bool {
+	voter := e.voter()
+	return !voter.Supports(authority.Ballot{Epoch: voter.KnownEpoch})
+}
+
+// handleSupport answers a candidate that asks whether it would be followed. Nothing is promised.
+func (e *Elector) handleSupport(message rpc.Message) {
+	d := codec.NewDecoder(message.Payload)
+	to := d.Uint64()
+	candidate := d.Uint64()
+	epoch := d.Uint64()
+	mode := prepareMode(d.Uint8())
+	if d.Err() != nil {
+		message.Answer(codes.Malformed, nil)
+		return
+	}
+	if to != e.host.Identity {
+		message.Answer(codes.WrongIdentity, nil)
+		return
+	}
+	var answer codec.Encoder
+	answer.Bool(e.supports(candidate, epoch, mode))
+	register.EncodeRecord(&answer, e.Known())
+	message.Answer(codes.OK, answer.Bytes)
+}
+
+// askSupport asks all voters whether they would help this process to replace the primary of an epoch. It returns once enough
+// would, or all have answered.
+func (e *Elector) askSupport(ctx context.Context, mode prepareMode, epoch uint64) bool {
+	known := e.Known()
+	voters := known.Voters()
+	answers := make(chan uint64, len(voters)) // who would help; 0 for one who would not
+	for _, voter := range voters {
+		go func() {
+			if e.askVoter(ctx, voter, mode, epoch) {
+				answers <- voter.ID
+			} else {
+				answers <- 0
+			}
+		}()
+	}
+	supporters := map[uint64]bool{}
+	for range voters {
+		if id := <-answers; id != 0 {
+			supporters[id] = true
+		}
+		if register.Quorum(known, supporters) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Elector) askVoter(ctx context.Context, voter register.Member, mode prepareMode, epoch uint64) bool {
+	if voter.ID == e.host.Identity {
+		return e.supports(voter.ID, epoch, mode)
+	}
+	var question codec.Encoder
+	question.Uint64(voter.ID)
+	question.Uint64(e.host.Identity)
+	question.Uint64(epoch)
+	question.Uint8(uint8(mode))
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := e.clients.To(voter.Address).Call(call, controlclient.KindSupport, question.Bytes)
+	if err != nil {
+		return false
+	}
+	d := codec.NewDecoder(answer)
+	supported := d.Bool()
+	record := register.DecodeRecord(d)
+	if d.Err() != nil {
+		return false
+	}
+	e.Learn(record)
+	return supported
+}
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -11,10 +10,9 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
-	"otterseam/tier/codec"
+	"otterseam/tier/authority"
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
-	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
@@ -27,7 +25,6 @@
 const (
 	superviseEvery = 50 * time.Millisecond
 	submitTimeout  = 850 * time.Millisecond
-	freshFor       = 800 // milliseconds
 	locateEvery    = 200 // milliseconds
 )
 
@@ -56,9 +53,11 @@
 
 	mu       sync.Mutex
 	located  map[string]located // by address
-	heard    map[string]bool    // hosts heard since the primary was told
-	leading  uint64             // the epoch for which sessions were begun
+	heard    heardHosts         // hosts heard since the primary was told
+	leading  uint64             // the entry that opened the lead for which sessions were begun
 	ledSince int64
+
+	reachedSince int64 // start of the newest question that the primary answered
 }
 
 // located is what a control process answered when it was asked who it is.
@@ -85,21 +84,22 @@
 		host:      host,
 		state:     NewState(),
 		clients:   clients,
-		sessions:  newSessions(),
+		sessions:  newSessions(host.Identity),
 		self:      register.Member{ID: host.Identity, Address: s.ControlAddress()},
 		startedAt: groups.Now(),
 		located:   map[string]located{},
-		heard:     map[string]bool{},
+		heard:     heardHosts{},
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
 		beatElsewhere: []byte(`{}`),
 	}
-	server.publisher = &feed.Publisher{View: server.state.View, Fresh: server.fresh}
+	server.publisher = &feed.Publisher{View: server.state.View, Fresh: server.mayServe}
 	server.primary = controlclient.New(clients, server.otherAddresses)
 	if server.elector, err = newElector(host, clients, server.self.Address, log); err != nil {
 		return nil, err
 	}
-	if err := host.OpenGroup(controlGroup, server.state, replica.Options{EagerCommit: true}); err != nil {
+	options := replica.Options{EagerCommit: true, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
+	if err := host.OpenGroup(controlGroup, server.state, options); err != nil {
 		return nil, err
 	}
 	server.elector.Learn(register.Record{})
@@ -140,6 +140,7 @@
 	go s.host.Run(ctx)
 	go s.beat(ctx)
 	go s.reportHeard(ctx)
+	go s.watchStanding(ctx)
 	go s.adjustReplicas(ctx)
 	return s.serveHTTP(ctx)
 }
@@ -162,235 +163,6 @@
 	})
 }
 
-// fresh tells whether the state served to subscribers may be relied upon.
-func (s *Server) fresh() bool {
-	fresh := false
-	s.host.With(controlGroup, func(g *replica.Group) {
-		now := groups.Now()
-		if g.IsPrimary() {
-			fresh = g.IsReady() && g.HeardWithin(now, freshFor) > len(g.View().Replicas)/2
-			return
-		}
-		fresh = g.View().Primary != 0 && now-g.PrimaryHeard() < freshFor
-	})
-	return fresh
-}
-
-// locate asks all control processes known who they are and what they know.
-func (s *Server) locate(ctx context.Context) {
-	s.locatedAt = groups.Now()
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for _, address := range s.otherAddresses() {
-		if address == s.self.Address {
-			continue
-		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			answer, err := s.clients.To(address).Call(call, controlclient.KindLocate, nil)
-			if err != nil {
-				return
-			}
-			d := codec.NewDecoder(answer)
-			identity := d.Uint64()
-			record := register.DecodeRecord(d)
-			if d.Err() == nil {
-				s.noteIdentity(address, identity)
-				s.elector.Learn(record)
-			}
-		}()
-	}
-	wait.Wait()
-}
-
-func (s *Server) noteIdentity(address string, identity uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.located[address] = located{identity, groups.Now()}
-}
-
-// gone tells whether a member's disk is provably lost: its address answers with another identity.
-func (s *Server) gone(id uint64) bool {
-	member, known := s.elector.Known().Member(id)
-	if !known || id == s.self.ID {
-		return false
-	}
-	if member.Address == s.self.Address {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found, asked := s.located[member.Address]
-	return asked && found.identity != id
-}
-
-const foundAfter = 700 // milliseconds that a founder waits for all seeds
-
-// findOrFound looks for an installation, or founds it where the settings say that there is none.
-func (s *Server) findOrFound(ctx context.Context) {
-	s.locate(ctx)
-	seeds := s.settings.SeedAddresses()
-	if s.elector.Known().Known() || !s.settings.Bootstrap || !containsText(seeds, s.self.Address) {
-		return
-	}
-	members := []register.Member{s.self}
-	for _, seed := range seeds {
-		s.mu.Lock()
-		found, answered := s.located[seed]
-		s.mu.Unlock()
-		if answered && seed != s.self.Address {
-			members = append(members, register.Member{ID: found.identity, Address: seed})
-		}
-	}
-	complete := len(members) == len(seeds)
-	waited := groups.Now()-s.startedAt > foundAfter
-	first := s.self.Address == firstOf(seeds)
-	if len(members) <= len(seeds)/2 || (!complete && !waited) || (!first && !waited) {
-		return
-	}
-	if err := s.elector.Found(ctx, members); err != nil {
-		s.log.WithError(err).Warn("founding did not succeed; trying again")
-	}
-}
-
-func firstOf(addresses []string) string {
-	first := ""
-	for _, address := range addresses {
-		if first == "" || address < first {
-			first = address
-		}
-	}
-	return first
-}
-
-// floor is how many members stay in the in-sync set of control although they are silent.
-func (s *Server) floor(members int) int {
-	return max(1, min(2*s.settings.TolerateMachine+1, members)-s.settings.TolerateMachine)
-}
-
-// watchPrimary takes over when the primary has been silent for too long.
-func (s *Server) watchPrimary(ctx context.Context) {
-	known := s.elector.Known()
-	if !known.IsInSync(s.self.ID) {
-		if groups.Now()-s.locatedAt > locateEvery {
-			s.locate(ctx)
-		}
-		return
-	}
-	heard := int64(0)
-	leads := false
-	s.host.With(controlGroup, func(g *replica.Group) {
-		heard = g.PrimaryHeard()
-		leads = g.IsPrimary()
-	})
-	if leads {
-		return // it waits for a replica, which will answer, be dropped, or tell that the epoch has passed
-	}
-	heard = max(heard, s.startedAt)
-	silence := groups.Now() - heard
-	if known.Primary == s.self.ID {
-		if s.elector.hasLed() && silence < suspectAfter {
-			return
-		}
-		s.takeOver(ctx, prepareBySelf, known.Epoch)
-		return
-	}
-	wait := int64(suspectAfter + rank(known, s.self.ID)*suspectRankStep + rand.IntN(suspectRankStep))
-	if silence > wait {
-		s.takeOver(ctx, prepareOnSilence, known.Epoch)
-	}
-}
-
-// rank is a replica's place among those that may follow the primary.
-func rank(record register.Record, id uint64) int {
-	place := 0
-	for _, each := range record.InSync {
-		if each == id {
-			return place
-		}
-		if each != record.Primary {
-			place++
-		}
-	}
-	return place
-}
-
-func (s *Server) takeOver(ctx context.Context, mode prepareMode, epoch uint64) {
-	if mode != prepareOnTransfer {
-		s.locate(ctx)
-	}
-	if s.elector.Known().Epoch != epoch {
-		return
-	}
-	if err := s.elector.TakeOver(ctx, mode, epoch, s.gone, s.floor); err != nil {
-		s.log.WithField("epoch", epoch).WithError(err).Info("takeover did not succeed")
-	}
-}
-
-// beat keeps this process's session with the primary.
-func (s *Server) beat(ctx context.Context) {
-	const every = 200 * time.Millisecond
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.String(s.self.Address)
-	for ctx.Err() == nil {
-		if s.host.IsPrimary(controlGroup) {
-			s.sessions.HeardControl(s.self)
-		} else if s.elector.Known().Known() {
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			answer, err := s.primary.Call(call, controlclient.KindControlBeat, e.Bytes)
-			cancel()
-			if err == nil {
-				s.elector.Learn(register.DecodeRecord(codec.NewDecoder(answer)))
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(every):
-		}
-	}
-}
-
-// submit has a command carried out by the primary, wherever it is.
-func (s *Server) submit(ctx context.Context, command Command) (Result, error) {
-	encoded := command.Encode()
-	result, err := s.submitHere(ctx, encoded)
-	if err != codes.NotPrimary {
-		return result, err
-	}
-	answer, err := s.primary.Call(ctx, controlclient.KindSubmit, encoded)
-	code, isCode := err.(codes.Code)
-	if err != nil && (!isCode || code == codes.Timeout) {
-		return Result{}, codes.Timeout
-	}
-	return Result{Code: code, Body: answer}, nil
-}
-
-func (s *Server) submitHere(ctx context.Context, encoded []byte) (Result, error) {
-	call, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	got, err := s.host.Submit(call, controlGroup, encoded)
-	if err != nil {
-		return Result{}, err
-	}
-	return got.(Result), nil
-}
-
-// primaryAddress is where the primary is believed to be, as a hint for callers.
-func (s *Server) primaryAddress() string {
-	primary := uint64(0)
-	s.host.With(controlGroup, func(g *replica.Group) { primary = g.View().Primary })
-	if primary == s.self.ID && !s.host.IsPrimary(controlGroup) {
-		return ""
-	}
-	if member, known := s.elector.Known().Member(primary); known {
-		return member.Address
-	}
-	return ""
-}
-
 // handle takes messages of other processes.
 func (s *Server) handle(message rpc.Message) {
 	switch message.Kind {
@@ -400,6 +172,8 @@
 		s.publisher.Handle(message)
 	case controlclient.KindLocate:
 		s.answerLocate(message)
+	case controlclient.KindSupport:
+		go s.elector.handleSupport(message)
 	case controlclient.KindPrepare:
 		go s.elector.handlePrepare(message)
 	case controlclient.KindAccept:
@@ -412,17 +186,10 @@
 	}
 }
 
-func (s *Server) answerLocate(message rpc.Message) {
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	register.EncodeRecord(&e, s.elector.Known())
-	message.Answer(codes.OK, e.Bytes)
-}
-
 // handleAsPrimary takes what only the primary may decide.
 func (s *Server) handleAsPrimary(message rpc.Message) {
-	if !s.host.IsPrimary(controlGroup) {
-		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
+	if err := s.standing().MayDecide(groups.Now()); err != nil {
+		message.Answer(err.(codes.Code), []byte(s.primaryAddress()))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
@@ -465,76 +232,3 @@
 		return Result{}, codes.Malformed
 	}
 }
-
-func (s *Server) controlBeat(payload []byte) (Result, error) {
-	d := codec.NewDecoder(payload)
-	member := register.Member{ID: d.Uint64(), Address: d.String()}
-	if d.Err() != nil {
-		return Result{}, d.Err()
-	}
-	s.sessions.HeardControl(member)
-	s.noteIdentity(member.Address, member.ID)
-	var e codec.Encoder
-	register.EncodeRecord(&e, s.elector.Known())
-	return Result{Body: e.Bytes}, nil
-}
-
-// storeBeat keeps a store's session, and registers a store that is new or was started again.
-func (s *Server) storeBeat(ctx context.Context, payload []byte) (Result, error) {
-	beat, err := controlclient.DecodeStoreBeat(payload)
-	if err != nil {
-		return Result{}, err
-	}
-	s.sessions.HeardStore(beat)
-	held, known := s.state.View.Get(feed.SectionStore, directory.StoreKey(beat.Store.Identity))
-	if known && bytes.Equal(held, beat.Store.Encode()) {
-		return Result{}, nil
-	}
-	return s.submitHere(ctx, Command{Kind: CommandPutStore, Store: beat.Store}.Encode())
-}
-
-// hostBeat keeps a host's session; only what changed is replicated.
-func (s *Server) hostBeat(ctx context.Context, beat controlclient.HostBeat) (Result, error) {
-	s.sessions.HeardHost(beat.Host.ID)
-	held, known := s.state.Host(beat.Host.ID)
-	if known && held == beat.Host {
-		return Result{}, nil
-	}
-	return s.submitHere(ctx, Command{Kind: CommandPutHost, Host: beat.Host, Seq: beat.Seq}.Encode())
-}
-
-// hostGone removes a host. One that deregistered never comes back, whatever heartbeats of its arrive late.
-func (s *Server) hostGone(ctx context.Context, id string, deregistered bool) (Result, error) {
-	s.sessions.ForgetHost(id)
-	if _, known := s.state.Host(id); !known && !deregistered {
-		return Result{}, nil
-	}
-	return s.submitHere(ctx, Command{Kind: CommandRemoveHost, Key: id, Final: deregistered}.Encode())
-}
-
-// shardChange takes a replica into a shard's in-sync set, or out of it, for the shard's primary.
-func (s *Server) shardChange(ctx context.Context, payload []byte) (Result, error) {
-	change, err := controlclient.DecodeShardChange(payload)
-	if err != nil {
-		return Result{}, err
-	}
-	shard, known := directory.Shards(s.state.View)[change.Shard]
-	if !known || shard.View.Epoch != change.Epoch {
-		return Result{Code: codes.HostStale}, nil
-	}
-	cluster := s.cluster()
-	next := shard
-	next.View.Epoch++
-	if change.Admit {
-		if !register.Contains(shard.View.Replicas, change.Replica) || !cluster.Machines[change.Replica].Alive {
-			return Result{Code: codes.Unavailable}, nil
-		}
-		next.View.InSync = append(register.Without(shard.View.InSync, change.Replica), change.Replica)
-	} else {
-		if !cluster.MayDrop(shard.View, change.Replica) {
-			return Result{Code: codes.Unavailable}, nil
-		}
-		next.View.InSync = register.Without(shard.View.InSync, change.Replica)
-	}
-	return s.submitHere(ctx, Command{Kind: CommandPutShard, Epoch: change.Epoch, Shard: next}.Encode())
-}
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/directory"
 	"otterseam/tier/groups"
@@ -10,20 +11,6 @@
 	"otterseam/tier/register"
 )
 
-const (
-	storeSilence   = 650  // milliseconds after which a store's session ends
-	storeAway      = 4000 // milliseconds after which its shards are placed elsewhere
-	controlSilence = 2500 // milliseconds after which a control process may be replaced as a member
-	hostBeatsLost  = 4    // heartbeats missed by a host that is then taken off the list
-	ownStall       = 300  // milliseconds without a tick of its own, after which a process doubts its own clock of others
-)
-
-type storeSession struct {
-	heardAt int64
-	boot    uint64
-	leaving bool
-}
-
 type controlSession struct {
 	heardAt int64
 	member  register.Member
@@ -31,30 +18,38 @@
 
 // Sessions is who was heard when. It is kept by the primary alone; a new primary gives all the benefit of the doubt.
 type Sessions struct {
+	self     uint64
 	mu       sync.Mutex
-	stores   map[uint64]storeSession
+	stores   *authority.StoreSessions
+	hosts    *authority.HostSessions
 	controls map[uint64]controlSession
-	hosts    map[string]int64
 	tickedAt int64
 }
 
-func newSessions() *Sessions {
-	return &Sessions{stores: map[uint64]storeSession{}, controls: map[uint64]controlSession{}, hosts: map[string]int64{}}
+func newSessions(self uint64) *Sessions {
+	return &Sessions{
+		self:     self,
+		stores:   authority.NewStoreSessions(),
+		hosts:    authority.NewHostSessions(),
+		controls: map[uint64]controlSession{},
+	}
 }
 
 // Begin starts sessions anew for all that the state knows.
 func (s *Sessions) Begin(state *State) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := groups.Now()
-	s.stores = map[uint64]storeSession{}
-	s.hosts = map[string]int64{}
+	boots := map[uint64]uint64{}
 	for id, store := range directory.Stores(state.View) {
-		s.stores[id] = storeSession{heardAt: now, boot: store.Boot}
+		boots[id] = store.Boot
 	}
+	var hosts []string
 	for id := range state.Hosts() {
-		s.hosts[id] = now
+		hosts = append(hosts, id)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := groups.Now()
+	s.stores.Begin(boots, now)
+	s.hosts.Begin(hosts, now)
 	s.tickedAt = now
 }
 
@@ -63,19 +58,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
-	if stalled := now - s.tickedAt; s.tickedAt > 0 && stalled > ownStall {
-		for id, session := range s.stores {
-			session.heardAt += stalled
-			s.stores[id] = session
-		}
-		for id := range s.hosts {
-			s.hosts[id] += stalled
-		}
+	if stalled := now - s.tickedAt; s.tickedAt > 0 && stalled > authority.OwnStall {
+		s.stores.Stalled(stalled)
+		s.hosts.Doubt(now)
 		for id, session := range s.controls {
 			session.heardAt += stalled
 			s.controls[id] = session
 		}
 	}
+	s.hosts.HeardHolder(s.self, now)
 	s.tickedAt = now
 }
 
@@ -83,14 +74,16 @@
 func (s *Sessions) HeardStore(beat controlclient.StoreBeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stores[beat.Store.Identity] = storeSession{heardAt: groups.Now(), boot: beat.Store.Boot, leaving: beat.Leaving}
+	s.stores.Heard(beat.Store.Identity, beat.Store.Boot, beat.Leaving, groups.Now())
 }
 
 // HeardControl keeps a control process's session.
 func (s *Sessions) HeardControl(member register.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.controls[member.ID] = controlSession{heardAt: groups.Now(), member: member}
+	now := groups.Now()
+	s.hosts.HeardHolder(member.ID, now)
+	s.controls[member.ID] = controlSession{heardAt: now, member: member}
 	for id, session := range s.controls {
 		if id != member.ID && session.member.Address == member.Address {
 			delete(s.controls, id)
@@ -98,32 +91,46 @@
 	}
 }
 
-// HeardHost keeps a host's session.
-func (s *Sessions) HeardHost(id string) {
+// HeardHost keeps a host's session, for a control process that heard it. It tells whether a removal of the host may be under way.
+func (s *Sessions) HeardHost(id string, by uint64) (removing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts[id] = groups.Now()
+	return s.hosts.Heard(id, by, groups.Now())
 }
 
-// ForgetHost ends a host's session.
+// KeptHost notes that a host was put on the list.
+func (s *Sessions) KeptHost(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts.Kept(id)
+}
+
+// RemovingHost ends a host's session.
+func (s *Sessions) RemovingHost(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts.Removing(id)
+}
+
+// RemovedHost notes whether a removal was committed.
+func (s *Sessions) RemovedHost(id string, committed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts.Removed(id, committed, groups.Now())
+}
+
+// ForgetHost ends the session of a host that is not on the list.
 func (s *Sessions) ForgetHost(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.hosts, id)
+	s.hosts.Forget(id)
 }
 
 // SilentHosts lists hosts that missed too many heartbeats of the given length in milliseconds.
 func (s *Sessions) SilentHosts(heartbeat int64) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := groups.Now()
-	var silent []string
-	for id, heard := range s.hosts {
-		if now-heard > hostBeatsLost*heartbeat {
-			silent = append(silent, id)
-		}
-	}
-	return silent
+	return s.hosts.Silent(heartbeat, groups.Now())
 }
 
 // Machines describes the store machines for placement.
@@ -133,19 +140,23 @@
 	now := groups.Now()
 	machines := make(map[uint64]placement.Machine, len(stores))
 	for id, store := range stores {
-		session, heard := s.stores[id]
-		silence := now - session.heardAt
 		machines[id] = placement.Machine{
 			Store:    store,
-			Alive:    heard && silence <= storeSilence && session.boot == store.Boot,
-			Away:     !heard || silence > storeAway,
-			Leaving:  session.leaving,
+			Alive:    s.stores.IsAlive(id, store.Boot, now),
+			Away:     s.stores.IsAway(id, now),
+			Leaving:  s.stores.IsLeaving(id),
 			Retiring: retiring(store.Node),
 		}
 	}
 	return machines
 }
 
+func (s *Sessions) storeSilentFor(id uint64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stores.Silence(id, groups.Now())
+}
+
 // Controls lists control processes that were heard lately.
 func (s *Sessions) Controls() []register.Member {
 	s.mu.Lock()
@@ -153,7 +164,7 @@
 	now := groups.Now()
 	var members []register.Member
 	for _, session := range s.controls {
-		if now-session.heardAt <= controlSilence {
+		if now-session.heardAt <= authority.ControlSilence {
 			members = append(members, session.member)
 		}
 	}
@@ -166,7 +177,7 @@
 	defer s.mu.Unlock()
 	session, heard := s.controls[id]
 	if !heard {
-		return groups.Now()-since > controlSilence
+		return groups.Now()-since > authority.ControlSilence
 	}
-	return groups.Now()-session.heardAt > controlSilence
+	return groups.Now()-session.heardAt > authority.ControlSilence
 }
--- a/tier/controlclient/client.go
+++ b/tier/controlclient/client.go
@@ -6,13 +6,14 @@
 	"sync"
 	"time"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/codes"
 	"otterseam/tier/rpc"
 )
 
 const (
-	attemptTimeout = 450 * time.Millisecond
-	attemptPause   = 40 * time.Millisecond
+	attemptTimeout = authority.PrimaryAttempt * time.Millisecond
+	attemptPause   = authority.PrimaryPause * time.Millisecond
 )
 
 // Client calls the control primary, wherever it is.
--- a/tier/controlclient/messages.go
+++ b/tier/controlclient/messages.go
@@ -21,6 +21,7 @@
 	KindHostBeat    rpc.Kind = 28
 	KindHostGone    rpc.Kind = 29
 	KindHostsHeard  rpc.Kind = 31 // hosts whose sessions another control process keeps
+	KindSupport     rpc.Kind = 32 // to a voter: would it help to replace the primary
 )
 
 // StoreBeat keeps a store's session.
--- a/tier/feed/subscribe.go
+++ b/tier/feed/subscribe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"otterseam/tier/codec"
@@ -30,6 +31,29 @@
 	View *View
 	// Fresh tells whether the view may be served; nil means always.
 	Fresh func() bool
+
+	mu      sync.Mutex
+	expired chan struct{} // closed when the subscriptions are to end; nil until one begins
+}
+
+// Expire ends all subscriptions at once, so that their subscribers go on to other publishers.
+func (p *Publisher) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.expired != nil {
+		close(p.expired)
+		p.expired = nil
+	}
+}
+
+// expiry is closed when the subscriptions that run now are to end.
+func (p *Publisher) expiry() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.expired == nil {
+		p.expired = make(chan struct{})
+	}
+	return p.expired
 }
 
 // Handle takes a subscription and serves it until the connection ends or the view is no longer fresh.
@@ -51,21 +75,25 @@
 func (p *Publisher) stale() bool { return p.Fresh != nil && !p.Fresh() }
 
 func (p *Publisher) serve(conn *rpc.Conn, revision uint64) {
+	expired := p.expiry()
 	timer := time.NewTimer(keepAlive)
 	defer timer.Stop()
 	for {
+		changed := p.View.Changed()
+		update, upTo := p.View.SinceEncoded(revision)
 		if p.stale() {
 			conn.Close()
 			return
 		}
-		changed := p.View.Changed()
-		update, upTo := p.View.SinceEncoded(revision)
 		conn.Send(KindUpdate, update)
 		revision = upTo
 		timer.Reset(keepAlive)
 		select {
 		case <-conn.Done():
 			return
+		case <-expired:
+			conn.Close()
+			return
 		case <-changed:
 			time.Sleep(gather)
 		case <-timer.C:
--- a/tier/replica/contact.go
+++ b/tier/replica/contact.go
@@ -146,19 +146,21 @@
 			continue
 		}
 		probe := Probe{Asked: Stamp{g.contact.life, now}, Echoed: g.contact.questions[id], Age: age}
-		g.send(id, Message{Kind: MessageProbe, Epoch: g.view.Epoch, Probe: probe})
+		g.send(id, Message{Kind: MessageProbe, Epoch: g.view.Epoch, Commit: g.commit, Probe: probe})
 	}
 }
 
-// stepProbe takes a primary's probe: it may confirm a question of this backup, and is itself to be confirmed.
-func (g *Group) stepProbe(from uint64, probe Probe, now int64) {
+// stepProbe takes a primary's probe: it may confirm a question of this backup, and is itself to be confirmed. A backup that has
+// not applied what was committed when the probe was sent is not confirmed: it must not serve its copy.
+func (g *Group) stepProbe(from uint64, message Message, now int64) {
 	c := &g.contact
+	probe := message.Probe
 	if c.life == 0 || (g.replaced() && c.voted.Primary != from) {
 		return
 	}
 	if probe.Age != noContact {
 		c.primaryProven = max(c.primaryProven, now-probe.Age)
-		if probe.Echoed.Life == c.life && probe.Echoed.At <= now {
+		if probe.Echoed.Life == c.life && probe.Echoed.At <= now && g.applied >= message.Commit {
 			// the primary read the question after it was asked, and a majority had answered it no longer than the age before
 			c.confirmed = max(c.confirmed, probe.Echoed.At-probe.Age)
 		}
--- a/tier/replica/contact_test.go
+++ b/tier/replica/contact_test.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// A backup that lacks what was committed when it asked may not serve its copy.
+func TestABackupThatLagsIsNotConfirmed(t *testing.T) {
+	backup := contactGroup(t, 2)
+	message := probeFrom(1, Stamp{102, 900}, 70)
+	message.Commit = 1
+	backup.Step(1, message, 1000)
+	if since := backup.ConfirmedSince(1000); since != 0 {
+		t.Fatalf("confirmed since %d though an entry is missing", since)
+	}
+	backup.Step(1, appendFrom(1, 0, 0, 1, Entry{1, 1, []byte("a")}), 1001)
+	backup.Step(1, message, 1002)
+	if since := backup.ConfirmedSince(1002); since != 830 {
+		t.Fatalf("confirmed since %d", since)
+	}
+}
+
 // What a backup reads late confirms it no later than when it asked.
 func TestABackupCountsFromItsQuestion(t *testing.T) {
 	backup := contactGroup(t, 2)
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -151,6 +151,9 @@
 // IsReady tells whether this primary has committed the entry that opened its epoch, so that its state is complete.
 func (g *Group) IsReady() bool { return g.role == Primary && g.applied >= g.openedEpochAt }
 
+// OpenedAt is the entry that opened the newest epoch led here, and so names that lead.
+func (g *Group) OpenedAt() uint64 { return g.openedEpochAt }
+
 // AppliedIndex is the last entry that the state machine has seen.
 func (g *Group) AppliedIndex() uint64 { return g.applied }
 
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -116,7 +116,7 @@
 	case MessageInstall:
 		g.install(message)
 	case MessageProbe:
-		g.stepProbe(from, message.Probe, now)
+		g.stepProbe(from, message, now)
 	default:
 		g.append(from, message)
 	}
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
@@ -31,7 +32,7 @@
 const KindProgram rpc.Kind = 40
 
 const (
-	beatEvery     = 120 * time.Millisecond
+	beatEvery     = authority.StoreBeatEvery * time.Millisecond
 	beatTimeout   = 500 * time.Millisecond
 	watchEvery    = 60 * time.Millisecond
 	submitTimeout = 1500 * time.Millisecond
