--- /dev/null
+++ b/tier/control/sim_test.go
@@ -0,0 +1,586 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+
+	"otterseam/tier/authority"
+	"otterseam/tier/codec"
+	"otterseam/tier/codes"
+	"otterseam/tier/directory"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+// The simulation plays control members, hosts, stores, subscribers and an operator in virtual time, on links that can be cut in
+// each direction, with members that stand still and read late what came meanwhile. Decisions are those of tier/authority,
+// tier/replica, tier/register and State; the adapters around them are played here. simjudge_test.go says what is judged.
+
+const (
+	simLength     = 34_000 // milliseconds
+	simTick       = 40
+	simHeartbeat  = 300
+	simHosts      = 4
+	simStores     = 2
+	simFollowers  = 3
+	simFirstOrder = 600
+	simRepair     = 1200 // within which a host that is acknowledged has to be on the list
+	simStable     = 4000 // of an unchanged network, after which orders must be taken
+	orderPatience = 2500 // within which a connected majority has to take an order
+)
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at    int64
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simMachine is the control state with the versions that it took.
+type simMachine struct {
+	*State
+	versions []uint64
+}
+
+func (m *simMachine) Apply(index uint64, data []byte) any {
+	result := m.State.Apply(index, data).(Result)
+	if c, err := DecodeCommand(data); err == nil && c.Kind == CommandReplaceConfig && result.Code == codes.OK {
+		m.versions = append(m.versions, c.Version)
+	}
+	return result
+}
+
+func (m *simMachine) Snapshot() []byte {
+	var e codec.Encoder
+	e.Blob(m.State.Snapshot())
+	e.Uint64s(m.versions)
+	return e.Bytes
+}
+
+func (m *simMachine) Restore(snapshot []byte) error {
+	d := codec.NewDecoder(snapshot)
+	state := d.Blob()
+	m.versions = d.Uint64s()
+	return m.State.Restore(state)
+}
+
+// version is the configuration in place.
+func (m *simMachine) version() uint64 { return m.State.currentVersion() }
+
+// place is a process of the simulation. Members have the numbers from 0 on.
+type place int
+
+const (
+	firstHost     place = 100
+	firstStore    place = 200
+	firstFollower place = 300
+	operatorPlace place = 400
+)
+
+func zoneOf(p place) int { return int(p) % 100 % 3 }
+
+type link struct{ from, to place }
+
+// simNetwork is the network with all that is on it.
+type simNetwork struct {
+	t        testing.TB
+	random   *rand.Rand
+	now      int64
+	queue    simQueue
+	order    int
+	cut      map[link]bool
+	arrives  map[link]int64 // when the last message of a link arrives
+	held     []simHeld      // messages that wait for the end of a cut
+	changed  int64          // when the network last changed
+	members  []*simMember
+	hosts    []*simHost
+	stores   []*simStore
+	follow   []*simFollower
+	operator *simOperator
+}
+
+type simHeld struct {
+	link link
+	run  func()
+}
+
+func (s *simNetwork) at(delay int64, run func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{s.now + delay, s.order, run})
+}
+
+func (s *simNetwork) every(interval int64, run func()) {
+	s.at(s.random.Int63n(interval)+1, func() {
+		run()
+		s.repeat(interval, run)
+	})
+}
+
+func (s *simNetwork) repeat(interval int64, run func()) {
+	s.at(interval, func() {
+		run()
+		s.repeat(interval, run)
+	})
+}
+
+// send has a message read at its destination, in the order of its link. A cut loses it, or holds it until the cut ends.
+func (s *simNetwork) send(from, to place, read func()) {
+	way := link{from, to}
+	if s.cut[way] {
+		if s.random.Intn(2) == 0 {
+			s.held = append(s.held, simHeld{way, read})
+		}
+		return
+	}
+	arrival := max(s.arrives[way], s.now+1+s.random.Int63n(12))
+	s.arrives[way] = arrival
+	s.at(arrival-s.now, func() { s.run(to, read) })
+}
+
+// run has a process do something, or later if it stands still.
+func (s *simNetwork) run(p place, work func()) {
+	if int(p) < len(s.members) {
+		m := s.members[p]
+		if m.frozen {
+			m.backlog = append(m.backlog, work)
+			return
+		}
+	}
+	work()
+}
+
+// call sends a question and waits for its answer; answered is called once, with ok false after the timeout.
+func call[A any](s *simNetwork, from, to place, timeout int64, ask func(answer func(A)), answered func(got A, ok bool)) {
+	done := false
+	finish := func(got A, ok bool) {
+		if !done {
+			done = true
+			answered(got, ok)
+		}
+	}
+	s.send(from, to, func() {
+		ask(func(got A) { s.send(to, from, func() { finish(got, true) }) })
+	})
+	s.at(timeout, func() {
+		s.run(from, func() {
+			var none A
+			finish(none, false)
+		})
+	})
+}
+
+// setCut cuts or heals a direction.
+func (s *simNetwork) setCut(from, to place, cut bool) {
+	s.changed = s.now
+	s.cut[link{from, to}] = cut
+}
+
+// heal ends all cuts; what was held arrives.
+func (s *simNetwork) heal() {
+	s.changed = s.now
+	clear(s.cut)
+	held := s.held
+	s.held = nil
+	for _, each := range held {
+		s.send(each.link.from, each.link.to, each.run)
+	}
+}
+
+func (s *simNetwork) freeze(m *simMember, span int64) {
+	if m.frozen {
+		return
+	}
+	m.frozen = true
+	s.changed = s.now
+	s.at(span, func() {
+		m.frozen = false
+		s.changed = s.now
+		backlog := m.backlog
+		m.backlog = nil
+		if s.random.Intn(2) == 0 {
+			m.tick()
+		}
+		for _, work := range backlog {
+			s.run(m.place, work)
+		}
+	})
+}
+
+// simMember is a control process.
+type simMember struct {
+	s       *simNetwork
+	place   place
+	id      uint64
+	origin  int64 // of its steady clock
+	frozen  bool
+	backlog []func()
+	group   *replica.Group
+	machine *simMachine
+	witness register.Witness
+	known   register.Record
+	learned int64
+	hasLed  bool
+	round   uint64
+	busy    bool // a proposal runs
+	hosts   *authority.HostSessions
+	stores  *authority.StoreSessions
+	leading uint64
+	ticked  int64
+	located int64
+	heard   map[string]bool
+	waiting map[uint64]func(Result, error)
+	guess   place // where the primary may be
+}
+
+func (m *simMember) clock() int64 { return m.s.now + m.origin }
+
+func (m *simMember) standing() authority.Standing {
+	standing := authority.Standing{Role: authority.Backup, ConfirmedSince: m.group.ConfirmedSince(m.clock())}
+	if m.group.IsPrimary() {
+		standing.Role = authority.Primary
+		standing.Ready = m.group.IsReady()
+	}
+	return standing
+}
+
+func (m *simMember) mayServe() bool { return m.standing().MayServe(m.clock()) }
+
+func (m *simMember) carryOut() {
+	output := m.group.Take()
+	if output.Dropped {
+		waiting := m.waiting
+		m.waiting = map[uint64]func(Result, error){}
+		for _, index := range sortedKeys(waiting) {
+			waiting[index](Result{}, codes.Timeout)
+		}
+	}
+	for _, write := range output.Writes {
+		m.s.at(1+m.s.random.Int63n(3), func() { m.s.run(m.place, func() { m.written(write) }) })
+	}
+	for _, out := range output.Messages {
+		to := place(out.To - 1)
+		m.s.send(m.place, to, func() {
+			peer := m.s.members[to]
+			peer.group.Step(m.id, out.Message, peer.clock())
+			peer.carryOut()
+		})
+	}
+	for _, applied := range output.Applied {
+		if waiter := m.waiting[applied.Index]; waiter != nil {
+			delete(m.waiting, applied.Index)
+			waiter(applied.Result.(Result), nil)
+		}
+	}
+	m.group.Trim()
+}
+
+func sortedKeys(waiting map[uint64]func(Result, error)) []uint64 {
+	var keys []uint64
+	for key := range waiting {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
+
+func (m *simMember) written(write replica.Write) {
+	if write.Snapshot != nil {
+		m.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, m.clock())
+	}
+	if n := len(write.Entries); n > 0 {
+		m.group.Durable(write.Entries[n-1].Index, write.Entries[n-1].Epoch, m.clock())
+	}
+	m.carryOut()
+}
+
+// submit proposes a command here.
+func (m *simMember) submit(command Command, done func(Result, error)) {
+	if err := m.standing().MayDecide(m.clock()); err != nil {
+		done(Result{}, err)
+		return
+	}
+	index := m.group.Propose(command.Encode(), m.clock())
+	m.waiting[index] = done
+	m.s.at(submitTimeout.Milliseconds(), func() {
+		m.s.run(m.place, func() {
+			if m.waiting[index] != nil {
+				delete(m.waiting, index)
+				done(Result{}, codes.Timeout)
+			}
+		})
+	})
+	m.carryOut()
+}
+
+func (m *simMember) learn(record register.Record) {
+	if record.Epoch > m.known.Epoch {
+		m.known = record
+		m.learned = m.clock()
+	}
+	m.group.Voted(record.Epoch, record.Primary)
+}
+
+// tick is the work that a member does all the time.
+func (m *simMember) tick() {
+	now := m.clock()
+	if m.ticked > 0 && now-m.ticked > authority.OwnStall {
+		m.stores.Stalled(now - m.ticked)
+		m.hosts.Doubt(now)
+	}
+	m.ticked = now
+	m.hosts.HeardHolder(m.id, now)
+	m.group.Tick(now, true)
+	m.carryOut()
+	m.supervise()
+}
+
+func (m *simMember) supervise() {
+	standing := m.standing()
+	switch {
+	case standing.Role == authority.Primary && standing.HasLease(m.clock()):
+		m.adjustInSync()
+		if standing.Ready {
+			m.lead()
+		}
+	case standing.Role != authority.Primary:
+		m.watchPrimary()
+	}
+}
+
+func (m *simMember) lead() {
+	now := m.clock()
+	if opened := m.group.OpenedAt(); m.leading != opened {
+		m.leading = opened
+		var hosts []string
+		for id := range m.machine.Hosts() {
+			hosts = append(hosts, id)
+		}
+		boots := map[uint64]uint64{}
+		for i := range m.s.stores {
+			boots[uint64(i)] = 1
+		}
+		m.hosts.Begin(hosts, now)
+		m.stores.Begin(boots, now)
+	}
+	for _, id := range m.hosts.Silent(simHeartbeat, now) {
+		if _, listed := m.machine.Host(id); !listed {
+			m.hosts.Forget(id)
+			continue
+		}
+		m.hosts.Removing(id)
+		m.submit(Command{Kind: CommandRemoveHost, Key: id}, func(_ Result, err error) {
+			m.hosts.Removed(id, err == nil, m.clock())
+			if err == nil {
+				m.s.judgeRemoval(m, id)
+			}
+		})
+	}
+	m.s.judgeStores(m)
+}
+
+// hostBeat is the primary's part in a heartbeat that is not kept by a backup.
+func (m *simMember) hostBeat(host directory.Host, answer func(bool)) {
+	if m.standing().MayDecide(m.clock()) != nil {
+		answer(false)
+		return
+	}
+	removing := m.hosts.Heard(host.ID, m.id, m.clock())
+	if held, known := m.machine.Host(host.ID); known && held == host && !removing {
+		answer(m.standing().MayDecide(m.clock()) == nil)
+		return
+	}
+	m.submit(Command{Kind: CommandPutHost, Host: host, Seq: uint64(m.s.now)}, func(_ Result, err error) {
+		if err == nil {
+			m.hosts.Kept(host.ID)
+		}
+		answer(err == nil)
+	})
+}
+
+// heartbeat takes a host's heartbeat.
+func (m *simMember) heartbeat(host directory.Host, answer func(bool)) {
+	held, known := m.machine.Host(host.ID)
+	if known && held == host && m.mayServe() {
+		if !m.group.IsPrimary() {
+			m.heard[host.ID] = true
+			answer(true)
+			return
+		}
+		if removing := m.hosts.Heard(host.ID, m.id, m.clock()); !removing {
+			answer(true)
+			return
+		}
+	}
+	if m.standing().MayPassOn(m.clock()) != nil {
+		answer(false)
+		return
+	}
+	if m.group.IsReady() {
+		m.hostBeat(host, answer)
+		return
+	}
+	onPrimary(m, func(p *simMember, reply func(bool)) { p.hostBeat(host, reply) }, func(ok, reached bool) { answer(ok && reached) })
+}
+
+// onPrimary has the primary do something, once.
+func onPrimary[A any](m *simMember, work func(primary *simMember, answer func(A)), done func(A, bool)) {
+	to := m.guess
+	type reply struct {
+		answer A
+		leads  bool
+		hint   place
+	}
+	if to == m.place {
+		m.guess = place((int(to) + 1) % len(m.s.members))
+		to = m.guess
+	}
+	call(m.s, m.place, to, authority.PrimaryAttempt, func(answer func(reply)) {
+		p := m.s.members[to]
+		if p.standing().MayDecide(p.clock()) != nil {
+			answer(reply{hint: place(p.group.View().Primary) - 1})
+			return
+		}
+		work(p, func(a A) { answer(reply{answer: a, leads: true}) })
+	}, func(got reply, ok bool) {
+		if !ok || !got.leads {
+			m.guess = place((int(to) + 1) % len(m.s.members))
+			if ok && got.hint >= 0 && got.hint != to {
+				m.guess = got.hint
+			}
+		}
+		done(got.answer, ok && got.leads)
+	})
+}
+
+// report tells the primary which hosts were heard.
+func (m *simMember) report() {
+	heard := m.heard
+	m.heard = map[string]bool{}
+	if len(heard) == 0 {
+		return
+	}
+	keep := func(p *simMember, by uint64) bool {
+		for id := range heard {
+			if _, listed := p.machine.Host(id); listed {
+				p.hosts.Heard(id, by, p.clock())
+			}
+		}
+		return p.standing().MayDecide(p.clock()) == nil
+	}
+	if m.group.IsReady() {
+		keep(m, m.id)
+		return
+	}
+	onPrimary(m, func(p *simMember, answer func(bool)) { answer(keep(p, m.id)) }, func(told, reached bool) {
+		if told && reached {
+			return
+		}
+		for id := range heard {
+			m.heard[id] = true
+		}
+	})
+}
+
+// beat keeps the session with the primary.
+func (m *simMember) beat() {
+	if m.group.IsReady() {
+		return
+	}
+	onPrimary(m, func(p *simMember, answer func(register.Record)) {
+		p.hosts.HeardHolder(m.id, p.clock())
+		answer(p.known)
+	}, func(record register.Record, ok bool) {
+		if ok {
+			m.learn(record)
+		}
+	})
+}
+
+func newSimNetwork(t testing.TB, seed int64) *simNetwork {
+	s := &simNetwork{t: t, random: rand.New(rand.NewSource(seed)), now: 1, cut: map[link]bool{}, arrives: map[link]int64{}}
+	count := 3
+	if s.random.Intn(4) == 0 {
+		count = 5
+	}
+	first := register.Record{Epoch: 1, Primary: 1}
+	for i := range count {
+		first.Members = append(first.Members, register.Member{ID: uint64(i + 1), Address: fmt.Sprint("m", i)})
+		first.InSync = append(first.InSync, uint64(i+1))
+	}
+	for i := range count {
+		s.addMember(place(i), first)
+	}
+	for i := range simHosts {
+		s.addHost(firstHost + place(i))
+	}
+	for i := range simStores {
+		s.addStore(firstStore + place(i))
+	}
+	for i := range simFollowers {
+		s.addFollower(firstFollower + place(i))
+	}
+	s.operator = newSimOperator(s)
+	return s
+}
+
+func (s *simNetwork) addMember(p place, first register.Record) {
+	m := &simMember{
+		s: s, place: p, id: uint64(p) + 1, origin: 1 << 20 * (1 + s.random.Int63n(9)), machine: &simMachine{State: NewState()},
+		witness: register.Witness{Promised: register.Ballot{Round: 1, Proposer: 1}, Accepted: register.Ballot{Round: 1, Proposer: 1}, Value: first},
+		known:   first, hosts: authority.NewHostSessions(), stores: authority.NewStoreSessions(),
+		heard: map[string]bool{}, waiting: map[uint64]func(Result, error){},
+	}
+	options := replica.Options{EagerCommit: true, Life: s.random.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
+	group, err := replica.NewGroup(m.id, m.machine, replica.Snapshot{}, nil, options)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	m.group = group
+	m.learned = m.clock()
+	s.members = append(s.members, m)
+	if first.Primary == m.id {
+		m.hasLed = true
+		s.at(1, func() {
+			m.group.SetView(viewOf(first), m.clock())
+			m.carryOut()
+		})
+	}
+	s.every(simTick, func() { s.run(p, m.tickUnlessFrozen) })
+	s.every(authority.ReportEvery, func() { s.run(p, m.report) })
+	s.every(controlBeatEvery.Milliseconds(), func() { s.run(p, m.beat) })
+}
+
+// tickUnlessFrozen drops ticks that piled up while the member stood still.
+func (m *simMember) tickUnlessFrozen() {
+	if m.clock()-m.ticked >= simTick/2 {
+		m.tick()
+	}
+}
+
+// play runs the events up to a time.
+func (s *simNetwork) play(until int64) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		event := heap.Pop(&s.queue).(simEvent)
+		s.now = event.at
+		event.run()
+	}
+	s.now = until
+}
--- /dev/null
+++ b/tier/control/simelect_test.go
@@ -0,0 +1,215 @@
+package control
+
+import (
+	"sort"
+
+	"otterseam/tier/authority"
+	"otterseam/tier/register"
+)
+
+// This file plays the elections of the simulation: the messages of register.Propose, one at a time for each member.
+
+func (m *simMember) watchPrimary() {
+	situation := authority.Situation{
+		Now: m.clock(), StartedAt: m.origin, RecordLearned: m.learned, PrimaryProven: m.group.PrimaryProven(),
+		InSync: m.known.IsInSync(m.id), Leads: m.group.IsPrimary(), NamedPrimary: m.known.Primary == m.id, HasLed: m.hasLed,
+		Rank: rank(m.known, m.id), Jitter: m.s.random.Int63n(authority.SuspectStep),
+	}
+	switch situation.Next() {
+	case authority.Locate:
+		m.locate()
+	case authority.ReplaceItself:
+		m.takeOver(prepareBySelf)
+	case authority.ReplaceOther:
+		m.takeOver(prepareOnSilence)
+	}
+}
+
+func (m *simMember) locate() {
+	if m.clock()-m.located < locateEvery {
+		return
+	}
+	m.located = m.clock()
+	for _, peer := range m.s.members {
+		if peer != m {
+			call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(register.Record)) { answer(peer.known) },
+				func(record register.Record, ok bool) {
+					if ok {
+						m.learn(record)
+					}
+				})
+		}
+	}
+}
+
+func (m *simMember) voter() authority.Voter {
+	voter := authority.Voter{Now: m.clock(), KnownEpoch: m.known.Epoch, KnownPrimary: m.known.Primary, PrimaryProven: m.group.PrimaryProven()}
+	if view := m.group.View(); view.Epoch > m.known.Epoch {
+		voter.KnownEpoch, voter.KnownPrimary = view.Epoch, view.Primary
+	}
+	voter.Leads = m.group.IsPrimary() && m.standing().HasLease(m.clock())
+	return voter
+}
+
+// takeOver asks for support and then for the lead.
+func (m *simMember) takeOver(mode prepareMode) {
+	if m.busy {
+		return
+	}
+	m.busy = true
+	suspected := m.known.Epoch
+	supporters := map[uint64]bool{}
+	asked, answered := len(m.s.members), 0
+	decided := false
+	for _, peer := range m.s.members {
+		call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(bool)) {
+			answer(peer.voter().Supports(authority.Ballot{Candidate: m.id, Epoch: suspected}))
+		}, func(supported, ok bool) {
+			answered++
+			if supported && ok {
+				supporters[peer.id] = true
+			}
+			switch {
+			case decided:
+			case register.Quorum(m.known, supporters):
+				decided = true
+				m.elect(mode, suspected)
+			case answered == asked:
+				decided = true
+				m.busy = false
+				m.locate()
+			}
+		})
+	}
+}
+
+func (m *simMember) elect(mode prepareMode, suspected uint64) {
+	floor := max(1, len(m.s.members)/2+1)
+	took := false
+	m.propose(mode, func(current register.Record) (register.Record, bool) {
+		if current.Epoch != suspected || !current.IsInSync(m.id) {
+			return current, false
+		}
+		took = true
+		return successor(current, m.id, func(uint64) bool { return false }, floor), true
+	}, func(record register.Record, ok bool) {
+		if ok && took {
+			m.s.judgeElection(m)
+			m.hasLed = true
+			m.group.SetView(viewOf(record), m.clock())
+			m.carryOut()
+		}
+	})
+}
+
+// adjustInSync drops a silent replica, or takes one in that has caught up.
+func (m *simMember) adjustInSync() {
+	if m.busy {
+		return
+	}
+	caughtUp := m.group.CaughtUp(m.clock())
+	silent := m.group.Silent(m.clock())
+	sort.Slice(silent, func(i, j int) bool { return silent[i] < silent[j] })
+	if len(caughtUp) == 0 && len(silent) == 0 {
+		return
+	}
+	for _, id := range caughtUp {
+		m.group.Admit(id)
+	}
+	m.busy = true
+	adjusted := false
+	m.propose(prepareBySelf, func(current register.Record) (register.Record, bool) {
+		if current.Primary != m.id {
+			return current, false
+		}
+		next := current
+		next.Epoch++
+		for _, id := range caughtUp {
+			next.InSync = append(register.Without(next.InSync, id), id)
+		}
+		for _, id := range silent {
+			if len(caughtUp) == 0 && len(next.InSync) > len(m.s.members)/2+1 {
+				next.InSync = register.Without(next.InSync, id)
+			}
+		}
+		adjusted = len(next.InSync) != len(current.InSync)
+		return next, adjusted
+	}, func(record register.Record, ok bool) {
+		if ok && adjusted {
+			m.group.SetView(viewOf(record), m.clock())
+			m.carryOut()
+		}
+	})
+}
+
+// propose reads the register and changes it.
+func (m *simMember) propose(mode prepareMode, change func(register.Record) (register.Record, bool), done func(register.Record, bool)) {
+	m.round = max(m.round, m.witness.Promised.Round) + 1
+	ballot := register.Ballot{Round: m.round, Proposer: m.id}
+	promises := map[uint64]register.Promise{}
+	given := map[uint64]bool{}
+	accepted := map[uint64]bool{}
+	read, finished := false, false
+	finish := func(record register.Record, ok bool) {
+		if finished {
+			return
+		}
+		finished = true
+		m.busy = false
+		if ok {
+			m.learn(record)
+		}
+		done(record, ok)
+	}
+	m.s.at(proposeTimeout.Milliseconds(), func() { m.s.run(m.place, func() { finish(register.Record{}, false) }) })
+	write := func(next register.Record) {
+		for _, peer := range m.s.members {
+			call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(bool)) { answer(peer.accept(ballot, next)) },
+				func(ok, reached bool) {
+					if ok && reached {
+						accepted[peer.id] = true
+					}
+					if register.Quorum(next, accepted) {
+						finish(next, true)
+					}
+				})
+		}
+	}
+	for _, peer := range m.s.members {
+		call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(register.Promise)) { answer(peer.prepare(mode, ballot)) },
+			func(promise register.Promise, reached bool) {
+				m.round = max(m.round, promise.Promised.Round)
+				if !reached || !promise.Given || read || finished {
+					return
+				}
+				promises[peer.id] = promise
+				given[peer.id] = true
+				if !register.Quorum(m.known, given) {
+					return
+				}
+				read = true
+				if next, wanted := change(register.Newest(promises, m.known)); wanted {
+					write(next)
+				} else {
+					finish(next, false)
+				}
+			})
+	}
+}
+
+func (m *simMember) prepare(mode prepareMode, ballot register.Ballot) register.Promise {
+	voter := m.voter()
+	if mode == prepareOnSilence && !voter.Supports(authority.Ballot{Epoch: voter.KnownEpoch}) {
+		return register.Promise{}
+	}
+	given := m.witness.Prepare(ballot)
+	return register.Promise{Given: given, Promised: m.witness.Promised, Accepted: m.witness.Accepted, Value: m.witness.Value}
+}
+
+func (m *simMember) accept(ballot register.Ballot, record register.Record) bool {
+	given := m.witness.Accept(ballot, record)
+	if given {
+		m.learn(record)
+	}
+	return given
+}
