--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -10,6 +10,7 @@
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
 	"otterseam/tier/placement"
+	"otterseam/tier/replica"
 )
 
 // storeForget is how long a store that holds nothing may be silent before it is forgotten, in milliseconds.
@@ -18,22 +19,27 @@
 // lead does the primary's periodic work.
 func (s *Server) lead(ctx context.Context) {
 	s.beginSessions()
+	if s.standing().MayDecide(groups.Now()) != nil {
+		return
+	}
 	s.publishMembers(ctx)
 	s.removeSilentHosts(ctx)
 	s.removeLostStores(ctx)
 	s.placeShards(ctx)
 }
 
+// beginSessions starts sessions anew when this process has begun to lead.
 func (s *Server) beginSessions() {
-	epoch := s.elector.Known().Epoch
+	opened := uint64(0)
+	s.host.With(controlGroup, func(g *replica.Group) { opened = g.OpenedAt() })
 	s.mu.Lock()
-	fresh := s.leading == 0
-	s.leading = epoch
-	if fresh {
+	began := s.leading != opened
+	s.leading = opened
+	if began {
 		s.ledSince = groups.Now()
 	}
 	s.mu.Unlock()
-	if fresh {
+	if began {
 		s.sessions.Begin(s.state)
 	}
 }
@@ -82,12 +88,6 @@
 	}
 }
 
-func (s *Sessions) storeSilentFor(id uint64) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return groups.Now() - s.stores[id].heardAt
-}
-
 func (s *Server) cluster() placement.Cluster {
 	retiring := func(node string) bool {
 		_, found := s.state.View.Get(feed.SectionRetire, node)
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -22,6 +22,10 @@
 	MessageStale
 	// MessagePieceReceived says how many bytes of a snapshot a replica holds.
 	MessagePieceReceived
+	// MessageProbe asks a backup to confirm the primary, and confirms the backup.
+	MessageProbe
+	// MessageProbeAnswer confirms the primary.
+	MessageProbeAnswer
 )
 
 // Message is what replicas of a group say to each other.
@@ -36,6 +40,7 @@
 	Total     uint32 // bytes of the snapshot
 	Checksum  uint32 // of the snapshot
 	State     []byte // a piece of the snapshot
+	Probe     Probe  // of probes and their answers alone
 }
 
 const (
@@ -100,13 +105,13 @@
 func (g *Group) Step(from uint64, message Message, now int64) {
 	g.clock = max(g.clock, now)
 	if message.Epoch < g.view.Epoch {
-		if message.Kind == MessageAppend || message.Kind == MessageInstall {
+		if message.Kind == MessageAppend || message.Kind == MessageInstall || message.Kind == MessageProbe {
 			g.send(from, Message{Kind: MessageStale, Epoch: g.view.Epoch})
 		}
 		return
 	}
 	switch message.Kind {
-	case MessageAppend, MessageInstall:
+	case MessageAppend, MessageInstall, MessageProbe:
 		g.stepAsBackup(from, message, now)
 	case MessageStale:
 		if message.Epoch > g.view.Epoch {
@@ -128,13 +133,17 @@
 		g.view = View{Epoch: message.Epoch, Primary: from}
 		g.alike = 0
 		g.stepDown()
+		g.contact.primaryProven = now // a majority has just decided for it
 	}
 	g.primaryHeard = now
-	if message.Kind == MessageInstall {
+	switch message.Kind {
+	case MessageInstall:
 		g.receivePiece(message)
-		return
+	case MessageProbe:
+		g.stepProbe(from, message, now)
+	default:
+		g.append(from, message)
 	}
-	g.append(from, message)
 }
 
 func (g *Group) append(from uint64, message Message) {
@@ -213,6 +222,10 @@
 	if peer == nil {
 		return
 	}
+	if message.Kind == MessageProbeAnswer {
+		g.stepProbeAnswer(from, message.Probe, now)
+		return
+	}
 	peer.heardAt = now
 	switch message.Kind {
 	case MessageAck:
@@ -277,6 +290,7 @@
 // which could join when they answer. Call it every 50 ms or so.
 func (g *Group) Tick(now int64, heartbeats bool) {
 	g.clock = max(g.clock, now)
+	g.tickContact(now)
 	if g.role != Primary {
 		return
 	}
@@ -395,8 +409,13 @@
 	e.Uint32(m.Total)
 	e.Uint32(m.Checksum)
 	e.Blob(m.State)
+	if m.carriesProbe() {
+		m.Probe.encode(e)
+	}
 }
 
+func (m Message) carriesProbe() bool { return m.Kind == MessageProbe || m.Kind == MessageProbeAnswer }
+
 // DecodeMessage reads a message.
 func DecodeMessage(d *codec.Decoder) Message {
 	m := Message{
@@ -409,5 +428,8 @@
 	m.Total = d.Uint32()
 	m.Checksum = d.Uint32()
 	m.State = d.Blob()
+	if m.carriesProbe() {
+		m.Probe = decodeProbe(d)
+	}
 	return m
 }
