otterctl status shows how many losses each group bears now, and why not more

Cause: operators could not see that a group had no reserve: a status listed who is in sync, not what that means for the next loss. Changed check: TestTheTablesNameMachines asks for the new lines besides.

--- a/cmd/otterctl/main.go
+++ b/cmd/otterctl/main.go
@@ -138,15 +138,22 @@
 	for _, member := range state.Control.Members {
 		fmt.Fprintf(w, "%s\t%x\t%v\t%v\n", member.Address, member.ID, state.Control.IsInSync(member.ID), member.ID == state.Control.Primary)
 	}
+	for _, learner := range state.Control.Learners {
+		fmt.Fprintf(w, "%s\t%x\tspare, no vote\tfalse\n", learner.Address, learner.ID)
+	}
+	name := state.Names()
+	printProtection(w, "control", status.OfControl(state.Control, name))
 	nodes := map[uint64]string{}
 	fmt.Fprintf(w, "\nSTORE\tIDENTITY\tZONE\tADDRESS\n")
 	for _, store := range state.Stores {
 		nodes[store.Identity] = store.Node
 		fmt.Fprintf(w, "%s\t%x\t%s\t%s\n", store.Node, store.Identity, store.Zone, store.Address)
 	}
-	fmt.Fprintf(w, "\nSHARD\tEPOCH\tPRIMARY\tIN SYNC\tREPLICAS\n")
+	fmt.Fprintf(w, "\nSHARD\tEPOCH\tPRIMARY\tIN SYNC\tREPLICAS\tBEARS\tWHY NOT MORE\n")
 	for _, shard := range state.Shards {
-		fmt.Fprintf(w, "%d\t%d\t%s\t%d\t%d\n", shard.ID, shard.View.Epoch, nodes[shard.View.Primary], len(shard.View.InSync), len(shard.View.Replicas))
+		p := status.OfShard(shard.View, name)
+		fmt.Fprintf(w, "%d\t%d\t%s\t%d\t%d\t%d\t%s\n",
+			shard.ID, shard.View.Epoch, nodes[shard.View.Primary], len(shard.View.InSync), len(shard.View.Replicas), p.Bears, p.WhyNotMore)
 	}
 	fmt.Fprintf(w, "\nHOST\tSERVICE\tZONE\tADDRESS\tSTATE\n")
 	for _, host := range state.Hosts {
@@ -158,3 +165,8 @@
 	}
 	return w.Flush()
 }
+
+// printProtection tells how many losses a group bears.
+func printProtection(w io.Writer, group string, p status.Protection) {
+	fmt.Fprintf(w, "%s bears the loss of %d more: %s\n", group, p.Bears, p.WhyNotMore)
+}
--- a/cmd/otterctl/main_test.go
+++ b/cmd/otterctl/main_test.go
@@ -61,7 +61,9 @@
 	if err := printTables(state, &out); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"version 4", "10.0.0.1:7380", "storage-1", "draining"} {
+	for _, want := range []string{
+		"version 4", "10.0.0.1:7380", "storage-1", "draining", "control bears the loss of 0 more", "BEARS", "all of 1 copy in sync",
+	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, out.String())
 		}
--- /dev/null
+++ b/tier/status/protection.go
@@ -0,0 +1,141 @@
+package status
+
+import (
+	"fmt"
+	"strings"
+
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+// Protection is how many losses a group bears now, and what keeps it from bearing more.
+type Protection struct {
+	// Bears is how many disks may be lost, one right after the other and without a repair between, with everything acknowledged
+	// still there and the group able to go on once copies are made again.
+	Bears int `json:"bears"`
+	// Acknowledges tells whether the group has the copies without which it acknowledges nothing.
+	Acknowledges bool   `json:"acknowledges"`
+	WhyNotMore   string `json:"why_not_more"`
+}
+
+// Name tells how operators call a replica.
+type Name func(id uint64) string
+
+// OfControl is the protection of the control state. Members that are not in sync count as lost: they may be.
+func OfControl(record register.Record, name Name) Protection {
+	if !record.Known() {
+		return Protection{WhyNotMore: "control is not founded, or nobody answers"}
+	}
+	inSync := 0
+	var lagging []uint64
+	for _, member := range record.Members {
+		if record.IsInSync(member.ID) {
+			inSync++
+		} else {
+			lagging = append(lagging, member.ID)
+		}
+	}
+	copies := max(0, len(record.InSync)-1)
+	votes := max(0, inSync-len(record.Members)/2-1)
+	p := Protection{Bears: min(copies, votes), Acknowledges: len(record.InSync) >= record.MinCopies}
+	switch {
+	case !p.Acknowledges:
+		p.Bears = 0
+		p.WhyNotMore = missingCopies(len(record.InSync), record.MinCopies, lagging, name)
+	case len(lagging) > 0:
+		p.WhyNotMore = notInSync(lagging, name)
+	case votes <= copies:
+		p.WhyNotMore = fmt.Sprintf("more than half of %s have to be left", plural(len(record.Members), "member"))
+	default:
+		p.WhyNotMore = onlyCopies(len(record.InSync))
+	}
+	return p
+}
+
+// OfShard is the protection of a shard of programs.
+func OfShard(view replica.View, name Name) Protection {
+	var lagging []uint64
+	for _, id := range view.Replicas {
+		if !view.IsInSync(id) {
+			lagging = append(lagging, id)
+		}
+	}
+	p := Protection{Bears: view.BearsLosses(), Acknowledges: view.HasCopies()}
+	switch {
+	case !p.Acknowledges:
+		p.WhyNotMore = missingCopies(len(view.InSync), view.MinCopies, lagging, name)
+	case len(lagging) > 0:
+		p.WhyNotMore = notInSync(lagging, name)
+	default:
+		p.WhyNotMore = onlyCopies(len(view.InSync))
+	}
+	return p
+}
+
+func missingCopies(inSync, wanted int, lagging []uint64, name Name) string {
+	text := fmt.Sprintf("%d of the %d copies that an acknowledgement needs: nothing is acknowledged", inSync, wanted)
+	if len(lagging) == 0 {
+		return text + "; another machine is needed"
+	}
+	return text + " until " + names(lagging, name) + " caught up"
+}
+
+func notInSync(lagging []uint64, name Name) string {
+	verb := "is"
+	if len(lagging) > 1 {
+		verb = "are"
+	}
+	return names(lagging, name) + " " + verb + " not in sync"
+}
+
+func onlyCopies(copies int) string {
+	return "all of " + plural(copies, "copy") + " in sync; more need more machines"
+}
+
+func plural(count int, noun string) string {
+	if count == 1 {
+		return "1 " + noun
+	}
+	if strings.HasSuffix(noun, "y") {
+		return fmt.Sprintf("%d %sies", count, strings.TrimSuffix(noun, "y"))
+	}
+	return fmt.Sprintf("%d %ss", count, noun)
+}
+
+func names(ids []uint64, name Name) string {
+	var all []string
+	for _, id := range ids {
+		all = append(all, name(id))
+	}
+	return strings.Join(all, ", ")
+}
+
+// Names tells how operators call the replicas of a status: by the machine's name, or else by the identity.
+func (s Status) Names() Name {
+	known := map[uint64]string{}
+	for _, store := range s.Stores {
+		known[store.Identity] = store.Node
+	}
+	for _, member := range append(s.Control.Voters(), s.Control.Learners...) {
+		known[member.ID] = member.Node
+		if member.Node == "" {
+			known[member.ID] = member.Address
+		}
+	}
+	return func(id uint64) string {
+		if name := known[id]; name != "" {
+			return name
+		}
+		return fmt.Sprintf("%x", id)
+	}
+}
+
+// protect fills in what the groups bear.
+func (s *Status) protect() {
+	name := s.Names()
+	s.ControlBears = OfControl(s.Control, name)
+	s.ShardsBear = map[uint32]Protection{}
+	for _, shard := range s.Shards {
+		s.ShardsBear[shard.ID] = OfShard(shard.View, name)
+	}
+}
--- /dev/null
+++ b/tier/status/protection_test.go
@@ -0,0 +1,63 @@
+package status
+
+import (
+	"strings"
+	"testing"
+
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+func letter(id uint64) string { return string(rune('a' + id - 1)) }
+
+func record(inSync []uint64, minCopies int, members ...uint64) register.Record {
+	r := register.Record{Epoch: 3, Primary: inSync[0], InSync: inSync, MinCopies: minCopies}
+	for _, id := range members {
+		r.Members = append(r.Members, register.Member{ID: id})
+	}
+	return r
+}
+
+func TestWhatControlBears(t *testing.T) {
+	cases := []struct {
+		name         string
+		record       register.Record
+		bears        int
+		acknowledges bool
+		why          string
+	}{
+		{"three whole", record([]uint64{1, 2, 3}, 2, 1, 2, 3), 1, true, "more than half of 3 members"},
+		{"one lags", record([]uint64{1, 3}, 2, 1, 2, 3), 0, true, "b is not in sync"},
+		{"alone", record([]uint64{1}, 2, 1, 2, 3), 0, false, "1 of the 2 copies that an acknowledgement needs: nothing is acknowledged until b, c"},
+		{"five whole", record([]uint64{1, 2, 3, 4, 5}, 3, 1, 2, 3, 4, 5), 2, true, "more than half of 5 members"},
+		{"four", record([]uint64{1, 2, 3, 4}, 3, 1, 2, 3, 4), 1, true, "more than half of 4 members"},
+		{"one machine", record([]uint64{1}, 1, 1), 0, true, "more than half of 1 member "},
+		{"unknown", register.Record{}, 0, false, "nobody answers"},
+	}
+	for _, c := range cases {
+		got := OfControl(c.record, letter)
+		if got.Bears != c.bears || got.Acknowledges != c.acknowledges || !strings.Contains(got.WhyNotMore, c.why) {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
+func TestWhatAShardBears(t *testing.T) {
+	cases := []struct {
+		name  string
+		view  replica.View
+		bears int
+		why   string
+	}{
+		{"whole", replica.View{InSync: []uint64{1, 2, 3}, Replicas: []uint64{1, 2, 3}, MinCopies: 2}, 2, "all of 3 copies in sync"},
+		{"one lags", replica.View{InSync: []uint64{1, 2}, Replicas: []uint64{1, 2, 3}, MinCopies: 2}, 1, "c is not in sync"},
+		{"two lag", replica.View{InSync: []uint64{1, 2}, Replicas: []uint64{1, 2, 3, 4}, MinCopies: 2}, 1, "c, d are not in sync"},
+		{"below", replica.View{InSync: []uint64{2}, Replicas: []uint64{1, 2}, MinCopies: 2}, 0, "nothing is acknowledged until a caught up"},
+		{"no machine left", replica.View{InSync: []uint64{2}, Replicas: []uint64{2}, MinCopies: 2}, 0, "another machine is needed"},
+	}
+	for _, c := range cases {
+		if got := OfShard(c.view, letter); got.Bears != c.bears || !strings.Contains(got.WhyNotMore, c.why) {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
--- a/tier/status/status.go
+++ b/tier/status/status.go
@@ -24,6 +24,9 @@
 	Stores   []directory.Store `json:"stores"`
 	Shards   []directory.Shard `json:"shards"`
 	Hosts    []directory.Host  `json:"hosts"`
+
+	ControlBears Protection            `json:"control_bears"`
+	ShardsBear   map[uint32]Protection `json:"shards_bear"`
 }
 
 // Read asks the control processes at the addresses, which are those of the internal ports.
@@ -49,6 +52,7 @@
 	}
 	sort.Slice(s.Stores, func(i, j int) bool { return s.Stores[i].Node < s.Stores[j].Node })
 	sort.Slice(s.Shards, func(i, j int) bool { return s.Shards[i].ID < s.Shards[j].ID })
+	s.protect()
 	return s, nil
 }
 
