--- a/lab/faultsim/adversary.go
+++ b/lab/faultsim/adversary.go
@@ -21,6 +21,7 @@
 	spaced   int64 // most milliseconds between harms
 	inSync   func() []uint64
 	primary  func() uint64
+	bears    func() int  // losses that a group of its present size can bear, whole
 	struck   func()      // a disk was taken away
 	leave    func(*node) // a process is stopped as planned
 	replace  func()      // a machine is replaced as planned
@@ -80,7 +81,7 @@
 			delete(a.open, id)
 		}
 	}
-	return len(a.open) < a.tolerate
+	return len(a.open) < min(a.tolerate, a.bears())
 }
 
 // strike takes a disk away.
--- /dev/null
+++ b/lab/faultsim/control.go
@@ -0,0 +1,700 @@
+package faultsim
+
+import (
+	"fmt"
+
+	"otterseam/tier/membership"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+// The times of control processes, in milliseconds.
+const (
+	controlBeatEvery = 200
+	superviseEvery   = 50
+	suspectAfter     = 500
+	suspectRankStep  = 120
+	stickyFor        = 350
+	locateTimeout    = 350
+	proposeTimeout   = 1200
+	controlSilence   = 2500
+	controlGone      = 6000
+	foundAfter       = 700
+	stopLimit        = 6500
+	seedCount        = 3
+)
+
+// ControlBugs are faults put into a play of control, to see that it finds them.
+type ControlBugs struct {
+	Bugs
+	NoMinCopies   bool // no number of copies is demanded
+	LostByAddress bool // whoever answers at an address proves that the member's disk is lost, however old the answer
+	AdmitLagging  bool // a replica is taken in whatever it holds
+	LoseNothing   bool // the vote of a lost disk is kept until its member has been silent for long
+	FoundAnew     bool // a process that was not started to found counts as a founder
+	LeaveAtOnce   bool // a process that is stopped for good ends at once
+	HalfIsEnough  bool // half of the members decide
+	OldForgotten  bool // members change without a majority of those before
+	AnyoneLeads   bool // a member that is not in sync takes over
+}
+
+// ControlOptions say what is played.
+type ControlOptions struct {
+	Members   int
+	Tolerate  int
+	Spaced    int64 // most milliseconds between harms
+	Length    int64
+	LateSeed  bool // one seed starts seconds after the others
+	StateSize int
+	Bugs      ControlBugs
+}
+
+// controlPlay is the control group.
+type controlPlay struct {
+	*play
+	options ControlOptions
+	policy  membership.Policy
+	members map[*node]*process
+	seeds   []string
+	outcome Outcome
+	repair  repairClock
+	changed func()
+	next    int
+	newest  register.Record // the newest record that any process learned
+}
+
+// process is a control process in its present life, with what its disk keeps of its witness.
+type process struct {
+	*node
+	play      *controlPlay
+	bootstrap bool
+	leaveFor  bool // for good
+
+	witness register.Witness // durable
+	round   uint64           // durable
+
+	known        register.Record
+	knownDecided bool
+	seen         *membership.Sightings
+	seeds        []string        // of its settings, written when it started
+	founders     map[string]bool // addresses that answered as founders
+	sessions     map[uint64]controlSession
+	startedAt    int64
+	ledSince     int64
+	led          bool
+	busy         bool
+}
+
+type controlSession struct {
+	member  register.Member
+	heardAt int64
+	leaving bool
+}
+
+// PlayControl plays the control group under losses and judges it.
+func PlayControl(seed int64, options ControlOptions) Outcome {
+	c := &controlPlay{
+		play: newPlay(seed), options: options, policy: membership.Policy{Tolerate: options.Tolerate},
+		members: map[*node]*process{}, changed: func() {},
+	}
+	c.stateSize = options.StateSize
+	c.bugs = options.Bugs.Bugs
+	c.eager = true
+	c.started = c.startProcess
+	for i := range options.Members {
+		n := c.newMachine(true)
+		if i < seedCount {
+			c.seeds = append(c.seeds, n.address)
+		}
+		delay := c.Between(0, 300)
+		if options.LateSeed && i == 2 {
+			delay = c.Between(2000, 9000)
+		}
+		c.After(delay, n.start)
+	}
+	c.order()
+	if !c.RunUntil(settleWithin, func() bool { return c.newestAcknowledged > 0 }) {
+		c.fail("the group was not founded")
+		return c.end()
+	}
+	a := &adversary{
+		play: c.play, tolerate: options.Tolerate, open: map[uint64]loss{}, spaced: options.Spaced,
+		inSync: c.counted, primary: func() uint64 { return c.newest.Primary }, leave: c.leave,
+		bears:  func() int { return len(c.newest.Members) / 2 },
+		struck: func() { c.repair = repairClock{since: c.Now} },
+	}
+	a.replace = func() { c.replace(a) }
+	c.changed = a.provoked
+	a.act()
+	c.Run(c.Now + options.Length)
+	c.quiet = true
+	c.outcome.Strikes = a.strikes
+	if !c.RunUntil(settleWithin, c.whole) {
+		for n, p := range c.members {
+			if n.removed || !n.up {
+				continue
+			}
+			v := n.group.View()
+			debug("%s %d up, leaving %v busy %v known %d (decided %v, primary %d) view %d primary %d is primary %v ready %v applied %d last %d silent %v caught up %v heard %d", n.name, n.identity, n.leaving, p.busy, p.known.Epoch, p.knownDecided, p.known.Primary, v.Epoch, v.Primary, n.group.IsPrimary(), n.group.IsReady(), n.group.AppliedIndex(), n.group.LastIndex(), n.group.Silent(c.Now), n.group.CaughtUp(c.Now), c.Now-n.group.PrimaryHeard())
+		}
+		c.fail(fmt.Sprintf("no way back: %+v", c.newest))
+		return c.end()
+	}
+	c.judge(c.find(c.newest.Primary))
+	return c.end()
+}
+
+func (c *controlPlay) end() Outcome {
+	c.outcome.Fault = c.fault
+	c.outcome.Acknowledged = len(c.acknowledged)
+	return c.outcome
+}
+
+func (c *controlPlay) newMachine(bootstrap bool) *node {
+	c.next++
+	n := c.addNode(fmt.Sprintf("core-%d", c.next))
+	c.members[n] = &process{node: n, play: c, bootstrap: bootstrap}
+	n.wiped = func() {
+		if old := c.members[n]; !c.bugs.KeepIdentity {
+			c.members[n] = &process{node: n, play: c}
+		} else {
+			old.witness = register.Witness{}
+		}
+	}
+	return n
+}
+
+// counted are the identities that the group counts upon: for copies or for votes.
+func (c *controlPlay) counted() []uint64 {
+	all := append([]uint64(nil), c.newest.InSync...)
+	for _, member := range c.newest.Voters() {
+		if !register.Contains(all, member.ID) {
+			all = append(all, member.ID)
+		}
+	}
+	return all
+}
+
+func (c *controlPlay) startProcess(n *node) {
+	p := c.members[n]
+	p.known = p.witness.Value
+	p.knownDecided = false
+	p.seen = membership.NewSightings()
+	p.founders = map[string]bool{}
+	p.seeds = c.presentSeeds()
+	p.sessions = map[uint64]controlSession{}
+	p.startedAt = c.Now
+	p.ledSince = 0
+	p.led = false
+	p.busy = false
+	n.every(controlBeatEvery, p.beat)
+	n.every(superviseEvery, p.supervise)
+}
+
+// presentSeeds are what the operator writes into the settings of a process that starts: a few machines that are there.
+func (c *controlPlay) presentSeeds() []string {
+	if len(c.seeds) < seedCount {
+		return c.seeds
+	}
+	var seeds []string
+	for _, n := range c.nodes {
+		if !n.removed && len(seeds) < seedCount {
+			seeds = append(seeds, n.address)
+		}
+	}
+	return seeds
+}
+
+func (p *process) self() register.Member {
+	return register.Member{ID: p.identity, Address: p.address, Node: p.name}
+}
+
+// ask calls the process at an address. answered is not called if there is none or the answer is lost.
+func (p *process) ask(address string, question func(other *process) (answer func())) {
+	c := p.play
+	c.After(c.Between(1, 4), func() {
+		for _, n := range c.nodes {
+			if n.address != address || !n.up || n.removed || c.Chance(messageLoss) {
+				continue
+			}
+			if answer := question(c.members[n]); answer != nil {
+				p.later(c.Between(1, 4), answer)
+			}
+		}
+	})
+}
+
+// addresses are where other control processes may be.
+func (p *process) addresses() []string {
+	all := append([]string(nil), p.seeds...)
+	for _, member := range append(p.known.Voters(), p.known.Learners...) {
+		if !contains(all, member.Address) {
+			all = append(all, member.Address)
+		}
+	}
+	return all
+}
+
+func contains(list []string, text string) bool {
+	for _, each := range list {
+		if each == text {
+			return true
+		}
+	}
+	return false
+}
+
+// learn takes a record that was accepted here or told. It need not have been decided.
+func (p *process) learn(record register.Record) { p.note(record, false) }
+
+func (p *process) note(record register.Record, decided bool) {
+	if record.Epoch > p.known.Epoch || (record.Epoch == p.known.Epoch && (decided || !p.knownDecided)) {
+		p.known = record
+		p.knownDecided = decided
+	}
+	if record.Epoch > p.play.newest.Epoch {
+		p.play.newest = record
+		debug("%d record at %d: %+v", p.play.Now, p.identity, record)
+		p.play.changed()
+	}
+	for _, member := range append(p.known.Voters(), p.known.Learners...) {
+		p.seen.Named(member, p.play.Now)
+	}
+}
+
+// locate asks everyone who they are and what they know.
+func (p *process) locate() {
+	asked := p.play.Now
+	for _, address := range p.addresses() {
+		if address == p.address {
+			continue
+		}
+		p.ask(address, func(other *process) func() {
+			there, record, founds := other.self(), other.known, other.bootstrap
+			return func() {
+				p.learn(record)
+				p.seen.Answered(there, asked)
+				p.founders[address] = founds || p.play.options.Bugs.FoundAnew
+			}
+		})
+	}
+}
+
+// beat keeps the session with whoever leads.
+func (p *process) beat() {
+	me, leaving := p.self(), p.leaving
+	if p.group.IsPrimary() {
+		p.sessions[me.ID] = controlSession{member: me, heardAt: p.play.Now, leaving: leaving}
+		return
+	}
+	for _, address := range p.addresses() {
+		p.ask(address, func(other *process) func() {
+			if !other.group.IsPrimary() {
+				return nil
+			}
+			other.sessions[me.ID] = controlSession{member: me, heardAt: p.play.Now, leaving: leaving}
+			other.seen.Answered(me, p.play.Now)
+			record := other.known
+			return func() { p.learn(record) }
+		})
+	}
+}
+
+// lost tells whether a member's disk is provably lost.
+func (p *process) lost(id uint64) bool {
+	if id == p.identity {
+		return false
+	}
+	member, named := p.known.Member(id)
+	if p.play.options.Bugs.LostByAddress {
+		there, answered := p.seen.At(member.Address)
+		return named && answered && there.ID != id
+	}
+	if named && member.Address == p.address && member.Node == p.name {
+		return true
+	}
+	return p.seen.Lost(id)
+}
+
+func (p *process) supervise() {
+	switch {
+	case !p.known.Known():
+		p.findOrFound()
+	case p.group.IsPrimary():
+		if p.ledSince == 0 {
+			p.ledSince = p.play.Now
+		}
+		p.adjust()
+		p.play.measure(p)
+	default:
+		p.ledSince = 0
+		p.watchPrimary()
+	}
+}
+
+func (p *process) findOrFound() {
+	p.locate()
+	if !p.bootstrap || !contains(p.play.seeds, p.address) || p.busy {
+		return
+	}
+	members := []register.Member{p.self()}
+	for _, seed := range p.play.seeds {
+		if there, answered := p.seen.At(seed); answered && seed != p.address && p.founders[seed] {
+			members = append(members, there)
+		}
+	}
+	complete := len(members) == len(p.play.seeds)
+	waited := p.play.Now-p.startedAt > foundAfter
+	first := p.address == p.play.seeds[0]
+	if len(members) <= len(p.play.seeds)/2 || (!complete && !waited) || (!first && !waited) {
+		return
+	}
+	p.propose(prepareBySelf, register.Record{Members: members}, func(current register.Record) (register.Record, bool) {
+		if current.Known() {
+			return current, false
+		}
+		return p.spoil(p.play.policy.Found(p.identity, members)), true
+	})
+}
+
+// watchPrimary takes over when the primary has been silent for too long.
+func (p *process) watchPrimary() {
+	if !p.known.IsInSync(p.identity) && !(p.play.options.Bugs.AnyoneLeads && register.HasMember(p.known.Members, p.identity)) {
+		if p.play.Chance(4) {
+			p.locate()
+		}
+		return
+	}
+	silence := p.play.Now - max(p.group.PrimaryHeard(), p.startedAt)
+	if p.known.Primary == p.identity {
+		if p.led && silence < suspectAfter {
+			return
+		}
+		p.takeOver(prepareBySelf)
+		return
+	}
+	if silence > suspectAfter+p.rank()*suspectRankStep+p.play.Between(0, suspectRankStep) {
+		p.takeOver(prepareOnSilence)
+	}
+}
+
+func (p *process) rank() int64 {
+	place := int64(0)
+	for _, id := range p.known.InSync {
+		if id == p.identity {
+			break
+		}
+		if id != p.known.Primary {
+			place++
+		}
+	}
+	return place
+}
+
+func (p *process) takeOver(mode prepareMode) {
+	if p.busy {
+		return
+	}
+	suspected := p.known.Epoch
+	p.locate()
+	p.busy = true
+	p.later(p.play.Between(10, 30), func() {
+		p.busy = false
+		if p.known.Epoch != suspected {
+			return
+		}
+		p.propose(mode, p.known, func(current register.Record) (register.Record, bool) {
+			// a suspected epoch above the current one was proposed and never decided
+			if current.Epoch > suspected || !(current.IsInSync(p.identity) || p.play.options.Bugs.AnyoneLeads) {
+				return current, false
+			}
+			next := p.play.policy.Successor(current, p.identity, p.lost)
+			if !next.IsInSync(p.identity) {
+				next.InSync = append(next.InSync, p.identity)
+			}
+			return p.spoil(next), true
+		})
+	})
+}
+
+func (p *process) spoil(next register.Record) register.Record {
+	if p.play.options.Bugs.NoMinCopies {
+		next.MinCopies = 0
+	}
+	return next
+}
+
+// adjust does the primary's work on the replicas: one change at a time.
+func (p *process) adjust() {
+	if p.busy {
+		return
+	}
+	known := p.known
+	if known.Primary == p.identity && known.Epoch > p.group.View().Epoch {
+		// a change of this process was decided without its knowing: its replica follows under the next epoch
+		p.change(func(record register.Record) (register.Record, bool) { return record, true })
+		return
+	}
+	var caughtUp []uint64
+	hasState := map[uint64]bool{}
+	for _, id := range p.caughtUp() {
+		hasState[id] = true
+		if !register.Contains(p.group.View().Learners, id) {
+			p.group.Admit(id)
+			caughtUp = append(caughtUp, id)
+		}
+	}
+	p.carryOut()
+	if p.group == nil || !p.group.IsPrimary() {
+		return
+	}
+	silent := p.group.Silent(p.play.Now)
+	switch {
+	case len(caughtUp) > 0:
+		p.change(func(record register.Record) (register.Record, bool) {
+			next := record
+			for _, id := range caughtUp {
+				if register.HasMember(record.Members, id) {
+					next.InSync = append(register.Without(next.InSync, id), id)
+				}
+			}
+			return next, len(next.InSync) > len(record.InSync)
+		})
+	case len(silent) > 0:
+		p.change(func(record register.Record) (register.Record, bool) {
+			next := record
+			for _, id := range silent {
+				if p.lost(id) || len(next.InSync) > p.play.policy.Floor(record) {
+					next.InSync = register.Without(next.InSync, id)
+				}
+			}
+			return next, true
+		})
+	default:
+		p.adjustMembers(known, hasState)
+	}
+}
+
+func (p *process) adjustMembers(known register.Record, hasState map[uint64]bool) {
+	step, wanted := p.play.policy.Next(known, p.observe(hasState))
+	if !wanted && len(known.Previous) == 0 {
+		return
+	}
+	if wanted && step.Admit != 0 {
+		if !hasState[step.Admit] {
+			return
+		}
+		p.group.Admit(step.Admit)
+		p.carryOut()
+	}
+	p.change(func(record register.Record) (register.Record, bool) {
+		if record.Epoch > known.Epoch {
+			return record, false
+		}
+		if record.Epoch < known.Epoch || !wanted {
+			return record, true
+		}
+		return step.Record, true
+	})
+}
+
+func (p *process) caughtUp() []uint64 {
+	if !p.play.options.Bugs.AdmitLagging {
+		return p.group.CaughtUp(p.play.Now)
+	}
+	var ids []uint64
+	for _, id := range p.group.View().Replicas {
+		if !p.group.View().IsInSync(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// observe gathers what the primary knows.
+func (p *process) observe(hasState map[uint64]bool) membership.Observation {
+	silent := func(limit int64) func(uint64) bool {
+		return func(id uint64) bool { return p.play.Now-max(p.ledSince, p.sessions[id].heardAt) > limit }
+	}
+	o := membership.Observation{
+		HasState: hasState, Lost: p.lost, Silent: silent(controlSilence), Gone: silent(controlGone),
+		Leaving: func(id uint64) bool { return p.sessions[id].leaving },
+	}
+	if p.play.options.Bugs.LoseNothing {
+		o.Lost = func(uint64) bool { return false }
+	}
+	for _, n := range p.play.nodes {
+		if session, heard := p.sessions[n.identity]; heard && p.play.Now-session.heardAt <= controlSilence {
+			o.Alive = append(o.Alive, session.member)
+		}
+	}
+	return o
+}
+
+// change changes the record while this process leads.
+func (p *process) change(change func(register.Record) (register.Record, bool)) {
+	p.propose(prepareBySelf, p.known, func(current register.Record) (register.Record, bool) {
+		if current.Primary != p.identity {
+			return current, false
+		}
+		next, wanted := change(current)
+		if !wanted {
+			return current, false
+		}
+		next = p.play.policy.WithCopies(next)
+		next.Epoch = current.Epoch + 1
+		return p.spoil(next), true
+	})
+}
+
+// lead has the replica act on a record that this process has decided.
+func (p *process) lead(record register.Record) {
+	p.led = true
+	p.note(record, true)
+	p.group.SetView(membership.View(record), p.play.Now)
+	p.carryOut()
+}
+
+// leave stops a process as planned; it starts again with its disk.
+func (c *controlPlay) leave(n *node) {
+	n.leaving = true
+	p := c.members[n]
+	n.later(0, func() { p.endWhenFree(c.Now+stopLimit, func() { c.After(c.Between(100, 1200), n.start) }) })
+}
+
+// replace replaces the machine with the oldest disk as planned: a new one comes first, then the old one is stopped for good.
+func (c *controlPlay) replace(a *adversary) {
+	oldest := c.nodes[0]
+	for _, n := range c.nodes {
+		if n.removed || !n.up || n.leaving {
+			continue
+		}
+		if oldest.removed || n.born < oldest.born {
+			oldest = n
+		}
+	}
+	if oldest.removed || !oldest.up || oldest.leaving || c.running() > c.options.Members {
+		return
+	}
+	fresh := c.newMachine(false)
+	fresh.start()
+	oldest.later(c.Between(300, 1500), func() {
+		oldest.leaving = true
+		c.members[oldest].endWhenFree(c.Now+stopLimit, func() { c.remove(oldest, a) })
+	})
+}
+
+// remove takes a machine away for good. What the group still counts upon is a loss, which waits its turn.
+func (c *controlPlay) remove(n *node, a *adversary) {
+	counted := register.Contains(c.counted(), n.identity)
+	if counted && (!a.mayStrike() || len(c.newest.Members)%2 == 0) {
+		n.start()
+		n.later(1000, func() { c.members[n].endWhenFree(c.Now, func() { c.remove(n, a) }) })
+		return
+	}
+	if counted {
+		a.open[n.identity] = loss{}
+	}
+	n.removed = true
+	debug("%d removed %s %d", n.play.Now, n.name, n.identity)
+}
+
+func (c *controlPlay) running() int {
+	count := 0
+	for _, n := range c.nodes {
+		if !n.removed {
+			count++
+		}
+	}
+	return count
+}
+
+// endWhenFree ends a leaving process once the others can do without it or time is up.
+func (p *process) endWhenFree(limit int64, ended func()) {
+	if p.play.Now < limit && p.needed() && !p.play.options.Bugs.LeaveAtOnce {
+		if p.group.IsPrimary() {
+			p.handOver()
+		}
+		p.later(superviseEvery, func() { p.endWhenFree(limit, ended) })
+		return
+	}
+	p.crash()
+	ended()
+}
+
+// needed tells whether others can't do without this process yet.
+func (p *process) needed() bool {
+	if !register.HasMember(p.known.Members, p.identity) || len(p.known.Members) < 2 {
+		return false
+	}
+	if p.group.IsPrimary() || p.known.Primary == p.identity {
+		return true
+	}
+	return len(p.known.Learners) > 0 || membership.View(p.known).LeavesTooFew(p.identity)
+}
+
+// handOver asks an in-sync member to take the lead.
+func (p *process) handOver() {
+	for _, id := range p.known.InSync {
+		member, named := p.known.Member(id)
+		if id == p.identity || !named || p.sessions[id].leaving {
+			continue
+		}
+		p.ask(member.Address, func(other *process) func() {
+			if !other.leaving && other.known.IsInSync(other.identity) {
+				other.takeOver(prepareOnTransfer)
+			}
+			record := other.known
+			return func() { p.learn(record) }
+		})
+		return
+	}
+}
+
+func (c *controlPlay) order() {
+	c.After(c.Between(1, 2*orderEvery), c.order)
+	for _, n := range c.nodes {
+		if n.up && n.group.IsReady() && c.Chance(2) {
+			n.propose()
+		}
+	}
+}
+
+// measure notes how long a repair took.
+func (c *controlPlay) measure(p *process) {
+	if c.repair.since == 0 || c.newest.Primary != p.identity || !p.group.IsReady() {
+		return
+	}
+	inSync := 0
+	for _, member := range c.newest.Members {
+		if n := c.find(member.ID); n != nil && n.up && c.newest.IsInSync(member.ID) {
+			inSync++
+		}
+	}
+	reserve := inSync - len(c.newest.Members)/2 - 1
+	if !c.repair.protected && inSync > c.options.Tolerate && reserve >= c.options.Tolerate {
+		c.repair.protected = true
+		c.outcome.Protected = append(c.outcome.Protected, c.Now-c.repair.since)
+	}
+	if inSync == len(c.newest.Members) && inSync >= c.policy.Voters() {
+		c.outcome.Full = append(c.outcome.Full, c.Now-c.repair.since)
+		c.repair = repairClock{}
+	}
+}
+
+// whole tells whether the group has its full number of members, all in sync, and serves.
+func (c *controlPlay) whole() bool {
+	primary := c.find(c.newest.Primary)
+	if primary == nil || primary.group == nil || !primary.group.IsReady() || primary.group.View().Epoch != c.newest.Epoch {
+		return false
+	}
+	for _, member := range c.newest.Members {
+		if n := c.find(member.ID); n == nil || !n.up || !c.newest.IsInSync(member.ID) {
+			return false
+		}
+	}
+	full := min(c.policy.Voters(), c.running())
+	return len(c.newest.Members) >= full && primary.group.AppliedIndex()+5 > primary.group.LastIndex()
+}
+
+var _ replica.StateMachine = (*journal)(nil)
--- /dev/null
+++ b/lab/faultsim/debug.go
@@ -0,0 +1,3 @@
+package faultsim
+
+var debug = func(string, ...any) {}
--- a/lab/faultsim/node.go
+++ b/lab/faultsim/node.go
@@ -72,6 +72,7 @@
 	removed  bool // for good
 	born     int64
 	life     int
+	wiped    func() // the disk was lost
 
 	group   *replica.Group
 	machine *journal
@@ -96,6 +97,7 @@
 	acknowledged       []uint32
 	newestAcknowledged uint32
 	stateSize          int
+	eager              bool          // primaries tell backups of each commit at once
 	quiet              bool          // no more harm is done
 	bugs               Bugs          // faults put into the machines
 	fault              string        // what was found wrong, empty if nothing
@@ -124,7 +126,7 @@
 
 // addNode adds a machine with an empty disk. It is started by start.
 func (p *play) addNode(name string) *node {
-	n := &node{play: p, name: name, address: name}
+	n := &node{play: p, name: name, address: name, wiped: func() {}}
 	p.nodes = append(p.nodes, n)
 	n.newDisk()
 	return n
@@ -153,7 +155,7 @@
 func (n *node) open() {
 	n.machine = &journal{size: n.play.stateSize}
 	entries := append([]replica.Entry(nil), n.disk.entries...)
-	group, err := replica.NewGroup(n.identity, n.machine, n.disk.base, entries, replica.Options{EntriesKept: entriesKept})
+	group, err := replica.NewGroup(n.identity, n.machine, n.disk.base, entries, replica.Options{EntriesKept: entriesKept, EagerCommit: n.play.eager})
 	if err != nil {
 		n.play.fail("a disk could not be read: " + err.Error())
 		return
@@ -170,6 +172,7 @@
 		return
 	}
 	n.up = true
+	debug("%d start %s %d", n.play.Now, n.name, n.identity)
 	n.leaving = false
 	n.life++
 	n.boot = n.play.Random.Uint64()
@@ -192,14 +195,17 @@
 		n.disk.write(write)
 	}
 	n.up = false
+	debug("%d end %s %d", n.play.Now, n.name, n.identity)
 	n.life++
 	n.group = nil
 }
 
 // wipe ends the process and takes the disk away; it starts again on an empty one.
 func (n *node) wipe(down int64) {
+	debug("%d wipe %s %d", n.play.Now, n.name, n.identity)
 	n.crash()
 	n.newDisk()
+	n.wiped()
 	n.play.After(down, n.start)
 }
 
--- a/lab/faultsim/shard.go
+++ b/lab/faultsim/shard.go
@@ -108,7 +108,7 @@
 	a := &adversary{
 		play: s.play, tolerate: options.Tolerate, open: map[uint64]loss{}, spaced: options.Spaced,
 		inSync: func() []uint64 { return s.shard.View.InSync }, primary: func() uint64 { return s.shard.View.Primary },
-		leave: s.leave, replace: s.retire, struck: func() { s.repair = repairClock{since: s.Now} },
+		bears: func() int { return s.options.Tolerate }, leave: s.leave, replace: s.retire, struck: func() { s.repair = repairClock{since: s.Now} },
 	}
 	s.changed = a.provoked
 	a.act()
--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -35,11 +35,23 @@
 		if ledSince == 0 {
 			ledSince = groups.Now()
 		}
+		s.followRecord(ctx)
 		s.adjustInSync(ctx)
 		s.adjustMembers(ctx, ledSince)
 	})
 }
 
+// followRecord has the primary's replica follow a record that this process proposed and of which it did not hear that it was
+// decided: the replica would go on without the members that the record names. The record is decided anew under the next epoch.
+func (s *Server) followRecord(ctx context.Context) {
+	known := s.elector.Known()
+	epoch := uint64(0)
+	s.host.With(controlGroup, func(g *replica.Group) { epoch = g.View().Epoch })
+	if known.Primary == s.self.ID && known.Epoch > epoch {
+		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) { return record, true })
+	}
+}
+
 // adjustInSync drops silent members of control and takes in those that have caught up.
 func (s *Server) adjustInSync(ctx context.Context) {
 	var silent, caughtUp []uint64
@@ -89,10 +101,11 @@
 		return
 	}
 	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch != known.Epoch {
+		if record.Epoch > known.Epoch {
 			return record, false
 		}
-		if !wanted {
+		// a known record above the current one was proposed and never decided: the current one gets the next epoch
+		if record.Epoch < known.Epoch || !wanted {
 			return record, true
 		}
 		return step.Record, true
