Each installation has an identity; another one's messages, records and views are refused and named

Cause: views were ordered by revision and records by epoch alone, so that a member with the disk of another installation, or one founded anew, was not told apart; a disk put back from an older copy was taken for the member. Change: the identity is drawn at founding (register.Record), bound to each disk by the first message of a primary or by a decided record, and carried by replica messages, views and subscriptions. A store with a bound disk reports to control only after a view of its installation. Ruled out: binding a disk by any record learnt (of two founders only one is decided).

--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -85,6 +86,9 @@
 
 // Learn takes a record told by another process.
 func (e *Elector) Learn(record register.Record) {
+	if e.host.IsForeign(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	if record.Epoch > e.known.Epoch {
 		e.known = record
@@ -143,6 +147,10 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
+	if e.host.IsForeign(record.Installation) {
+		message.Answer(codes.DiskForeign, nil)
+		return
+	}
 	e.mu.Lock()
 	given := e.vote(func(w *register.Witness) bool { return w.Accept(ballot, record) })
 	answer := e.promise(given)
@@ -261,6 +269,9 @@
 
 // lead has the replica act on a record that this process has decided.
 func (e *Elector) lead(record register.Record) {
+	if !e.host.Bind(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	e.led = true
 	e.mu.Unlock()
@@ -297,6 +308,7 @@
 // Found decides the first record.
 func (e *Elector) Found(ctx context.Context, members []register.Member) error {
 	first := register.Record{Members: members}
+	installation := rand.Uint64() | 1
 	founded := false
 	record, err := e.propose(ctx, prepareBySelf, first, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
 		founded = false
@@ -304,7 +316,9 @@
 			return current, false
 		}
 		founded = true
-		return e.policy.Found(e.host.Identity, members), true
+		next := e.policy.Found(e.host.Identity, members)
+		next.Installation = installation
+		return next, true
 	})
 	if err == nil && founded {
 		e.lead(record)
--- a/tier/control/state.go
+++ b/tier/control/state.go
@@ -56,6 +56,7 @@
 	case CommandRetire:
 		return Result{Code: s.retire(index, c)}
 	case CommandMembers:
+		s.View.SetInstallation(c.Record.Installation)
 		s.View.Put(feed.SectionControl, directory.ConfigKey, index, directory.EncodeMembers(c.Record))
 	case CommandReadConfig:
 		return s.readConfig()
--- a/tier/feed/subscribe.go
+++ b/tier/feed/subscribe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -36,6 +37,7 @@
 func (p *Publisher) Handle(message rpc.Message) {
 	d := codec.NewDecoder(message.Payload)
 	revision := d.Uint64()
+	installation := d.Uint64()
 	if d.Err() != nil {
 		message.Answer(codes.Malformed, nil)
 		return
@@ -44,6 +46,10 @@
 		message.Answer(codes.SubscriptionStale, nil)
 		return
 	}
+	if p.View.Refuses(installation) {
+		message.Answer(codes.DiskForeign, nil)
+		return
+	}
 	message.Answer(codes.OK, nil)
 	go p.serve(message.Conn, revision)
 }
@@ -80,6 +86,8 @@
 	Addresses func() []string
 	// Changed is called with the items that an update changed; nil if not wanted.
 	Changed func(items []Item)
+
+	namedForeign bool
 }
 
 // Run subscribes until the context ends.
@@ -117,9 +125,13 @@
 	defer conn.Close()
 	var e codec.Encoder
 	e.Uint64(s.View.Revision())
+	e.Uint64(s.View.Installation())
 	call, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	_, err = conn.Call(call, KindSubscribe, e.Bytes)
 	cancel()
+	if errors.Is(err, codes.DiskForeign) {
+		s.nameForeign(address)
+	}
 	if err != nil {
 		return
 	}
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -43,9 +43,10 @@
 
 // Update carries the items that changed after From, up to Revision. Whole says that it replaces all items.
 type Update struct {
-	Revision uint64
-	Whole    bool
-	Items    []Item
+	Installation uint64 // whose revisions these are; 0 if it is not known yet
+	Revision     uint64
+	Whole        bool
+	Items        []Item
 }
 
 // tombstonesKept bounds how many deleted items are remembered for subscribers that lag.
@@ -55,7 +56,9 @@
 type View struct {
 	mu       sync.Mutex
 	sections map[Section]map[string]Item
-	revision uint64
+	// installation is the one whose revisions these are; 0 as long as it is not known.
+	installation uint64
+	revision     uint64
 	// forgotten is the newest revision whose deletion is no longer remembered: subscribers that lag behind it get all.
 	forgotten uint64
 	changed   chan struct{}
@@ -230,7 +233,7 @@
 }
 
 func (v *View) sinceLocked(revision uint64, include func(Section) bool) Update {
-	update := Update{Revision: v.revision, Whole: revision == 0 || revision < v.forgotten}
+	update := Update{Installation: v.installation, Revision: v.revision, Whole: revision == 0 || revision < v.forgotten}
 	if !update.Whole && revision >= v.orderFrom {
 		update.Items = v.changesSince(revision, include)
 		return update
@@ -276,13 +279,17 @@
 	return i.Key < other.Key
 }
 
-// Merge takes an update and returns the items that changed. Updates older than the view change nothing.
+// Merge takes an update and returns the items that changed. Updates older than the view, or of another installation, change
+// nothing.
 func (v *View) Merge(update Update) []Item {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if update.Revision < v.revision {
+	if update.Revision < v.revision || v.isForeign(update.Installation) {
 		return nil
 	}
+	if update.Installation != 0 {
+		v.installation = update.Installation
+	}
 	var changed []Item
 	if update.Whole {
 		changed = v.removeMissing(update)
@@ -337,6 +344,7 @@
 	for _, item := range update.Items {
 		v.store(item)
 	}
+	v.installation = update.Installation
 	v.revision = update.Revision
 	v.forgotten = update.Revision
 	v.order = nil
@@ -349,6 +357,7 @@
 // Encode is the update's form on the wire and on disk.
 func (u Update) Encode() []byte {
 	var e codec.Encoder
+	e.Uint64(u.Installation)
 	e.Uint64(u.Revision)
 	e.Bool(u.Whole)
 	e.Uint32(uint32(len(u.Items)))
@@ -365,7 +374,7 @@
 // DecodeUpdate reads an update.
 func DecodeUpdate(message []byte) (Update, error) {
 	d := codec.NewDecoder(message)
-	u := Update{Revision: d.Uint64(), Whole: d.Bool()}
+	u := Update{Installation: d.Uint64(), Revision: d.Uint64(), Whole: d.Bool()}
 	for range d.Count(smallestItem) {
 		u.Items = append(u.Items, Item{
 			Section: Section(d.Uint8()), Key: d.String(), Revision: d.Uint64(), Deleted: d.Bool(), Data: d.Blob(),
--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -63,6 +63,7 @@
 	Identity uint64
 	Values   *storage.Values
 
+	origin     *origin
 	journal    *storage.Journal
 	found      map[uint32]*storage.Log
 	clients    *rpc.Clients
@@ -102,6 +103,9 @@
 	if h.Identity, err = identity(values); err != nil {
 		return nil, err
 	}
+	if h.origin, err = openOrigin(values, log); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -285,23 +289,32 @@
 	if address == "" {
 		return
 	}
+	h.clients.To(address).Send(KindReplica, h.encodeMessage(group, out))
+}
+
+func (h *Host) encodeMessage(group uint32, out replica.Outgoing) []byte {
 	var e codec.Encoder
 	e.Uint32(group)
+	e.Uint64(h.Installation())
 	e.Uint64(h.Identity)
+	e.Uint64(h.origin.starts)
 	e.Uint64(out.To)
 	out.Message.Encode(&e)
-	h.clients.To(address).Send(KindReplica, e.Bytes)
+	return e.Bytes
 }
 
-// HandleMessage takes a message between replicas. Those for another identity, or for a group that is not held, are dropped.
+// HandleMessage takes a message between replicas. Those for another identity, of another installation, of an earlier start of
+// the sender, or for a group that is not held, are dropped.
 // unknown is called for a group that is not open.
 func (h *Host) HandleMessage(payload []byte, unknown func(group uint32)) {
 	d := codec.NewDecoder(payload)
 	id := d.Uint32()
+	installation := d.Uint64()
 	from := d.Uint64()
+	starts := d.Uint64()
 	to := d.Uint64()
 	message := replica.DecodeMessage(d)
-	if d.Err() != nil || to != h.Identity {
+	if d.Err() != nil || to != h.Identity || !h.origin.accepts(installation, from, starts) {
 		return
 	}
 	if !h.Has(id) && unknown != nil {
--- a/tier/register/register.go
+++ b/tier/register/register.go
@@ -25,6 +25,8 @@
 	Previous  []Member // the members before a change that is not yet known by a majority of both
 	MinCopies int      // in-sync replicas without which nothing is committed
 	Learners  []Member // spares that hold a copy, or are getting one, and have no vote
+	// Installation is drawn when the register is founded and never changes.
+	Installation uint64
 }
 
 // Known tells whether the register has been founded.
@@ -187,6 +189,7 @@
 	encodeMembers(e, r.Previous)
 	e.Uint32(uint32(r.MinCopies))
 	encodeMembers(e, r.Learners)
+	e.Uint64(r.Installation)
 }
 
 // DecodeRecord reads a record from a message.
@@ -199,6 +202,8 @@
 		Previous:  decodeMembers(d),
 		MinCopies: int(d.Uint32()),
 		Learners:  decodeMembers(d),
+
+		Installation: d.Uint64(),
 	}
 }
 
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -76,6 +76,7 @@
 			Identity: host.Identity, Boot: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
 		},
 	}
+	server.view.SetInstallation(host.Installation())
 	server.control = controlclient.New(clients, server.controlAddresses)
 	for _, id := range host.Found() {
 		server.openShard(id)
@@ -148,6 +149,9 @@
 
 // follow acts on the shard map: it opens and drops shards and tells the groups their views.
 func (s *Server) follow() {
+	if !s.host.Bind(s.view.Installation()) {
+		return
+	}
 	for _, store := range directory.Stores(s.view) {
 		s.host.SetAddress(store.Identity, store.Address)
 	}
@@ -184,7 +188,10 @@
 func (s *Server) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, beatTimeout)
-		_, err := s.control.Call(call, controlclient.KindStoreBeat, s.beatMessage())
+		var err error
+		if s.knowsInstallation() {
+			_, err = s.control.Call(call, controlclient.KindStoreBeat, s.beatMessage())
+		}
 		cancel()
 		if err != nil {
 			s.log.WithError(err).Debug("heartbeat to control failed")
@@ -196,6 +203,12 @@
 	}
 }
 
+// knowsInstallation tells whether the control processes reached are of the installation of this disk: one that belongs to an
+// installation reports only once it was given a view of it.
+func (s *Server) knowsInstallation() bool {
+	return s.host.Installation() == 0 || s.view.Revision() > 0
+}
+
 func (s *Server) beatMessage() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
