--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/groups"
@@ -23,12 +24,18 @@
 	return leads
 }
 
+// leadsWithLease tells whether this process is the primary of control and a majority has answered it lately.
+func (s *Server) leadsWithLease() bool {
+	standing := s.standing()
+	return standing.Role == authority.Primary && standing.HasLease(groups.Now())
+}
+
 // adjustReplicas keeps control's own replicas in order while this process leads. It runs beside the other work of the primary,
 // which may wait for a replica that has to be dropped or taken in first.
 func (s *Server) adjustReplicas(ctx context.Context) {
 	ledSince := int64(0)
 	periodic.Run(ctx, superviseEvery, func() {
-		if !s.leadsControl() {
+		if !s.leadsWithLease() {
 			ledSince = 0
 			return
 		}
@@ -117,7 +124,7 @@
 		Alive:    s.sessions.Controls(),
 		HasState: map[uint64]bool{},
 		Lost:     s.lost,
-		Silent:   func(id uint64) bool { return s.sessions.ControlSilentFor(id, ledSince) > controlSilence },
+		Silent:   func(id uint64) bool { return s.sessions.ControlSilentFor(id, ledSince) > authority.ControlSilence },
 		Gone:     func(id uint64) bool { return s.sessions.ControlSilentFor(id, ledSince) > controlGone },
 		Leaving:  s.sessions.ControlLeaving,
 	}
@@ -179,7 +186,7 @@
 // answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
 // for may come with this very beat.
 func (s *Server) answerControlBeat(message rpc.Message) {
-	if !s.leadsControl() {
+	if !s.leadsWithLease() {
 		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
 		return
 	}
@@ -192,7 +199,10 @@
 	}
 	s.sessions.HeardControl(member, leaving)
 	s.noteAnswered(member, groups.Now())
-	message.Answer(codes.OK, encodeRecord(s.elector.Known()))
+	var e codec.Encoder
+	register.EncodeRecord(&e, s.elector.Known())
+	e.Int64(s.standing().Age(groups.Now()))
+	message.Answer(codes.OK, e.Bytes)
 }
 
 func encodeRecord(record register.Record) []byte {
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -127,6 +127,8 @@
 	slots         *TransferSlots
 	incoming      *incomingSnapshot
 	clock         int64 // of the newest event
+	stepDownAfter int64
+	contact       contact
 }
 
 // Options tune a group.
@@ -143,6 +145,11 @@
 	PieceBytes int
 	// Slots bounds the snapshots sent at once together with other groups; nil means no bound.
 	Slots *TransferSlots
+	// Life is a number drawn for the present life of the process. With one, the group keeps contact: its primary can prove that
+	// a majority answers it, and its backups that such a primary does.
+	Life uint64
+	// StepDownAfter is how many milliseconds a primary leads on without the answers of a majority; 0 means for ever.
+	StepDownAfter int64
 }
 
 // NewGroup makes a replica from what was found on disk: a snapshot and the entries behind it.
@@ -151,6 +158,8 @@
 	g.bytesKept = options.BytesKept
 	g.pieceBytes = options.PieceBytes
 	g.slots = options.Slots
+	g.contact.life = options.Life
+	g.stepDownAfter = options.StepDownAfter
 	if g.entriesKept == 0 {
 		g.entriesKept = standardEntriesKept
 	}
@@ -185,6 +194,9 @@
 // IsReady tells whether this primary has committed the entry that opened its epoch, so that its state is complete.
 func (g *Group) IsReady() bool { return g.role == Primary && g.applied >= g.openedEpochAt }
 
+// OpenedAt is the entry that opened the newest epoch led here, and so names that lead.
+func (g *Group) OpenedAt() uint64 { return g.openedEpochAt }
+
 // AppliedIndex is the last entry that the state machine has seen.
 func (g *Group) AppliedIndex() uint64 { return g.applied }
 
@@ -260,6 +272,7 @@
 	g.admitting = map[uint64]bool{}
 	g.openedEpochAt = g.lastIndex() + 1
 	g.updatePeers(now)
+	g.beginContact(now)
 	g.Propose(nil, now)
 }
 
