Ids of gone hosts, deletions at subscribers and retirements are bounded

Cause: ids of hosts that deregistered stayed for ever; a subscriber (agent, proxy, store) never forgot a deletion (5,001 items kept of which one existed); a retired name stayed for ever, so that a machine that came under it again would have been emptied. Ruled out: the history of orders going to subscribers (it is a private section and is not sent).

--- a/tier/control/state.go
+++ b/tier/control/state.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -18,13 +20,15 @@
 
 	mu    sync.Mutex
 	hosts map[string]hostState
+	gone  int // hosts that deregistered and whose ids are still known
 }
 
 // hostState is what a host's newest accepted heartbeat said.
 type hostState struct {
-	host directory.Host
-	seq  uint64
-	gone bool // it deregistered
+	host   directory.Host
+	seq    uint64
+	gone   bool   // it deregistered
+	goneAt uint64 // index of the command that said so
 }
 
 // NewState makes an empty state.
@@ -51,6 +55,7 @@
 		s.putStore(index, c.Store)
 	case CommandRemoveStore:
 		s.View.Delete(feed.SectionStore, directory.StoreKey(c.Store.Identity), index)
+		s.retirementLosesStore(index, c.Store.Node)
 	case CommandPutShard:
 		return Result{Code: s.putShard(index, c)}
 	case CommandRetire:
@@ -134,7 +139,7 @@
 		s.View.Delete(feed.SectionHost, c.Key, index)
 	}
 	if c.Final {
-		s.hosts[c.Key] = hostState{gone: true}
+		s.markGone(c.Key, index)
 	} else if !held.gone {
 		delete(s.hosts, c.Key)
 	}
@@ -142,6 +147,7 @@
 
 func (s *State) putStore(index uint64, store directory.Store) {
 	s.View.Put(feed.SectionStore, directory.StoreKey(store.Identity), index, store.Encode())
+	s.retirementMeetsStore(index, store)
 }
 
 func (s *State) putShard(index uint64, c Command) codes.Code {
@@ -179,7 +185,7 @@
 	if remaining < int(c.Needed) {
 		return codes.RetireTooFew
 	}
-	s.View.Put(feed.SectionRetire, c.Key, index, []byte{1})
+	s.beginRetirement(index, c.Key)
 	return codes.OK
 }
 
@@ -204,22 +210,24 @@
 	return held.host, known && !held.gone
 }
 
-// Snapshot is the state as bytes.
+// Snapshot is the state as bytes, the same for the same state.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var e codec.Encoder
 	e.Blob(s.View.Export().Encode())
 	e.Uint32(uint32(len(s.hosts)))
-	for id, held := range s.hosts {
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		held := s.hosts[id]
 		e.String(id)
 		e.Uint64(held.seq)
 		e.Bool(held.gone)
+		e.Uint64(held.goneAt)
 	}
 	return e.Bytes
 }
 
-const smallestHost = 4 + 8 + 1
+const smallestHost = 4 + 8 + 1 + 8
 
 // Restore replaces the state by a snapshot.
 func (s *State) Restore(snapshot []byte) error {
@@ -239,12 +247,17 @@
 		}
 		hosts[host.ID] = hostState{host: host}
 	}
+	gone := 0
 	for range d.Count(smallestHost) {
 		id := d.String()
 		seq := d.Uint64()
 		held := hosts[id]
 		held.seq = seq
 		held.gone = d.Bool()
+		held.goneAt = d.Uint64()
+		if held.gone {
+			gone++
+		}
 		hosts[id] = held
 	}
 	if d.Err() != nil {
@@ -253,6 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = hosts
+	s.gone = gone
 	s.View.Restore(update)
 	return nil
 }
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -59,6 +59,7 @@
 	// installation is the one whose revisions these are; 0 as long as it is not known.
 	installation uint64
 	revision     uint64
+	deletions    int // items that are remembered as deleted
 	// forgotten is the newest revision whose deletion is no longer remembered: subscribers that lag behind it get all.
 	forgotten uint64
 	changed   chan struct{}
@@ -120,10 +121,8 @@
 	for _, item := range items {
 		v.store(item)
 		v.revision = max(v.revision, item.Revision)
-		if item.Deleted {
-			v.forgetTombstones()
-		}
 	}
+	v.forgetTombstones()
 	v.notify()
 }
 
@@ -151,6 +150,8 @@
 		items = map[string]Item{}
 		v.sections[item.Section] = items
 	}
+	v.countDeletion(items[item.Key], -1)
+	v.countDeletion(item, 1)
 	items[item.Key] = item
 	v.order = append(v.order, change{itemKey{item.Section, item.Key}, item.Revision})
 	if len(v.order) > 2*v.size()+2*orderSlack {
@@ -159,7 +160,19 @@
 	}
 }
 
+// countDeletion keeps the number of items that are remembered as deleted; the lock is held.
+func (v *View) countDeletion(item Item, by int) {
+	if item.Deleted {
+		v.deletions += by
+	}
+}
+
+// forgetTombstones forgets the oldest deletions when there are too many; subscribers that lag further get all items. The lock is
+// held.
 func (v *View) forgetTombstones() {
+	if v.deletions <= tombstonesKept {
+		return
+	}
 	var dead []Item
 	for _, items := range v.sections {
 		for _, item := range items {
@@ -168,14 +181,12 @@
 			}
 		}
 	}
-	if len(dead) <= tombstonesKept {
-		return
-	}
 	sort.Slice(dead, func(i, j int) bool { return dead[i].Revision < dead[j].Revision })
 	for _, item := range dead[:len(dead)-tombstonesKept/2] {
 		v.forgotten = max(v.forgotten, item.Revision)
 		delete(v.sections[item.Section], item.Key)
 	}
+	v.deletions = tombstonesKept / 2
 }
 
 // Get returns an item's data.
@@ -307,6 +318,7 @@
 		v.store(item)
 		changed = append(changed, item)
 	}
+	v.forgetTombstones()
 	moved := update.Revision > v.revision
 	v.revision = update.Revision
 	if moved || len(changed) > 0 {
@@ -330,6 +342,7 @@
 			item.Data = nil
 			item.Revision = update.Revision
 			items[key] = item
+			v.deletions++
 			changed = append(changed, item)
 		}
 	}
@@ -341,6 +354,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.sections = map[Section]map[string]Item{}
+	v.deletions = 0
 	for _, item := range update.Items {
 		v.store(item)
 	}
