Programs: turns whose end never comes are charged for good after 15 minutes and their ids forgotten

Cause: a program that lives for long kept one reservation for each turn whose gateway died in the middle, and one host for each session, for ever. Ruled out: giving the estimate back (tokens may have been generated; the total must not fall). Change: by the time that commands carry, a reservation older than 15 minutes becomes part of the count; the hosts of at most 256 sessions of a program are remembered.

--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -30,7 +30,7 @@
 // program is the state of one agent program.
 type program struct {
 	charged  uint64            // settled tokens
-	reserved map[string]uint64 // estimates of turns that have not ended, by request
+	reserved map[string]reservation // of turns that have not ended, by request
 	settled  []string
 	turns    map[string]turn
 	lastHost map[string]string // by session
@@ -39,8 +39,8 @@
 
 func (p *program) total() uint64 {
 	total := p.charged
-	for _, estimate := range p.reserved {
-		total += estimate
+	for _, each := range p.reserved {
+		total += each.estimate
 	}
 	return total
 }
@@ -103,7 +103,7 @@
 func (s *State) program(name string, now int64) *program {
 	p := s.programs[name]
 	if p == nil {
-		p = &program{reserved: map[string]uint64{}, turns: map[string]turn{}, lastHost: map[string]string{}}
+		p = &program{reserved: map[string]reservation{}, turns: map[string]turn{}, lastHost: map[string]string{}}
 		s.programs[name] = p
 	}
 	p.touched = max(p.touched, now)
@@ -125,7 +125,7 @@
 		host = p.lastHost[b.Session]
 	}
 	if _, again := p.reserved[b.Request]; !again {
-		p.reserved[b.Request] = b.Estimate
+		p.reserved[b.Request] = reservation{estimate: b.Estimate, at: b.Now}
 		if b.Limited && p.total() > b.Budget {
 			delete(p.reserved, b.Request)
 			return Result{Code: codes.BudgetSpent}
@@ -184,7 +184,7 @@
 		p.settled = append([]string(nil), p.settled[len(p.settled)-settledKept:]...)
 	}
 	if c.Host != "" {
-		p.lastHost[c.Session] = c.Host
+		p.noteHost(c.Session, c.Host)
 	}
 	if c.Keep {
 		p.keep(c)
@@ -211,6 +211,7 @@
 // sweep drops turns that are no longer kept, and programs that have rested for long and keep no turn.
 func (s *State) sweep(now int64) {
 	for name, p := range s.programs {
+		p.chargeAbandoned(now)
 		for id, each := range p.turns {
 			if now > each.expires {
 				delete(p.turns, id)
@@ -251,7 +252,8 @@
 	e.Uint32(uint32(len(p.reserved)))
 	for _, request := range sortedKeys(p.reserved) {
 		e.String(request)
-		e.Uint64(p.reserved[request])
+		e.Uint64(p.reserved[request].estimate)
+		e.Int64(p.reserved[request].at)
 	}
 	e.Uint32(uint32(len(p.settled)))
 	for _, request := range p.settled {
@@ -277,11 +279,11 @@
 func decodeProgram(d *codec.Decoder) *program {
 	p := &program{
 		charged: d.Uint64(), touched: d.Int64(),
-		reserved: map[string]uint64{}, turns: map[string]turn{}, lastHost: map[string]string{},
+		reserved: map[string]reservation{}, turns: map[string]turn{}, lastHost: map[string]string{},
 	}
-	for range d.Count(12) {
+	for range d.Count(smallestReservation) {
 		request := d.String()
-		p.reserved[request] = d.Uint64()
+		p.reserved[request] = reservation{estimate: d.Uint64(), at: d.Int64()}
 	}
 	for range d.Count(4) {
 		p.settled = append(p.settled, d.String())
