--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -29,7 +29,7 @@
 
 // program is the state of one agent program.
 type program struct {
-	charged  uint64            // settled tokens
+	charged  uint64                 // settled tokens
 	reserved map[string]reservation // of turns that have not ended, by request
 	settled  []string
 	turns    map[string]turn
