Sessions of hosts: time given in doubt is never cut short; a refusal for want of a lease is such a doubt

Change: refusals travel with the control session; every doubt leaves a floor under the end of the session.

--- a/tier/authority/hosts.go
+++ b/tier/authority/hosts.go
@@ -11,14 +11,16 @@
 }
 
 type hostSession struct {
-	heardAt int64
-	holder  uint64 // the control process that heard it last, 0 if no one has told this primary
+	heardAt   int64
+	holder    uint64 // the control process that heard it last, 0 if no one has told this primary
+	doubtedAt int64  // when this primary last knew nothing of the host's way; what is heard later may be old
 }
 
 // holder is a control process that keeps sessions of hosts.
 type holder struct {
 	heardAt     int64
-	recoveredAt int64 // when it was heard again after a silence
+	refusals    uint64 // heartbeats that it has refused for want of a lease
+	recoveredAt int64  // when it was heard again after a silence or such a refusal
 }
 
 // NewHostSessions makes an empty table.
@@ -31,21 +33,21 @@
 	s.hosts = make(map[string]hostSession, len(hosts))
 	clear(s.removing)
 	for _, id := range hosts {
-		s.hosts[id] = hostSession{heardAt: now}
+		s.hosts[id] = hostSession{heardAt: now, doubtedAt: now}
 	}
 }
 
 // Doubt starts all sessions anew, after this process stood still.
 func (s *HostSessions) Doubt(now int64) {
 	for id := range s.hosts {
-		s.hosts[id] = hostSession{heardAt: now}
+		s.hosts[id] = hostSession{heardAt: now, doubtedAt: now}
 	}
 }
 
 // Heard keeps a host's session. It tells whether a removal of the host may be under way: then the heartbeat is worth nothing
 // unless it is committed behind the removal.
 func (s *HostSessions) Heard(id string, by uint64, now int64) (removing bool) {
-	s.hosts[id] = hostSession{heardAt: now, holder: by}
+	s.hosts[id] = hostSession{heardAt: now, holder: by, doubtedAt: s.hosts[id].doubtedAt}
 	return s.removing[id]
 }
 
@@ -62,19 +64,21 @@
 		return
 	}
 	if _, heard := s.hosts[id]; !heard {
-		s.hosts[id] = hostSession{heardAt: now}
+		s.hosts[id] = hostSession{heardAt: now, doubtedAt: now}
 	}
 }
 
 // Kept notes that a host was put on the list behind any removal.
 func (s *HostSessions) Kept(id string) { delete(s.removing, id) }
 
-// HeardHolder notes that a control process is in contact.
-func (s *HostSessions) HeardHolder(id uint64, now int64) {
+// HeardHolder notes that a control process is in contact, and how many heartbeats it has refused for want of a lease: the hosts
+// that it sent away are on their way to another.
+func (s *HostSessions) HeardHolder(id, refusals uint64, now int64) {
 	held, known := s.holders[id]
-	if known && now-held.heardAt > HolderSilence {
+	if known && (now-held.heardAt > HolderSilence || refusals != held.refusals) {
 		held.recoveredAt = now
 	}
+	held.refusals = refusals
 	held.heardAt = now
 	s.holders[id] = held
 }
@@ -95,21 +99,20 @@
 }
 
 // endOf is when a session ends unless the host is heard. The silence of a host may be the fault of the control process that
-// kept it, or of the one that led before; then there is time for the host to find another.
+// kept it, or of the one that led before; then there is time for the host to find another. That time is never cut short by a
+// report, which may have been on its way for long.
 func (s *HostSessions) endOf(session hostSession, heartbeat, now int64) int64 {
 	patience := HeartbeatsLost * heartbeat
-	if session.holder == 0 {
-		return session.heardAt + patience + HostGrace
+	end := session.heardAt + patience
+	if session.doubtedAt > 0 {
+		end = max(end, session.doubtedAt+patience+HostGrace)
 	}
-	held, known := s.holders[session.holder]
-	switch {
-	case !known:
-		return session.heardAt + patience
-	case now-held.heardAt > HolderSilence:
-		return max(session.heardAt, held.heardAt) + patience + HostGrace
-	case held.recoveredAt > session.heardAt:
-		return held.recoveredAt + patience + HostGrace
-	default:
-		return session.heardAt + patience
+	held := s.holders[session.holder]
+	if now-held.heardAt > HolderSilence {
+		return max(end, max(session.heardAt, held.heardAt)+patience+HostGrace)
 	}
+	if held.recoveredAt > 0 {
+		return max(end, held.recoveredAt+patience+HostGrace)
+	}
+	return end
 }
--- a/tier/control/api.go
+++ b/tier/control/api.go
@@ -203,6 +203,7 @@
 		return
 	}
 	if !s.mayPassOn(w) {
+		s.refusals.Add(1)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), apiTimeout)
--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -21,7 +21,7 @@
 func (s *Server) beat(ctx context.Context) {
 	periodic.Run(ctx, controlBeatEvery, func() {
 		if s.host.IsPrimary(controlGroup) {
-			s.sessions.HeardControl(s.self)
+			s.sessions.HeardControl(s.self, s.refusals.Load())
 		} else if s.elector.Known().Known() {
 			s.beatPrimary(ctx)
 		}
@@ -34,6 +34,7 @@
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
 	e.String(s.self.Address)
+	e.Uint64(s.refusals.Load())
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := groups.Now()
@@ -54,10 +55,11 @@
 func (s *Server) controlBeat(payload []byte) (Result, error) {
 	d := codec.NewDecoder(payload)
 	member := register.Member{ID: d.Uint64(), Address: d.String()}
+	refusals := d.Uint64()
 	if d.Err() != nil {
 		return Result{}, d.Err()
 	}
-	s.sessions.HeardControl(member)
+	s.sessions.HeardControl(member, refusals)
 	s.noteIdentity(member.Address, member.ID)
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -58,6 +59,8 @@
 	ledSince int64
 
 	reachedSince int64 // start of the newest question that the primary answered
+
+	refusals atomic.Uint64 // heartbeats refused for want of a lease
 }
 
 // located is what a control process answered when it was asked who it is.
@@ -148,7 +151,7 @@
 // Supervise founds, takes over, repairs and places until the context ends.
 func (s *Server) Supervise(ctx context.Context) {
 	periodic.Run(ctx, superviseEvery, func() {
-		s.sessions.Tick()
+		s.sessions.Tick(s.refusals.Load())
 		if !s.host.IsPrimary(controlGroup) {
 			s.endLeading()
 		}
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -53,8 +53,9 @@
 	s.tickedAt = now
 }
 
-// Tick notes that this process runs. After a stall of its own it can't tell who was silent, and all start again.
-func (s *Sessions) Tick() {
+// Tick notes that this process runs; refusals is how many heartbeats it has refused for want of a lease. After a stall
+// of its own it can't tell who was silent, and all start again.
+func (s *Sessions) Tick(refusals uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
@@ -66,7 +67,7 @@
 			s.controls[id] = session
 		}
 	}
-	s.hosts.HeardHolder(s.self, now)
+	s.hosts.HeardHolder(s.self, refusals, now)
 	s.tickedAt = now
 }
 
@@ -77,12 +78,12 @@
 	s.stores.Heard(beat.Store.Identity, beat.Store.Boot, beat.Leaving, groups.Now())
 }
 
-// HeardControl keeps a control process's session.
-func (s *Sessions) HeardControl(member register.Member) {
+// HeardControl keeps a control process's session. refusals is how many heartbeats it has refused for want of a lease.
+func (s *Sessions) HeardControl(member register.Member, refusals uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
-	s.hosts.HeardHolder(member.ID, now)
+	s.hosts.HeardHolder(member.ID, refusals, now)
 	s.controls[member.ID] = controlSession{heardAt: now, member: member}
 	for id, session := range s.controls {
 		if id != member.ID && session.member.Address == member.Address {
--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -226,28 +226,29 @@
 
 // simMember is a control process.
 type simMember struct {
-	s       *simNetwork
-	place   place
-	id      uint64
-	origin  int64 // of its steady clock
-	frozen  bool
-	backlog []func()
-	group   *replica.Group
-	machine *simMachine
-	witness register.Witness
-	known   register.Record
-	learned int64
-	hasLed  bool
-	round   uint64
-	busy    bool // a proposal runs
-	hosts   *authority.HostSessions
-	stores  *authority.StoreSessions
-	leading uint64
-	ticked  int64
-	located int64
-	heard   map[string]bool
-	waiting map[uint64]func(Result, error)
-	guess   place // where the primary may be
+	s        *simNetwork
+	place    place
+	id       uint64
+	origin   int64 // of its steady clock
+	frozen   bool
+	backlog  []func()
+	group    *replica.Group
+	machine  *simMachine
+	witness  register.Witness
+	known    register.Record
+	learned  int64
+	hasLed   bool
+	round    uint64
+	busy     bool // a proposal runs
+	hosts    *authority.HostSessions
+	stores   *authority.StoreSessions
+	leading  uint64
+	ticked   int64
+	located  int64
+	heard    map[string]bool
+	refusals uint64
+	waiting  map[uint64]func(Result, error)
+	guess    place // where the primary may be
 }
 
 func (m *simMember) clock() int64 { return m.s.now + m.origin }
@@ -346,7 +347,7 @@
 		m.hosts.Doubt(now)
 	}
 	m.ticked = now
-	m.hosts.HeardHolder(m.id, now)
+	m.hosts.HeardHolder(m.id, m.refusals, now)
 	m.group.Tick(now, true)
 	m.carryOut()
 	m.supervise()
@@ -430,6 +431,7 @@
 		}
 	}
 	if m.standing().MayPassOn(m.clock()) != nil {
+		m.refusals++
 		answer(false)
 		return
 	}
@@ -504,8 +506,9 @@
 	if m.group.IsReady() {
 		return
 	}
+	refusals := m.refusals
 	onPrimary(m, func(p *simMember, answer func(register.Record)) {
-		p.hosts.HeardHolder(m.id, p.clock())
+		p.hosts.HeardHolder(m.id, refusals, p.clock())
 		answer(p.known)
 	}, func(record register.Record, ok bool) {
 		if ok {
