--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -457,7 +457,7 @@
 	call(m.s, m.place, to, authority.PrimaryAttempt, func(answer func(reply)) {
 		p := m.s.members[to]
 		if p.standing().MayDecide(p.clock()) != nil {
-			answer(reply{hint: place(p.group.View().Primary) - 1})
+			answer(reply{hint: p.hint()})
 			return
 		}
 		work(p, func(a A) { answer(reply{answer: a, leads: true}) })
@@ -472,6 +472,14 @@
 	})
 }
 
+// hint is where the primary in force is, -1 if this member doesn't know.
+func (m *simMember) hint() place {
+	if m.group.IsPrimary() || !m.standing().HasLease(m.clock()) {
+		return -1
+	}
+	return place(m.group.View().Primary) - 1
+}
+
 // report tells the primary which hosts were heard.
 func (m *simMember) report() {
 	heard := m.heard
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -132,7 +132,7 @@
 				next.InSync = register.Without(next.InSync, id)
 			}
 		}
-		adjusted = len(next.InSync) != len(current.InSync)
+		adjusted = len(caughtUp) == 0 || len(next.InSync) > len(current.InSync)
 		return next, adjusted
 	}, func(record register.Record, ok bool) {
 		if ok && adjusted {
--- a/tier/control/simjudge_test.go
+++ b/tier/control/simjudge_test.go
@@ -98,7 +98,7 @@
 	call(t.s, t.place, to, authority.PrimaryAttempt, func(answer func(place)) {
 		m := t.s.members[to]
 		if m.standing().MayDecide(m.clock()) != nil {
-			answer(place(m.group.View().Primary) - 1)
+			answer(m.hint())
 			return
 		}
 		m.stores.Heard(uint64(t.place-firstStore), 1, false, m.clock())
