--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -17,11 +17,43 @@
 // controlBeatEvery is how often a control process keeps its session with the primary.
 const controlBeatEvery = 200 * time.Millisecond
 
+// controlBeat keeps a control process's session with the primary.
+type controlBeat struct {
+	member   register.Member
+	leaving  bool
+	refusals uint64 // how many heartbeats the process has refused for want of a lease
+}
+
+func (b controlBeat) encode() []byte {
+	var e codec.Encoder
+	e.Uint64(b.member.ID)
+	e.String(b.member.Address)
+	e.String(b.member.Node)
+	e.Bool(b.leaving)
+	e.Uint64(b.refusals)
+	return e.Bytes
+}
+
+func decodeControlBeat(data []byte) (controlBeat, error) {
+	d := codec.NewDecoder(data)
+	beat := controlBeat{
+		member:   register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()},
+		leaving:  d.Bool(),
+		refusals: d.Uint64(),
+	}
+	return beat, d.Err()
+}
+
+// ownBeat is what this process says of itself.
+func (s *Server) ownBeat() controlBeat {
+	return controlBeat{member: s.self, leaving: s.isLeaving(), refusals: s.refusals.Load()}
+}
+
 // beat keeps this process's session with the primary.
 func (s *Server) beat(ctx context.Context) {
 	periodic.Run(ctx, controlBeatEvery, func() {
 		if s.leadsControl() {
-			s.sessions.HeardControl(s.self, s.isLeaving())
+			s.sessions.HeardControl(s.ownBeat())
 		} else if s.elector.Known().Known() {
 			s.beatPrimary(ctx)
 		}
@@ -34,7 +66,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := groups.Now()
-	answer, err := s.primary.Call(call, controlclient.KindControlBeat, s.controlBeatMessage())
+	answer, err := s.primary.Call(call, controlclient.KindControlBeat, s.ownBeat().encode())
 	if err != nil {
 		return
 	}
