--- /dev/null
+++ b/cmd/otterlab/run.go
@@ -0,0 +1,60 @@
+package main
+
+// This file owns the command that plays one day.
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"otterseam/lab/play"
+	"otterseam/lab/runs"
+)
+
+type runCmd struct {
+	choose
+	Decider string `default:"module" help:"Who decides: module, random, share, design, omniscient or wire:PATH."`
+	Ref     string `help:"Tell the story of this invocation as well." placeholder:"ID"`
+}
+
+func (c *runCmd) Run(ctx context.Context, s *streams) error {
+	d, err := c.load()
+	if err != nil {
+		return err
+	}
+	if err := decider(c.Decider); err != nil {
+		return err
+	}
+	plan := runs.Plan{Day: d, Decider: c.Decider, Seed: c.Seed, Over: c.Set}
+	tick := s.progress("second", int(d.Length.Hi))
+	r, w, err := runs.One(plan, play.Story(c.Ref), play.Progress(func(at float64) { tick(int(at)) }))
+	if err != nil {
+		return err
+	}
+	if err := c.tell(s, d.Name, []*runs.Run{r}); err != nil {
+		return err
+	}
+	for _, l := range w.Told() {
+		fmt.Fprintln(s.errs, l)
+	}
+	if err := tellFirstBreak(s, plan, r); err != nil {
+		return err
+	}
+	return judge([]*runs.Run{r})
+}
+
+// tellFirstBreak plays the day again for the story of the first invocation with which a rule was broken, if there is one.
+func tellFirstBreak(s *streams, plan runs.Plan, r *runs.Run) error {
+	for _, b := range r.Broken {
+		if b.Ref == "" {
+			continue
+		}
+		story, err := runs.Story(plan, b.Ref)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.errs, "%s\n%s\n", b, strings.Join(story, "\n"))
+		return nil
+	}
+	return nil
+}
