--- a/cmd/otterlab/owndays.go
+++ b/cmd/otterlab/owndays.go
@@ -26,6 +26,7 @@
 	Length time.Duration `help:"Length of a day; without it, the site's." placeholder:"24s"`
 	Least  float64       `default:"0.6" help:"Days worth less are kept too."`
 	Shrink int           `default:"40" help:"Plays spent on shrinking a day that broke a rule; 0: it isn't shrunk."`
+	Write  bool          `help:"Write the files of days and play none."`
 	Why    string        `default:"generated day" help:"What the journal of plays says of them."`
 }
 
@@ -36,11 +37,13 @@
 	hunt := &owndays.Hunt{
 		Bench:     &owndays.Bench{Program: c.Bench, Root: c.Root, Days: c.Dir, Why: c.Why},
 		FirstSeed: c.Seed, Days: c.Days, Jobs: c.Jobs, LengthS: c.Length.Seconds(),
-		Least: c.Least, Kept: c.Kept, ShrinkPlays: c.Shrink,
+		Least: c.Least, Kept: c.Kept, ShrinkPlays: c.Shrink, WriteOnly: c.Write,
 		Tell: func(line string) { fmt.Fprintln(s.out, line) },
 	}
 	played, err := hunt.Run(ctx, c.Sites)
-	c.summary(s, played)
+	if !c.Write {
+		c.summary(s, played)
+	}
 	if err != nil {
 		return err
 	}
--- a/lab/owndays/hunt.go
+++ b/lab/owndays/hunt.go
@@ -20,6 +20,7 @@
 	LengthS     float64 // of a day; 0: the site's own
 	Least       float64 // a day worth less than this is kept too
 	Kept        string  // folder for the days that fell short; none: they aren't kept apart
+	WriteOnly   bool    // days are written and not played
 	ShrinkPlays int     // plays spent on shrinking one day at most
 	Tell        func(line string)
 
@@ -63,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if h.WriteOnly {
+		return nil, h.write(generator)
+	}
 	played := make([]*Played, h.Days)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(1, h.Jobs))
@@ -107,9 +111,25 @@
 	return generator, nil
 }
 
+// fileName tells days of several sites apart.
+func (g *Generator) fileName(day *Day) string { return g.site.Name + "-" + day.Name }
+
+// write puts the days into their files.
+func (h *Hunt) write(generator *Generator) error {
+	for i := range h.Days {
+		day := generator.Day(h.FirstSeed + uint64(i))
+		file := h.Bench.File(generator.fileName(day))
+		if err := os.WriteFile(file, []byte(day.TOML()), 0o644); err != nil {
+			return err
+		}
+		h.tell(file)
+	}
+	return nil
+}
+
 func (h *Hunt) play(ctx context.Context, generator *Generator, file string, seed uint64) *Played {
 	day := generator.Day(seed)
-	p := &Played{Site: generator.site.Name, Seed: seed, Day: day, Name: generator.site.Name + "-" + day.Name}
+	p := &Played{Site: generator.site.Name, Seed: seed, Day: day, Name: generator.fileName(day)}
 	p.Outcome, p.Err = h.Bench.Play(ctx, file, p.Name, day)
 	return p
 }
--- a/lab/owndays/hunt_test.go
+++ b/lab/owndays/hunt_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+func TestHuntOnlyWritesDaysWhereAsked(t *testing.T) {
+	hunt, site, lines := newTestHunt(t)
+	hunt.WriteOnly = true
+	played, err := hunt.Run(t.Context(), []string{site})
+	if err != nil || len(played) != 0 || len(*lines) != hunt.Days {
+		t.Fatalf("%d played, said %q, %v", len(played), *lines, err)
+	}
+	written, err := os.ReadFile(hunt.Bench.File("orchard-own-1"))
+	if want := newTestGenerator(t, 1).Day(1).TOML(); err != nil || string(written) != want {
+		t.Errorf("%v: wrote\n%s\nwant\n%s", err, written, want)
+	}
+	if reports, _ := filepath.Glob(filepath.Join(hunt.Bench.Days, "*.json")); len(reports) > 0 {
+		t.Errorf("there are reports: %q", reports)
+	}
+}
+
 func TestHuntSaysWhichFileIsNoSite(t *testing.T) {
 	hunt, _, _ := newTestHunt(t)
 	other := filepath.Join(t.TempDir(), "other.toml")
--- a/lab/owndays/losses.go
+++ b/lab/owndays/losses.go
@@ -1,5 +1,7 @@
 package owndays
 
+import "strings"
+
 // Loss is a span in which counted machines are lost, with the time that they need to catch up.
 type Loss struct {
 	From, To float64
@@ -52,3 +54,31 @@
 	}
 	return best
 }
+
+// lossOf is the span in which an entry has counted machines lost, with their time to catch up. A kill of all at once may come
+// whatever is tolerated and is not booked.
+func (s *Site) lossOf(d Disruption) (Loss, bool) {
+	sp, known := specs[d.Kind]
+	if !known {
+		sp = spec{loses: d.On != "" && s.Counted(d.On)}
+	}
+	counted := s.Counted(d.On) || d.On == "" && (sp.target == targetCore || sp.target == targetDisks || d.Kind == kindRetire)
+	if !sp.loses || !counted {
+		return Loss{}, false
+	}
+	lost := Loss{From: d.At, To: d.At + max(1, d.ForS) + s.CatchUpS, Machines: max(1, min(d.Count, s.Machines))}
+	switch d.Kind {
+	case kindAddNodes:
+		lost.To = d.At + s.CatchUpS
+	case kindReplaceCore:
+		lost.To = d.At + d.X + 1 + s.CatchUpS
+	case kindRollTerm:
+		lost.To = d.At + 3*d.GapS + s.CatchUpS
+	case kindRetire:
+		if strings.Contains(d.How, wipingVariant) {
+			lost.Machines = s.Machines
+			lost.To += s.CatchUpS
+		}
+	}
+	return lost, true
+}
