--- a/lab/owndays/generate.go
+++ b/lab/owndays/generate.go
@@ -22,10 +22,10 @@
 	returnBefore    = 0.5  // from so long before that end
 	returnAfter     = 1.5  // to so long after it
 	chanceOfAgain   = 0.2  // that a further one is the one before once more
-	chanceOfChanges = 0.6  // that a row of changes of the configuration goes on beside
-	changeGap       = 1.4
+	chanceOfChanges = 0.8  // that a row of changes of the configuration goes on beside
+	changeGap       = 1.2
 	fewestChanges   = 4
-	mostChanges     = 8
+	mostChanges     = 16
 	chanceOfAckLost = 0.5 // that acknowledgements of that row are lost
 	ackLostFor      = 12.0
 	ackLostShare    = 0.6
@@ -195,13 +195,14 @@
 
 // rowOfChanges lets the operator change the configuration again and again beside the rest.
 func (d *drawing) rowOfChanges() {
-	at := d.stream.Between(firstMoment, d.LengthS/2)
+	begin := d.stream.Between(firstMoment, d.LengthS/2)
+	at := begin
 	for range fewestChanges + d.stream.IntN(mostChanges-fewestChanges+1) {
 		d.admit(Disruption{At: rounded(at), Kind: kindConfigChange, Planned: true, How: variantIdle})
 		at += changeGap
 	}
 	if d.stream.Chance(chanceOfAckLost) {
-		d.admit(Disruption{At: rounded(max(firstMoment, at-mostChanges*changeGap)), Kind: kindAckLost, ForS: ackLostFor, X: ackLostShare})
+		d.admit(Disruption{At: rounded(begin), Kind: kindAckLost, ForS: ackLostFor, X: ackLostShare})
 	}
 }
 
