--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -187,15 +187,6 @@
 	return s.seen.At(address)
 }
 
-func (s *Server) controlBeatMessage() []byte {
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.String(s.self.Address)
-	e.String(s.self.Node)
-	e.Bool(s.isLeaving())
-	return e.Bytes
-}
-
 // answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
 // for may come with this very beat.
 func (s *Server) answerControlBeat(message rpc.Message) {
@@ -203,15 +194,13 @@
 		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
 		return
 	}
-	d := codec.NewDecoder(message.Payload)
-	member := register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()}
-	leaving := d.Bool()
-	if d.Err() != nil {
+	beat, err := decodeControlBeat(message.Payload)
+	if err != nil {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
-	s.sessions.HeardControl(member, leaving)
-	s.noteAnswered(member, groups.Now())
+	s.sessions.HeardControl(beat)
+	s.noteAnswered(beat.member, groups.Now())
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
