A member whose disk is full or stalled gives its leads away; compaction takes the lock for one group at a time

Cause: a primary whose writes failed or hung went on leading: it could commit nothing and was not silent, so nobody replaced it. Votes were written under the lock that all of control reads the record with. A troubled member of control hands the lead over and takes none; a troubled store says to control that it leaves until its disk works. Votes are written under a lock of their own. Compaction takes the state of one group at a time.

--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -45,6 +45,7 @@
 	policy  membership.Policy
 	log     *logrus.Entry
 
+	voting  sync.Mutex // held while a vote is written, however long the disk takes; taken before mu
 	mu      sync.Mutex
 	witness register.Witness
 	known   register.Record // the newest record seen, accepted here or told
@@ -125,8 +126,8 @@
 		message.Answer(codes.PrimaryAlive, nil)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.voting.Lock()
+	defer e.voting.Unlock()
 	given := e.vote(func(w *register.Witness) bool { return w.Prepare(ballot) })
 	message.Answer(codes.OK, e.promise(given))
 }
@@ -149,19 +150,21 @@
 		message.Answer(codes.DiskForeign, nil)
 		return
 	}
-	e.mu.Lock()
+	e.voting.Lock()
 	given := e.vote(func(w *register.Witness) bool { return w.Accept(ballot, record) })
 	answer := e.promise(given)
-	e.mu.Unlock()
+	e.voting.Unlock()
 	if given {
 		e.Learn(record)
 	}
 	message.Answer(codes.OK, answer)
 }
 
-// vote changes the witness and makes the change durable before it counts; the lock is held.
+// vote changes the witness and makes the change durable before it counts; the lock on voting is held.
 func (e *Elector) vote(change func(*register.Witness) bool) bool {
+	e.mu.Lock()
 	next := e.witness
+	e.mu.Unlock()
 	if !change(&next) {
 		return false
 	}
@@ -169,11 +172,15 @@
 		e.log.WithError(err).Error("witness could not be written; no vote is given")
 		return false
 	}
+	e.mu.Lock()
 	e.witness = next
+	e.mu.Unlock()
 	return true
 }
 
 func (e *Elector) promise(given bool) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var enc codec.Encoder
 	enc.Bool(given)
 	register.EncodeBallot(&enc, e.witness.Promised)
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -152,6 +152,8 @@
 		switch {
 		case !s.elector.Known().Known():
 			s.findOrFound(ctx)
+		case s.host.DiskTroubled():
+			s.stepAside(ctx)
 		case s.host.IsPrimary(controlGroup):
 			s.lead(ctx)
 		default:
--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -79,10 +79,19 @@
 	return false
 }
 
+// stepAside gives the lead to a member whose disk works, and takes none over as long as the own disk is in trouble.
+func (s *Server) stepAside(ctx context.Context) {
+	if !s.leadsControl() {
+		return
+	}
+	s.log.WithField("code", uint16(codes.DiskStalled)).Warn("the disk does not do its work: the lead goes to another member")
+	s.handOver(ctx)
+}
+
 // answerTakeOver becomes primary if it can, and answers with the record that says so. A process that is itself about to stop
 // refuses.
 func (s *Server) answerTakeOver(message rpc.Message) {
-	if s.isLeaving() {
+	if s.isLeaving() || s.host.DiskTroubled() {
 		message.Answer(codes.Unavailable, nil)
 		return
 	}
--- /dev/null
+++ b/tier/groups/diskwatch_test.go
@@ -0,0 +1,57 @@
+package groups
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A disk that does not end a write in time is troubled while the write is under way, and for a while after it.
+func TestAStalledDiskIsTroubledUntilItWorksAgain(t *testing.T) {
+	var d DiskWatch
+	d.Begin(1000)
+	if d.Troubled(1000 + diskStalledAfter) {
+		t.Fatal("troubled too soon")
+	}
+	if !d.Troubled(1001 + diskStalledAfter) {
+		t.Fatal("a stalled disk is trusted")
+	}
+	d.Begin(1200) // the same write is tried again
+	d.Done(9000)
+	if !d.Troubled(9000 + diskTrustedAfter) {
+		t.Fatal("trusted again at once")
+	}
+	if d.Troubled(9001 + diskTrustedAfter) {
+		t.Fatal("not trusted though it works")
+	}
+}
+
+// A late write counts although nobody asked while it was under way.
+func TestALateWriteThatHasEndedCounts(t *testing.T) {
+	var d DiskWatch
+	d.Begin(1000)
+	d.Done(1001 + diskStalledAfter)
+	if !d.Troubled(1002 + diskStalledAfter) {
+		t.Fatal("a disk that was stalled a moment ago is trusted")
+	}
+}
+
+// However slow a disk is, one that ends each write in time is never troubled.
+func TestASlowDiskThatEndsItsWritesIsTrusted(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var d DiskWatch
+		now := int64(1000)
+		for range rapid.IntRange(1, 100).Draw(rt, "writes") {
+			d.Begin(now)
+			now += int64(rapid.IntRange(0, diskStalledAfter).Draw(rt, "takes"))
+			if d.Troubled(now) {
+				rt.Fatal("troubled within a write that ends in time")
+			}
+			d.Done(now)
+			now += int64(rapid.IntRange(0, 50).Draw(rt, "rest"))
+			if d.Troubled(now) {
+				rt.Fatal("troubled though each write ended in time")
+			}
+		}
+	})
+}
--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +77,7 @@
 	groups    map[uint32]*hosted
 	addresses map[uint64]string
 	queue     []pendingWrite
+	disk      DiskWatch
 	wake      chan struct{}
 }
 
@@ -356,6 +359,9 @@
 	h.mu.Lock()
 	queue := h.queue
 	h.queue = nil
+	if len(queue) > 0 {
+		h.disk.Begin(Now())
+	}
 	h.mu.Unlock()
 	if len(queue) == 0 {
 		return false
@@ -408,6 +414,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := Now()
+	h.disk.Done(now)
 	touched := map[*hosted]bool{}
 	for _, pending := range queue {
 		if snapshot := pending.write.Snapshot; snapshot != nil {
@@ -424,25 +431,50 @@
 	}
 }
 
-// rewrite replaces the journal by the present state of all groups.
-func (h *Host) rewrite() {
+// DiskTroubled tells whether this process's disk holds up what it leads, so that others should.
+func (h *Host) DiskTroubled() bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.disk.Troubled(Now())
+}
+
+// rewrite replaces the journal by the present state of all groups. The lock is taken for one group at a time: what a group takes
+// in meanwhile is queued and written behind.
+func (h *Host) rewrite() {
 	var records []storage.Record
-	for id, g := range h.groups {
+	for _, id := range h.heldGroups() {
+		records = append(records, h.stateRecords(id)...)
+	}
+	if err := h.journal.Rewrite(records); err != nil {
+		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("journal could not be written anew; the old one stays")
+	}
+}
+
+// heldGroups lists the groups that are open or on disk.
+func (h *Host) heldGroups() []uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ids := slices.Collect(maps.Keys(h.groups))
+	return append(ids, slices.Collect(maps.Keys(h.found))...)
+}
+
+// stateRecords is the present state of a group; nothing if it was dropped.
+func (h *Host) stateRecords(id uint32) []storage.Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[id]; g != nil {
 		snapshot, entries := g.group.CompactionState()
-		records = append(records, snapshotRecord(id, snapshot))
+		records := []storage.Record{snapshotRecord(id, snapshot)}
 		for _, entry := range entries {
 			records = append(records, entryRecord(id, entry))
 		}
+		return records
 	}
-	for id, log := range h.found {
-		records = append(records, storage.Record{
+	if log := h.found[id]; log != nil {
+		snapshot := storage.Record{
 			Kind: storage.RecordSnapshot, Group: id, Index: log.SnapshotIndex, Epoch: log.SnapshotEpoch, Data: log.Snapshot,
-		})
-		records = append(records, log.Entries...)
-	}
-	h.mu.Unlock()
-	if err := h.journal.Rewrite(records); err != nil {
-		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("journal could not be written anew; the old one stays")
+		}
+		return append([]storage.Record{snapshot}, log.Entries...)
 	}
+	return nil
 }
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -211,9 +211,10 @@
 }
 
 func (s *Server) beatMessage() []byte {
+	troubled := s.host.DiskTroubled() // others lead its shards until its disk works again
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return controlclient.StoreBeat{Store: s.self, Leaving: s.leaving}.Encode()
+	return controlclient.StoreBeat{Store: s.self, Leaving: s.leaving || troubled}.Encode()
 }
 
 // watch asks control to change the in-sync sets of shards led here: silent replicas out, those that caught up in.
