--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -42,11 +42,23 @@
 		if ledSince == 0 {
 			ledSince = groups.Now()
 		}
+		s.followRecord(ctx)
 		s.adjustInSync(ctx)
 		s.adjustMembers(ctx, ledSince)
 	})
 }
 
+// followRecord has the primary's replica follow a record that this process proposed and of which it did not hear that it was
+// decided: the replica would go on without the members that the record names. The record is decided anew under the next epoch.
+func (s *Server) followRecord(ctx context.Context) {
+	known := s.elector.Known()
+	epoch := uint64(0)
+	s.host.With(controlGroup, func(g *replica.Group) { epoch = g.View().Epoch })
+	if known.Primary == s.self.ID && known.Epoch > epoch {
+		_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) { return record, true })
+	}
+}
+
 // adjustInSync drops silent members of control and takes in those that have caught up.
 func (s *Server) adjustInSync(ctx context.Context) {
 	var silent, caughtUp []uint64
@@ -96,10 +108,11 @@
 		return
 	}
 	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch != known.Epoch {
+		if record.Epoch > known.Epoch {
 			return record, false
 		}
-		if !wanted {
+		// a known record above the current one was proposed and never decided: the current one gets the next epoch
+		if record.Epoch < known.Epoch || !wanted {
 			return record, true
 		}
 		return step.Record, true
@@ -174,15 +187,6 @@
 	return s.seen.At(address)
 }
 
-func (s *Server) controlBeatMessage() []byte {
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.String(s.self.Address)
-	e.String(s.self.Node)
-	e.Bool(s.isLeaving())
-	return e.Bytes
-}
-
 // answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
 // for may come with this very beat.
 func (s *Server) answerControlBeat(message rpc.Message) {
@@ -190,15 +194,13 @@
 		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
 		return
 	}
-	d := codec.NewDecoder(message.Payload)
-	member := register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()}
-	leaving := d.Bool()
-	if d.Err() != nil {
+	beat, err := decodeControlBeat(message.Payload)
+	if err != nil {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
-	s.sessions.HeardControl(member, leaving)
-	s.noteAnswered(member, groups.Now())
+	s.sessions.HeardControl(beat)
+	s.noteAnswered(beat.member, groups.Now())
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -54,8 +54,9 @@
 	s.tickedAt = now
 }
 
-// Tick notes that this process runs. After a stall of its own it can't tell who was silent, and all start again.
-func (s *Sessions) Tick() {
+// Tick notes that this process runs; refusals is how many heartbeats it has refused for want of a lease. After a stall
+// of its own it can't tell who was silent, and all start again.
+func (s *Sessions) Tick(refusals uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
@@ -67,7 +68,7 @@
 			s.controls[id] = session
 		}
 	}
-	s.hosts.HeardHolder(s.self, now)
+	s.hosts.HeardHolder(s.self, refusals, now)
 	s.tickedAt = now
 }
 
@@ -79,12 +80,13 @@
 }
 
 // HeardControl keeps a control process's session.
-func (s *Sessions) HeardControl(member register.Member, leaving bool) {
+func (s *Sessions) HeardControl(beat controlBeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
-	s.hosts.HeardHolder(member.ID, now)
-	s.controls[member.ID] = controlSession{heardAt: now, member: member, leaving: leaving}
+	member := beat.member
+	s.hosts.HeardHolder(member.ID, beat.refusals, now)
+	s.controls[member.ID] = controlSession{heardAt: now, member: member, leaving: beat.leaving}
 	for id, session := range s.controls {
 		if id != member.ID && session.member.Address == member.Address && session.member.Node == member.Node {
 			delete(s.controls, id)
