--- a/tier/storage/file.go
+++ b/tier/storage/file.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
-	"os"
 	"path/filepath"
 
 	"github.com/samber/oops"
@@ -51,12 +50,12 @@
 	return content, nil
 }
 
-func writeFile(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
+func writeFile(on disk, path string, data []byte) error {
+	file, err := on.Create(path)
 	if err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
-	_, err = file.Write(data)
+	_, err = file.WriteAt(data, 0)
 	if err == nil {
 		err = file.Sync()
 	}
@@ -70,31 +69,26 @@
 }
 
 // writeRenamed writes a file aside, syncs it, renames it and syncs the folder.
-func writeRenamed(dir, name string, content []byte) error {
+func writeRenamed(on disk, dir, name string, content []byte) error {
 	aside := filepath.Join(dir, name+asideSuffix)
-	if err := writeFile(aside, seal(name, content)); err != nil {
+	if err := writeFile(on, aside, seal(name, content)); err != nil {
 		return err
 	}
-	if err := os.Rename(aside, filepath.Join(dir, name)); err != nil {
+	if err := on.Rename(aside, filepath.Join(dir, name)); err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
-	return syncFolder(dir)
+	return syncFolder(on, dir)
 }
 
-func syncFolder(dir string) error {
-	folder, err := os.Open(dir)
-	if err != nil {
-		return oops.Wrapf(codes.DiskWrite, "%s", err)
-	}
-	defer folder.Close()
-	if err := folder.Sync(); err != nil {
+func syncFolder(on disk, dir string) error {
+	if err := on.SyncFolder(dir); err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
 	return nil
 }
 
-func readFile(dir, name string) ([]byte, error) {
-	file, err := os.ReadFile(filepath.Join(dir, name))
+func readFile(on disk, dir, name string) ([]byte, error) {
+	file, err := on.ReadFile(filepath.Join(dir, name))
 	if err != nil {
 		return nil, err
 	}
--- a/tier/storage/journal.go
+++ b/tier/storage/journal.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
-	"os"
 	"path/filepath"
 
 	"github.com/samber/oops"
@@ -48,10 +47,11 @@
 // Journal keeps records in the order in which they were appended, in segments of about a mebibyte. Each group commit is one
 // write and one sync; it carries a checksum and a number, so that one that was torn by a loss of power is found out.
 type Journal struct {
+	on       disk
 	dir      string
 	first    uint64 // the oldest segment
 	current  uint64 // the segment that is written
-	file     *os.File
+	file     diskFile
 	size     int64  // of the current segment
 	sequence uint64 // of the next commit
 	bytes    int64
@@ -60,16 +60,17 @@
 
 // OpenJournal opens or creates the folder and returns the records found there. A torn commit at the very end was never
 // acknowledged and is cut off; damage elsewhere is an error.
-func OpenJournal(dir string) (*Journal, []Record, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+func OpenJournal(dir string) (*Journal, []Record, error) { return openJournalOn(osDisk{}, dir) }
+
+func openJournalOn(on disk, dir string) (*Journal, []Record, error) {
+	if err := on.MakeFolder(dir); err != nil {
 		return nil, nil, err
 	}
-	values := &Values{dir: dir, versions: map[string]uint64{}}
-	numbers, err := values.versionsOf(segmentPrefix)
+	numbers, err := versionsIn(on, dir, segmentPrefix)
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{dir: dir}
+	j := &Journal{on: on, dir: dir}
 	records, err := j.load(numbers)
 	if err != nil {
 		return nil, nil, err
@@ -130,7 +131,7 @@
 			return nil, oops.Wrapf(codes.DiskDamaged, "journal: segment %d is damaged at byte %d", s.number, s.good)
 		}
 		if last {
-			if err := settle(j.path(s.number), s.good); err != nil {
+			if err := settle(j.on, j.path(s.number), s.good); err != nil {
 				return nil, err
 			}
 		}
@@ -148,8 +149,8 @@
 
 // settle removes a torn commit from the end of the last segment and syncs what stays: a process that was killed may have left
 // a whole commit that was not synced, and what is read now will be relied upon.
-func settle(path string, size int64) error {
-	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
+func settle(on disk, path string, size int64) error {
+	file, err := on.Open(path)
 	if err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
@@ -166,7 +167,7 @@
 // readSegment takes whole commits from the start of a segment. Whole commits behind a damaged one say that it was not torn by
 // a loss of power, and are an error.
 func (j *Journal) readSegment(number uint64) (segment, error) {
-	content, err := os.ReadFile(j.path(number))
+	content, err := j.on.ReadFile(j.path(number))
 	if err != nil {
 		return segment{}, oops.Wrapf(codes.DiskDamaged, "%s", err)
 	}
@@ -202,13 +203,18 @@
 	}
 }
 
-// startSegment begins a new segment; nothing is ever written behind what was found at the start.
+// startSegment begins a new segment; nothing is ever written behind what was found at the start. The segment's name is durable
+// before anything is written into it.
 func (j *Journal) startSegment() error {
 	next := j.current + 1
-	file, err := os.OpenFile(j.path(next), os.O_CREATE|os.O_RDWR|os.O_TRUNC, 0o644)
+	file, err := j.on.Create(j.path(next))
 	if err != nil {
 		return oops.Wrapf(codes.DiskWrite, "%s", err)
 	}
+	if err := syncFolder(j.on, j.dir); err != nil {
+		_ = file.Close()
+		return err
+	}
 	if j.file != nil {
 		_ = j.file.Close()
 	}
@@ -262,7 +268,7 @@
 		return err
 	}
 	for number := j.first; number < j.current; number++ {
-		_ = os.Remove(j.path(number))
+		_ = j.on.Remove(j.path(number))
 	}
 	j.first = j.current
 	j.live = j.bytes - before
--- a/tier/storage/values.go
+++ b/tier/storage/values.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 	"sort"
 	"strings"
@@ -15,33 +14,39 @@
 // Values keeps named values, one file for each version. It may be used from several goroutines.
 type Values struct {
 	mu       sync.Mutex
+	on       disk
 	dir      string
 	versions map[string]uint64
 }
 
 // OpenValues opens or creates the folder. A process that was killed may have renamed a file without having synced the folder;
 // since the new name will be read and relied upon, the folder is synced first.
-func OpenValues(dir string) (*Values, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+func OpenValues(dir string) (*Values, error) { return openValuesOn(osDisk{}, dir) }
+
+func openValuesOn(on disk, dir string) (*Values, error) {
+	if err := on.MakeFolder(dir); err != nil {
 		return nil, err
 	}
-	if err := syncFolder(dir); err != nil {
+	if err := syncFolder(on, dir); err != nil {
 		return nil, err
 	}
-	return &Values{dir: dir, versions: map[string]uint64{}}, nil
+	return &Values{on: on, dir: dir, versions: map[string]uint64{}}, nil
 }
 
 func versionName(name string, version uint64) string { return fmt.Sprintf("%s-%016x", name, version) }
 
 // versionsOf lists the versions of a value on disk, in ascending order.
-func (v *Values) versionsOf(name string) ([]uint64, error) {
-	entries, err := os.ReadDir(v.dir)
+func (v *Values) versionsOf(name string) ([]uint64, error) { return versionsIn(v.on, v.dir, name) }
+
+// versionsIn lists the versions under a name in a folder, in ascending order.
+func versionsIn(on disk, dir, name string) ([]uint64, error) {
+	names, err := on.Names(dir)
 	if err != nil {
 		return nil, err
 	}
 	var versions []uint64
-	for _, entry := range entries {
-		digits, found := strings.CutPrefix(entry.Name(), name+"-")
+	for _, each := range names {
+		digits, found := strings.CutPrefix(each, name+"-")
 		if !found || len(digits) != 16 {
 			continue
 		}
@@ -65,7 +70,7 @@
 	}
 	newest := versions[len(versions)-1]
 	v.versions[name] = newest
-	return readFile(v.dir, versionName(name, newest))
+	return readFile(v.on, v.dir, versionName(name, newest))
 }
 
 // Write makes a new version durable and removes old ones.
@@ -73,12 +78,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	version := v.versions[name] + 1
-	if err := writeRenamed(v.dir, versionName(name, version), content); err != nil {
+	if err := writeRenamed(v.on, v.dir, versionName(name, version), content); err != nil {
 		return err
 	}
 	v.versions[name] = version
 	if version > versionsKept {
-		_ = os.Remove(filepath.Join(v.dir, versionName(name, version-versionsKept)))
+		_ = v.on.Remove(filepath.Join(v.dir, versionName(name, version-versionsKept)))
 	}
 	return nil
 }
