Benchmarks of catching up; an empty member is asked again sooner

The first two repeats without progress come after 150 ms each, since a member's first answer is lost while its connection is opened. A primary takes up to 4 MiB beside BytesKept that is not committed (1 MiB before).

--- /dev/null
+++ b/tier/groups/bench_test.go
@@ -0,0 +1,163 @@
+package groups
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"otterseam/tier/replica"
+	"otterseam/tier/rpc"
+)
+
+// bulkMachine has a state of a given size and counts commands.
+type bulkMachine struct {
+	state   []byte
+	applied atomic.Int64
+}
+
+func (m *bulkMachine) Apply(uint64, []byte) any { return m.applied.Add(1) }
+func (m *bulkMachine) Snapshot() []byte         { return append([]byte(nil), m.state...) }
+
+func (m *bulkMachine) Restore(state []byte) error {
+	m.state = state
+	return nil
+}
+
+// benchNode is a process with one group, over real sockets and files.
+type benchNode struct {
+	host    *Host
+	machine *bulkMachine
+	address string
+}
+
+func startBenchNode(b *testing.B, ctx context.Context, stateBytes int) *benchNode {
+	b.Helper()
+	logger, _ := test.NewNullLogger()
+	host, err := Open(b.TempDir(), rpc.NewClients(nil), logrus.NewEntry(logger), true)
+	if err != nil {
+		b.Fatal(err)
+	}
+	machine := &bulkMachine{state: make([]byte, stateBytes)}
+	if err := host.OpenGroup(testGroup, machine, replica.Options{EagerCommit: true, BytesKept: 8 << 20}); err != nil {
+		b.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { listener.Close() })
+	go rpc.Serve(listener, func(m rpc.Message) { host.HandleMessage(m.Payload, nil) })
+	go host.Run(ctx)
+	return &benchNode{host: host, machine: machine, address: listener.Addr().String()}
+}
+
+// lead makes a node the primary of itself and of members that are not in sync yet.
+func lead(primary *benchNode, members ...*benchNode) {
+	view := replica.View{Epoch: 1, Primary: primary.host.Identity, InSync: []uint64{primary.host.Identity}, Replicas: []uint64{primary.host.Identity}}
+	for _, member := range members {
+		view.Replicas = append(view.Replicas, member.host.Identity)
+		primary.host.SetAddress(member.host.Identity, member.address)
+		member.host.SetAddress(primary.host.Identity, primary.address)
+	}
+	primary.host.SetView(testGroup, view)
+}
+
+func caughtUp(primary *benchNode) bool {
+	found := false
+	primary.host.With(testGroup, func(g *replica.Group) { found = len(g.CaughtUp(Now())) > 0 })
+	return found
+}
+
+// submitUntil submits changes one after the other until a condition holds, and returns how many.
+func submitUntil(b *testing.B, ctx context.Context, primary *benchNode, command []byte, done func() bool) int {
+	b.Helper()
+	count := 0
+	for !done() {
+		if _, err := primary.host.Submit(ctx, testGroup, command); err != nil {
+			b.Fatal(err)
+		}
+		count++
+	}
+	return count
+}
+
+// trimLog has the primary forget its first entries, so that an empty member needs a snapshot.
+func trimLog(b *testing.B, ctx context.Context, primary *benchNode) {
+	b.Helper()
+	ready := func() bool { return primary.host.IsPrimary(testGroup) }
+	for !ready() {
+		if ctx.Err() != nil {
+			b.Fatal("never ready")
+		}
+	}
+	submitUntil(b, ctx, primary, make([]byte, 64<<10), func() bool { return primary.machine.applied.Load() > 300 })
+}
+
+// BenchmarkCatchingUpBySize measures how long an empty member takes until it is caught up, on real sockets and files.
+func BenchmarkCatchingUpBySize(b *testing.B) {
+	for _, megabytes := range []int{1, 10, 50} {
+		b.Run(fmt.Sprint(megabytes, "MB"), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				ctx, cancel := context.WithCancel(context.Background())
+				primary := startBenchNode(b, ctx, megabytes<<20)
+				lead(primary)
+				trimLog(b, ctx, primary)
+				member := startBenchNode(b, ctx, 0)
+				b.StartTimer()
+				view := replica.View{
+					Epoch: 2, Primary: primary.host.Identity, InSync: []uint64{primary.host.Identity},
+					Replicas: []uint64{primary.host.Identity, member.host.Identity},
+				}
+				primary.host.SetAddress(member.host.Identity, member.address)
+				member.host.SetAddress(primary.host.Identity, primary.address)
+				primary.host.SetView(testGroup, view)
+				submitUntil(b, ctx, primary, []byte("a"), func() bool { return caughtUp(primary) })
+				b.StopTimer()
+				cancel()
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkChangesDuringATransfer counts changes of 1 KB a second, one after the other, with no member to be caught up and while
+// 50 MB are sent to one.
+func BenchmarkChangesDuringATransfer(b *testing.B) {
+	for _, transfers := range []bool{false, true} {
+		b.Run(fmt.Sprint("transfer=", transfers), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			primary := startBenchNode(b, ctx, 50<<20)
+			lead(primary)
+			trimLog(b, ctx, primary)
+			changes, spent := 0, time.Duration(0)
+			epoch := uint64(2)
+			for b.Loop() {
+				limit := time.Now().Add(300 * time.Millisecond)
+				done := func() bool { return time.Now().After(limit) }
+				if transfers {
+					member := startBenchNode(b, ctx, 0)
+					primary.host.SetAddress(member.host.Identity, member.address)
+					member.host.SetAddress(primary.host.Identity, primary.address)
+					primary.host.SetView(testGroup, replica.View{
+						Epoch: epoch, Primary: primary.host.Identity, InSync: []uint64{primary.host.Identity},
+						Replicas: []uint64{primary.host.Identity, member.host.Identity},
+					})
+					epoch++
+					done = func() bool { return caughtUp(primary) }
+				}
+				start := time.Now()
+				changes += submitUntil(b, ctx, primary, make([]byte, 1<<10), done)
+				spent += time.Since(start)
+			}
+			b.ReportMetric(float64(changes)/spent.Seconds(), "changes/s")
+		})
+	}
+}
--- a/tier/replica/retention.go
+++ b/tier/replica/retention.go
@@ -8,7 +8,7 @@
 	// entryOverhead is what an entry takes in memory beside its data.
 	entryOverhead = 64
 	// uncommittedSlack is how many bytes beyond BytesKept a primary may hold that are not committed before it takes no more.
-	uncommittedSlack = 1 << 20
+	uncommittedSlack = 4 << 20
 )
 
 // size is what the entry takes in memory.
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -46,7 +46,7 @@
 const (
 	maxAppendBytes   = 256 << 10
 	maxInFlight      = 2 << 20 // bytes of entries sent to a replica and not acknowledged
-	resendAfter      = 150     // milliseconds; twice as long each time without progress, up to the limit
+	resendAfter      = 150     // milliseconds; twice as long each second time without progress, up to the limit
 	resendLimit      = 2400
 	smallestEntry    = 8 + 8 + 4
 	complainAfter    = 450
@@ -314,7 +314,7 @@
 			}
 			return
 		}
-		if unanswered > min(int64(resendAfter)<<min(peer.resends, 4), resendLimit) {
+		if unanswered > min(int64(resendAfter)<<min(peer.resends/2, 4), resendLimit) {
 			g.resend(id, peer, now)
 		}
 	case (heartbeats || !g.view.IsInSync(id)) && unanswered >= heartbeatSilence:
