--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -53,6 +53,7 @@
 	conn     *Conn
 	dialing  chan struct{} // closed when the dial under way has ended
 	failedAt time.Time
+	closed   bool
 }
 
 // NewClient makes a client; it dials when first used. The handler takes what the other end sends unasked.
@@ -85,10 +86,11 @@
 	c.mu.Unlock()
 }
 
-// Close ends the connection.
+// Close ends the connection, also one that is being opened.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	if c.conn != nil {
 		c.conn.Close()
 	}
@@ -130,6 +132,9 @@
 // startDial begins to open the connection unless a dial is under way or one failed a moment ago; the lock is held. It
 // returns what to wait for, or nil.
 func (c *Client) startDial() chan struct{} {
+	if c.closed {
+		return nil
+	}
 	if c.dialing != nil {
 		return c.dialing
 	}
@@ -142,9 +147,12 @@
 		conn, err := Dial(context.Background(), c.address, c.handler)
 		c.mu.Lock()
 		c.dialing = nil
-		if err != nil {
+		switch {
+		case err != nil:
 			c.failedAt = time.Now()
-		} else {
+		case c.closed:
+			conn.Close()
+		default:
 			c.conn = conn
 		}
 		c.mu.Unlock()
--- a/tier/rpc/conn.go
+++ b/tier/rpc/conn.go
@@ -47,7 +47,9 @@
 	payload []byte
 }
 
-// Conn is one connection. Both ends may call, answer and send.
+// Conn is one connection. Both ends may call, answer and send. Each end numbers its calls on a connection from 1 on and uses no
+// number twice, so that an answer belongs to one call, of one connection: one that comes after its call has ended, or on another
+// connection than its call, reaches nobody.
 type Conn struct {
 	socket  net.Conn
 	handler Handler
@@ -140,6 +142,9 @@
 
 // Call sends a call and waits for its answer. A code other than OK is returned as the error.
 func (c *Conn) Call(ctx context.Context, kind Kind, payload []byte) ([]byte, error) {
+	if ctx.Err() != nil {
+		return nil, codes.Timeout // nothing is sent for a caller that has gone
+	}
 	channel := make(chan answer, 1)
 	c.mu.Lock()
 	if c.ended {
