--- a/tier/rpc/matching_test.go
+++ b/tier/rpc/matching_test.go
@@ -106,6 +106,15 @@
 	if got := <-third; got.text != "third" {
 		t.Fatalf("%q, %v", got.text, got.err)
 	}
+	conn, err := client.connect(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if len(conn.waiting) != 0 {
+		t.Fatalf("%d calls that have ended are still known", len(conn.waiting))
+	}
 }
 
 // An answer to no call is dropped, and the connection goes on.
