--- a/cmd/otterctl/main_test.go
+++ b/cmd/otterctl/main_test.go
@@ -35,6 +35,7 @@
 		{arguments{CheckSettings: &fileCommand{write(t, "node=n\n")}}, "role is missing", false},
 		{arguments{Explain: &explainCommand{"301"}}, "budget-spent", true},
 		{arguments{Explain: &explainCommand{"7"}}, "is no result code", false},
+		{arguments{Status: &statusCommand{Control: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}}, "wanted are machines with their first internal port", false},
 		{arguments{Status: &statusCommand{Control: []string{"127.0.0.1:1"}, Timeout: time.Millisecond}}, "no control process", false},
 	} {
 		var out bytes.Buffer
@@ -61,7 +62,9 @@
 	if err := printTables(state, &out); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"version 4", "10.0.0.1:7380", "storage-1", "draining"} {
+	for _, want := range []string{
+		"version 4", "10.0.0.1:7380", "storage-1", "draining", "control bears the loss of 0 more", "BEARS", "all of 1 copy in sync",
+	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, out.String())
 		}
--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
@@ -21,12 +23,9 @@
 const controlGroup uint32 = 0
 
 const (
-	witnessValue    = "witness"
-	callTimeout     = 350 * time.Millisecond
-	proposeTimeout  = 1200 * time.Millisecond
-	suspectAfter    = 500 // milliseconds without the primary
-	stickyFor       = 350 // a witness that heard the primary so lately helps nobody to replace it
-	suspectRankStep = 120 // milliseconds that each further candidate waits
+	witnessValue   = "witness"
+	callTimeout    = 350 * time.Millisecond
+	proposeTimeout = 1200 * time.Millisecond
 )
 
 // prepareMode tells a witness why it is asked.
@@ -43,17 +42,19 @@
 	host    *groups.Host
 	clients *rpc.Clients
 	address string
+	policy  membership.Policy
 	log     *logrus.Entry
 
 	mu      sync.Mutex
 	witness register.Witness
 	known   register.Record // the newest record seen, accepted here or told
+	learned int64           // when it was seen first
 	round   uint64
 	led     bool // whether this process has become primary in its present life
 }
 
-func newElector(host *groups.Host, clients *rpc.Clients, address string, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{host: host, clients: clients, address: address, log: log}
+func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
+	e := &Elector{host: host, clients: clients, address: address, policy: policy, log: log}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
@@ -83,24 +84,27 @@
 
 // Learn takes a record told by another process.
 func (e *Elector) Learn(record register.Record) {
+	if e.host.IsForeign(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	if record.Epoch > e.known.Epoch {
 		e.known = record
+		e.learned = groups.Now()
 	}
 	known := e.known
 	e.mu.Unlock()
-	for _, member := range known.Voters() {
+	e.host.With(controlGroup, func(g *replica.Group) { g.Voted(record.Epoch, record.Primary) })
+	for _, member := range append(known.Voters(), known.Learners...) {
 		e.host.SetAddress(member.ID, member.Address)
 	}
 }
 
-// primaryHeardLately tells whether this process has a primary, itself or one heard.
-func (e *Elector) primaryHeardLately(span int64) bool {
-	heard := false
-	e.host.With(controlGroup, func(g *replica.Group) {
-		heard = groups.Now()-g.PrimaryHeard() < span && !g.IsPrimary()
-	})
-	return heard
+// KnownSince is the newest record seen, and when it was seen first.
+func (e *Elector) KnownSince() (record register.Record, since int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known, e.learned
 }
 
 // handlePrepare answers a prepare for this process's witness.
@@ -117,7 +121,7 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
-	if mode == prepareOnSilence && e.primaryHeardLately(stickyFor) {
+	if mode == prepareOnSilence && e.protectsPrimary() {
 		message.Answer(codes.PrimaryAlive, nil)
 		return
 	}
@@ -141,6 +145,10 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
+	if e.host.IsForeign(record.Installation) {
+		message.Answer(codes.DiskForeign, nil)
+		return
+	}
 	e.mu.Lock()
 	given := e.vote(func(w *register.Witness) bool { return w.Accept(ballot, record) })
 	answer := e.promise(given)
@@ -236,7 +244,7 @@
 var errNotWanted = errors.New("another record has been decided meanwhile")
 
 // TakeOver makes this process primary in place of the one of the suspected epoch.
-func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, gone func(uint64) bool, floor func(members int) int) error {
+func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, lost func(uint64) bool) error {
 	start := e.Known()
 	took := false
 	record, err := e.propose(ctx, mode, start, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
@@ -245,7 +253,7 @@
 			return current, false
 		}
 		took = true
-		return successor(current, e.host.Identity, gone, floor(len(current.Members))), true
+		return e.policy.Successor(current, e.host.Identity, lost), true
 	})
 	if err != nil {
 		return err
@@ -257,39 +265,16 @@
 	return nil
 }
 
-// successor is the record of the next epoch: a new primary, and the in-sync set without the old one unless too few remain.
-// Replicas whose disk is gone leave the set in any case.
-func successor(current register.Record, primary uint64, gone func(uint64) bool, floor int) register.Record {
-	next := current
-	next.Epoch++
-	next.Primary = primary
-	next.InSync = nil
-	for _, id := range current.InSync {
-		if id == primary || !gone(id) {
-			next.InSync = append(next.InSync, id)
-		}
-	}
-	if current.Primary != primary && len(next.InSync) > floor {
-		next.InSync = register.Without(next.InSync, current.Primary)
-	}
-	return next
-}
-
 // lead has the replica act on a record that this process has decided.
 func (e *Elector) lead(record register.Record) {
+	if !e.host.Bind(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	e.led = true
 	e.mu.Unlock()
 	e.log.WithFields(logrus.Fields{"epoch": record.Epoch, "in_sync": len(record.InSync), "members": len(record.Members)}).Info("primary of control")
-	e.host.SetView(controlGroup, viewOf(record))
-}
-
-func viewOf(record register.Record) replica.View {
-	view := replica.View{Epoch: record.Epoch, Primary: record.Primary, InSync: record.InSync}
-	for _, member := range record.Members {
-		view.Replicas = append(view.Replicas, member.ID)
-	}
-	return view
+	e.host.SetView(controlGroup, membership.View(record))
 }
 
 // Adjust changes the record while this process is its primary: members, or the in-sync set.
@@ -305,6 +290,7 @@
 			return current, false
 		}
 		adjusted = true
+		next = e.policy.WithCopies(next)
 		next.Epoch = current.Epoch + 1
 		return next, true
 	})
@@ -320,6 +306,7 @@
 // Found decides the first record.
 func (e *Elector) Found(ctx context.Context, members []register.Member) error {
 	first := register.Record{Members: members}
+	installation := rand.Uint64() | 1
 	founded := false
 	record, err := e.propose(ctx, prepareBySelf, first, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
 		founded = false
@@ -327,10 +314,8 @@
 			return current, false
 		}
 		founded = true
-		next := register.Record{Epoch: 1, Primary: e.host.Identity, Members: members}
-		for _, member := range members {
-			next.InSync = append(next.InSync, member.ID)
-		}
+		next := e.policy.Found(e.host.Identity, members)
+		next.Installation = installation
 		return next, true
 	})
 	if err == nil && founded {
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
+	"otterseam/tier/authority"
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
@@ -20,6 +21,7 @@
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
+	"otterseam/tier/placement"
 	"otterseam/tier/programs"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -31,7 +33,7 @@
 const KindProgram rpc.Kind = 40
 
 const (
-	beatEvery     = 120 * time.Millisecond
+	beatEvery     = authority.StoreBeatEvery * time.Millisecond
 	beatTimeout   = 500 * time.Millisecond
 	watchEvery    = 60 * time.Millisecond
 	submitTimeout = 1500 * time.Millisecond
@@ -75,6 +77,7 @@
 			Identity: host.Identity, Boot: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
 		},
 	}
+	server.view.SetInstallation(host.Installation())
 	server.control = controlclient.New(clients, server.controlAddresses)
 	for _, id := range host.Found() {
 		server.openShard(id)
@@ -147,6 +150,9 @@
 
 // follow acts on the shard map: it opens and drops shards and tells the groups their views.
 func (s *Server) follow() {
+	if !s.host.Bind(s.view.Installation()) {
+		return
+	}
 	for _, store := range directory.Stores(s.view) {
 		s.host.SetAddress(store.Identity, store.Address)
 	}
@@ -183,7 +189,10 @@
 func (s *Server) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, beatTimeout)
-		_, err := s.control.Call(call, controlclient.KindStoreBeat, s.beatMessage())
+		var err error
+		if s.knowsInstallation() {
+			_, err = s.control.Call(call, controlclient.KindStoreBeat, s.beatMessage())
+		}
 		cancel()
 		if err != nil {
 			s.log.WithError(err).Debug("heartbeat to control failed")
@@ -195,6 +204,12 @@
 	}
 }
 
+// knowsInstallation tells whether the control processes reached are of the installation of this disk: one that belongs to an
+// installation reports only once it was given a view of it.
+func (s *Server) knowsInstallation() bool {
+	return s.host.Installation() == 0 || s.view.Revision() > 0
+}
+
 func (s *Server) beatMessage() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,8 +219,8 @@
 // watch asks control to change the in-sync sets of shards led here: silent replicas out, those that caught up in.
 func (s *Server) watch(ctx context.Context) {
 	periodic.Run(ctx, watchEvery, func() {
-		for id := range directory.Shards(s.view) {
-			s.watchShard(ctx, id)
+		for _, shard := range placement.LeastProtectedFirst(directory.Shards(s.view)) {
+			s.watchShard(ctx, shard.ID)
 		}
 	})
 }
@@ -260,29 +275,3 @@
 	delete(s.asking, change.Shard)
 	s.mu.Unlock()
 }
-
-const leaveLimit = 3 * time.Second
-
-// Leave has control give the shards led here to others, and returns when none is left or time is up.
-func (s *Server) Leave(ctx context.Context) {
-	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
-	limit, cancel := context.WithTimeout(ctx, leaveLimit)
-	defer cancel()
-	for limit.Err() == nil && s.leadsAny() {
-		select {
-		case <-limit.Done():
-		case <-time.After(watchEvery):
-		}
-	}
-}
-
-func (s *Server) leadsAny() bool {
-	for id := range directory.Shards(s.view) {
-		if s.host.IsPrimary(id) {
-			return true
-		}
-	}
-	return false
-}
