Sessions of hosts count from the primary's question; a new primary confirms no copy before it is ready

Ruled out: dropping lists that could not be delivered; a longer patience for all. Change: probes ask for the entry that opened the epoch; reports and control sessions carry the newest question of the primary that their sender had read, and each host the age of its heartbeat.

--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -76,7 +76,7 @@
 func TestAHostThatFallsSilentIsFoundWithinItsPatience(t *testing.T) {
 	s := NewHostSessions()
 	for now := int64(1000); now <= 4000; now += 200 {
-		s.HeardHolder(7, 0, now)
+		s.HeardHolder(7, 0, now, now)
 		if now <= 2000 {
 			s.Heard("h", 7, now)
 		}
@@ -89,7 +89,7 @@
 // The control process that kept a host falls silent: the host has time to find another.
 func TestAHostOutlivesTheProcessThatKeptIt(t *testing.T) {
 	s := NewHostSessions()
-	s.HeardHolder(7, 0, 1000)
+	s.HeardHolder(7, 0, 1000, 1000)
 	s.Heard("h", 7, 1000)
 	end := int64(1000 + HeartbeatsLost*beat + HostGrace)
 	for now := int64(1200); now <= end; now += 100 {
@@ -105,10 +105,10 @@
 // A process that stood still and is back does not make its hosts' silence their own fault.
 func TestAHostOutlivesAFreezeOfTheProcessThatKeptIt(t *testing.T) {
 	s := NewHostSessions()
-	s.HeardHolder(7, 0, 1000)
+	s.HeardHolder(7, 0, 1000, 1000)
 	s.Heard("h", 7, 1000)
 	for now := int64(2150); now <= 4000; now += 50 {
-		s.HeardHolder(7, 0, now)
+		s.HeardHolder(7, 0, now, now)
 		if silentAt(s, now) {
 			t.Fatalf("removed after %d ms, %d after the freeze", now-1000, now-2150)
 		}
@@ -118,10 +118,38 @@
 // A process that sent hosts away, because it could not keep their sessions, does not make their silence their own fault.
 func TestAHostOutlivesARefusal(t *testing.T) {
 	s := NewHostSessions()
-	s.HeardHolder(7, 0, 1000)
+	s.HeardHolder(7, 0, 1000, 1000)
 	s.Heard("h", 7, 1000)
 	for now := int64(1200); now <= 4000; now += 200 {
-		s.HeardHolder(7, 1, now) // one refusal, and well since
+		s.HeardHolder(7, 1, now, now) // one refusal, and well since
+		if silentAt(s, now) {
+			t.Fatalf("removed after %d ms", now-1000)
+		}
+	}
+}
+
+// A process that is heard but reads nothing of the primary is as good as silent.
+func TestAHostOutlivesAProcessThatHearsNothing(t *testing.T) {
+	s := NewHostSessions()
+	s.HeardHolder(7, 0, 1000, 1000)
+	s.Heard("h", 7, 1000)
+	for now := int64(1200); now <= 1000+HeartbeatsLost*beat+HostGrace; now += 200 {
+		s.HeardHolder(7, 0, 1000, now)
+		if silentAt(s, now) {
+			t.Fatalf("removed after %d ms", now-1000)
+		}
+	}
+}
+
+// A report that was on its way for long says nothing about where the host is now.
+func TestALateReportChangesNothing(t *testing.T) {
+	s := NewHostSessions()
+	s.HeardHolder(7, 0, 1000, 1000)
+	s.HeardHolder(8, 0, 1000, 1000)
+	s.Heard("h", 7, 1000)
+	for now := int64(1200); now <= 4000; now += 200 { // 7 is silent
+		s.HeardHolder(8, 0, now, now)
+		s.Heard("h", 8, 900)
 		if silentAt(s, now) {
 			t.Fatalf("removed after %d ms", now-1000)
 		}
@@ -134,7 +162,7 @@
 	s.Heard("b", 7, 1100)
 	end := int64(1000 + HeartbeatsLost*beat + HostGrace)
 	for now := int64(1100); now <= end; now += 200 {
-		s.HeardHolder(7, 0, now)
+		s.HeardHolder(7, 0, now, now)
 		silent := s.Silent(beat, now)
 		if now > 1100+HeartbeatsLost*beat && len(silent) == 1 && silent[0] == "b" {
 			continue
--- a/tier/authority/hosts.go
+++ b/tier/authority/hosts.go
@@ -44,10 +44,12 @@
 	}
 }
 
-// Heard keeps a host's session. It tells whether a removal of the host may be under way: then the heartbeat is worth nothing
+// Heard keeps a host's session, for the control process that heard the host at a time. It tells whether a removal of the host may be under way: then the heartbeat is worth nothing
 // unless it is committed behind the removal.
-func (s *HostSessions) Heard(id string, by uint64, now int64) (removing bool) {
-	s.hosts[id] = hostSession{heardAt: now, holder: by, doubtedAt: s.hosts[id].doubtedAt}
+func (s *HostSessions) Heard(id string, by uint64, at int64) (removing bool) {
+	if held := s.hosts[id]; at > held.heardAt {
+		s.hosts[id] = hostSession{heardAt: at, holder: by, doubtedAt: held.doubtedAt}
+	}
 	return s.removing[id]
 }
 
@@ -71,15 +73,15 @@
 // Kept notes that a host was put on the list behind any removal.
 func (s *HostSessions) Kept(id string) { delete(s.removing, id) }
 
-// HeardHolder notes that a control process is in contact, and how many heartbeats it has refused for want of a lease: the hosts
-// that it sent away are on their way to another.
-func (s *HostSessions) HeardHolder(id, refusals uint64, now int64) {
+// HeardHolder notes that a control process has answered what this one asked at a time, and how many heartbeats it has refused for
+// want of a lease: the hosts that it sent away are on their way to another.
+func (s *HostSessions) HeardHolder(id, refusals uint64, asked, now int64) {
 	held, known := s.holders[id]
 	if known && (now-held.heardAt > HolderSilence || refusals != held.refusals) {
 		held.recoveredAt = now
 	}
 	held.refusals = refusals
-	held.heardAt = now
+	held.heardAt = max(held.heardAt, asked)
 	s.holders[id] = held
 }
 
--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -12,6 +12,7 @@
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
 	"otterseam/tier/register"
+	"otterseam/tier/replica"
 )
 
 // controlBeatEvery is how often a control process keeps its session with the primary.
@@ -21,7 +22,7 @@
 func (s *Server) beat(ctx context.Context) {
 	periodic.Run(ctx, controlBeatEvery, func() {
 		if s.host.IsPrimary(controlGroup) {
-			s.sessions.HeardControl(s.self, s.refusals.Load())
+			s.sessions.HeardControl(s.self)
 		} else if s.elector.Known().Known() {
 			s.beatPrimary(ctx)
 		}
@@ -31,14 +32,12 @@
 // beatPrimary tells the primary that this process is there. The answer says how old the primary's contact with a majority is; it
 // counts from before the question was sent.
 func (s *Server) beatPrimary(ctx context.Context) {
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.String(s.self.Address)
-	e.Uint64(s.refusals.Load())
+	beat := controlclient.ControlBeat{Member: s.self, Refusals: s.refusals.Load()}
+	s.host.With(controlGroup, func(g *replica.Group) { beat.Question = g.LastQuestion() })
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := groups.Now()
-	answer, err := s.primary.Call(call, controlclient.KindControlBeat, e.Bytes)
+	answer, err := s.primary.Call(call, controlclient.KindControlBeat, beat.Encode())
 	if err != nil {
 		return
 	}
@@ -53,14 +52,17 @@
 
 // controlBeat keeps a control process's session.
 func (s *Server) controlBeat(payload []byte) (Result, error) {
-	d := codec.NewDecoder(payload)
-	member := register.Member{ID: d.Uint64(), Address: d.String()}
-	refusals := d.Uint64()
-	if d.Err() != nil {
-		return Result{}, d.Err()
+	beat, err := controlclient.DecodeControlBeat(payload)
+	if err != nil {
+		return Result{}, err
 	}
-	s.sessions.HeardControl(member, refusals)
-	s.noteIdentity(member.Address, member.ID)
+	s.sessions.HeardControl(beat.Member)
+	s.host.With(controlGroup, func(g *replica.Group) {
+		if asked, own := g.AskedAt(beat.Question, groups.Now()); own {
+			s.sessions.HeardHolder(beat.Member.ID, beat.Refusals, asked)
+		}
+	})
+	s.noteIdentity(beat.Member.Address, beat.Member.ID)
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
@@ -83,7 +85,7 @@
 
 // hostBeat keeps a host's session; only what changed is replicated.
 func (s *Server) hostBeat(ctx context.Context, beat controlclient.HostBeat) (Result, error) {
-	removing := s.sessions.HeardHost(beat.Host.ID, s.self.ID)
+	removing := s.sessions.HeardHost(beat.Host.ID, s.self.ID, groups.Now())
 	held, known := s.state.Host(beat.Host.ID)
 	if known && held == beat.Host && !removing {
 		return Result{}, s.standing().MayDecide(groups.Now())
--- a/tier/control/hosts.go
+++ b/tier/control/hosts.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"otterseam/tier/authority"
-	"otterseam/tier/codec"
+	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
+	"otterseam/tier/replica"
 )
 
 const (
@@ -16,8 +17,14 @@
 	reportTimeout    = authority.ReportTimeout * time.Millisecond
 )
 
-// heardHosts is the newest heartbeat of each host that this process acknowledged since the primary was told, by id.
-type heardHosts map[string]controlclient.HostBeat
+// heardHost is a host's heartbeat that this process acknowledged.
+type heardHost struct {
+	beat controlclient.HostBeat
+	at   int64
+}
+
+// heardHosts is the newest such heartbeat of each host since the primary was told, by id.
+type heardHosts map[string]heardHost
 
 // keepsHost tells whether a heartbeat says what is committed already, and then keeps the host's session. Backups do so by
 // themselves and tell the primary in lists.
@@ -28,13 +35,13 @@
 		return false
 	}
 	if s.host.IsPrimary(controlGroup) {
-		if removing := s.sessions.HeardHost(id, s.self.ID); removing {
+		if removing := s.sessions.HeardHost(id, s.self.ID, groups.Now()); removing {
 			return false
 		}
 		return s.mayServe()
 	}
 	s.mu.Lock()
-	s.heard[id] = beat
+	s.heard[id] = heardHost{beat, groups.Now()}
 	s.mu.Unlock()
 	return s.mayServe()
 }
@@ -60,83 +67,71 @@
 func (s *Server) keepHeard(heard heardHosts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, beat := range heard {
+	for id, host := range heard {
 		if _, newer := s.heard[id]; !newer {
-			s.heard[id] = beat
+			s.heard[id] = host
 		}
 	}
 }
 
 // sendHeard tells the primary which hosts were heard. It returns those that the primary has removed meanwhile.
 func (s *Server) sendHeard(ctx context.Context, heard heardHosts) (missing []string, told bool) {
-	if s.host.IsPrimary(controlGroup) {
-		var ids []string
-		for id := range heard {
-			ids = append(ids, id)
-		}
-		return s.keepSessions(ids, s.self.ID), true
+	report := controlclient.HostsHeard{By: s.self.ID}
+	now := groups.Now()
+	for id, host := range heard {
+		report.Hosts = append(report.Hosts, controlclient.HeardHost{ID: id, Age: uint32(now - host.at)})
 	}
-	var e codec.Encoder
-	e.Uint64(s.self.ID)
-	e.Uint32(uint32(len(heard)))
-	for id := range heard {
-		e.String(id)
+	if s.host.IsPrimary(controlGroup) {
+		return s.keepSessions(report, now), true
 	}
+	s.host.With(controlGroup, func(g *replica.Group) { report.Question = g.LastQuestion() })
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := s.primary.Call(call, controlclient.KindHostsHeard, e.Bytes)
+	answer, err := s.primary.Call(call, controlclient.KindHostsHeard, report.Encode())
 	if err != nil {
 		return nil, false
 	}
-	d := codec.NewDecoder(answer)
-	missing = decodeIDs(d)
-	return missing, d.Err() == nil
+	missing, err = controlclient.DecodeMissing(answer)
+	return missing, err == nil
 }
 
 // putMissing puts hosts back on the list whose heartbeats were acknowledged here while the primary removed them.
 func (s *Server) putMissing(ctx context.Context, heard heardHosts, missing []string) {
 	for _, id := range missing {
-		beat := heard[id]
+		beat := heard[id].beat
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := s.onPrimary(call, controlclient.KindHostBeat, beat.Encode(), func() (Result, error) { return s.hostBeat(call, beat) })
 		cancel()
 		if err != nil {
-			s.keepHeard(heardHosts{id: beat})
+			s.keepHeard(heardHosts{id: heard[id]})
 		}
 	}
 }
 
-// hostsHeard keeps the sessions of hosts that another control process heard, and answers which of them are not on the list.
+// hostsHeard keeps the sessions of hosts that another control process heard, and answers which of them are not on the list. The
+// report counts from the question of this process that its sender had read.
 func (s *Server) hostsHeard(payload []byte) (Result, error) {
-	d := codec.NewDecoder(payload)
-	by := d.Uint64()
-	ids := decodeIDs(d)
-	if d.Err() != nil {
-		return Result{}, d.Err()
+	report, err := controlclient.DecodeHostsHeard(payload)
+	if err != nil {
+		return Result{}, err
 	}
-	missing := s.keepSessions(ids, by)
-	var answer codec.Encoder
-	answer.Uint32(uint32(len(missing)))
-	for _, id := range missing {
-		answer.String(id)
+	asked, own := int64(0), false
+	s.host.With(controlGroup, func(g *replica.Group) { asked, own = g.AskedAt(report.Question, groups.Now()) })
+	if !own {
+		return Result{}, codes.Unavailable
 	}
-	return Result{Body: answer.Bytes}, s.standing().MayDecide(groups.Now())
+	missing := s.keepSessions(report, asked)
+	return Result{Body: controlclient.EncodeMissing(missing)}, s.standing().MayDecide(groups.Now())
 }
 
-// keepSessions keeps the sessions of hosts and returns those that are not on the list, or may be about to leave it.
-func (s *Server) keepSessions(ids []string, by uint64) (missing []string) {
-	for _, id := range ids {
-		if _, known := s.state.Host(id); !known || s.sessions.HeardHost(id, by) {
-			missing = append(missing, id)
+// keepSessions keeps the sessions of hosts by a report written no earlier than a time. It returns those that are not on the list,
+// or may be about to leave it.
+func (s *Server) keepSessions(report controlclient.HostsHeard, written int64) (missing []string) {
+	for _, host := range report.Hosts {
+		_, listed := s.state.Host(host.ID)
+		if !listed || s.sessions.HeardHost(host.ID, report.By, written-int64(host.Age)) {
+			missing = append(missing, host.ID)
 		}
 	}
 	return missing
 }
-
-func decodeIDs(d *codec.Decoder) []string {
-	var ids []string
-	for range d.Count(4) {
-		ids = append(ids, d.String())
-	}
-	return ids
-}
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -67,7 +67,7 @@
 			s.controls[id] = session
 		}
 	}
-	s.hosts.HeardHolder(s.self, refusals, now)
+	s.hosts.HeardHolder(s.self, refusals, now, now)
 	s.tickedAt = now
 }
 
@@ -78,12 +78,11 @@
 	s.stores.Heard(beat.Store.Identity, beat.Store.Boot, beat.Leaving, groups.Now())
 }
 
-// HeardControl keeps a control process's session. refusals is how many heartbeats it has refused for want of a lease.
-func (s *Sessions) HeardControl(member register.Member, refusals uint64) {
+// HeardControl keeps a control process's session.
+func (s *Sessions) HeardControl(member register.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := groups.Now()
-	s.hosts.HeardHolder(member.ID, refusals, now)
 	s.controls[member.ID] = controlSession{heardAt: now, member: member}
 	for id, session := range s.controls {
 		if id != member.ID && session.member.Address == member.Address {
@@ -92,11 +91,20 @@
 	}
 }
 
-// HeardHost keeps a host's session, for a control process that heard it. It tells whether a removal of the host may be under way.
-func (s *Sessions) HeardHost(id string, by uint64) (removing bool) {
+// HeardHolder notes that a control process which keeps sessions of hosts has answered what this one asked at a time, and how many
+// heartbeats it has refused for want of a lease.
+func (s *Sessions) HeardHolder(id, refusals uint64, asked int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hosts.Heard(id, by, groups.Now())
+	s.hosts.HeardHolder(id, refusals, asked, groups.Now())
+}
+
+// HeardHost keeps a host's session, for the control process that heard it at a time. It tells whether a removal of the host may be
+// under way.
+func (s *Sessions) HeardHost(id string, by uint64, at int64) (removing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts.Heard(id, by, at)
 }
 
 // KeptHost notes that a host was put on the list.
--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -245,7 +245,7 @@
 	leading  uint64
 	ticked   int64
 	located  int64
-	heard    map[string]bool
+	heard    map[string]int64 // when the hosts were heard that the primary was not told of
 	refusals uint64
 	waiting  map[uint64]func(Result, error)
 	guess    place // where the primary may be
@@ -347,7 +347,7 @@
 		m.hosts.Doubt(now)
 	}
 	m.ticked = now
-	m.hosts.HeardHolder(m.id, m.refusals, now)
+	m.hosts.HeardHolder(m.id, m.refusals, now, now)
 	m.group.Tick(now, true)
 	m.carryOut()
 	m.supervise()
@@ -421,7 +421,7 @@
 	held, known := m.machine.Host(host.ID)
 	if known && held == host && m.mayServe() {
 		if !m.group.IsPrimary() {
-			m.heard[host.ID] = true
+			m.heard[host.ID] = m.clock()
 			answer(true)
 			return
 		}
@@ -483,28 +483,32 @@
 // report tells the primary which hosts were heard.
 func (m *simMember) report() {
 	heard := m.heard
-	m.heard = map[string]bool{}
+	m.heard = map[string]int64{}
 	if len(heard) == 0 {
 		return
 	}
-	keep := func(p *simMember, by uint64) bool {
-		for id := range heard {
+	sent, question := m.clock(), m.group.LastQuestion()
+	keep := func(p *simMember, written int64) bool {
+		for id, at := range heard {
 			if _, listed := p.machine.Host(id); listed {
-				p.hosts.Heard(id, by, p.clock())
+				p.hosts.Heard(id, m.id, written-(sent-at))
 			}
 		}
 		return p.standing().MayDecide(p.clock()) == nil
 	}
 	if m.group.IsReady() {
-		keep(m, m.id)
+		keep(m, sent)
 		return
 	}
-	onPrimary(m, func(p *simMember, answer func(bool)) { answer(keep(p, m.id)) }, func(told, reached bool) {
+	onPrimary(m, func(p *simMember, answer func(bool)) {
+		asked, own := p.group.AskedAt(question, p.clock())
+		answer(own && keep(p, asked))
+	}, func(told, reached bool) {
 		if told && reached {
 			return
 		}
-		for id := range heard {
-			m.heard[id] = true
+		for id, at := range heard {
+			m.heard[id] = max(m.heard[id], at)
 		}
 	})
 }
@@ -514,9 +518,11 @@
 	if m.group.IsReady() {
 		return
 	}
-	refusals := m.refusals
+	refusals, question := m.refusals, m.group.LastQuestion()
 	onPrimary(m, func(p *simMember, answer func(register.Record)) {
-		p.hosts.HeardHolder(m.id, refusals, p.clock())
+		if asked, own := p.group.AskedAt(question, p.clock()); own {
+			p.hosts.HeardHolder(m.id, refusals, asked, p.clock())
+		}
 		answer(p.known)
 	}, func(record register.Record, ok bool) {
 		if ok {
@@ -557,7 +563,7 @@
 		s: s, place: p, id: uint64(p) + 1, origin: 1 << 20 * (1 + s.random.Int63n(9)), machine: &simMachine{State: NewState()},
 		witness: register.Witness{Promised: register.Ballot{Round: 1, Proposer: 1}, Accepted: register.Ballot{Round: 1, Proposer: 1}, Value: first},
 		known:   first, hosts: authority.NewHostSessions(), stores: authority.NewStoreSessions(),
-		heard: map[string]bool{}, waiting: map[uint64]func(Result, error){},
+		heard: map[string]int64{}, waiting: map[uint64]func(Result, error){},
 	}
 	options := replica.Options{EagerCommit: true, Life: s.random.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
 	group, err := replica.NewGroup(m.id, m.machine, replica.Snapshot{}, nil, options)
--- a/tier/control/simjudge_test.go
+++ b/tier/control/simjudge_test.go
@@ -198,7 +198,14 @@
 
 func (o *simOperator) order(to place) {
 	o.next++
-	version, base := o.next, o.base
+	o.send(to, o.base, o.next, len(o.s.members))
+}
+
+// send orders a version, at the next member where one does not take orders.
+func (o *simOperator) send(to place, base, version uint64, attempts int) {
+	if attempts == 0 {
+		return
+	}
 	command := Command{Kind: CommandReplaceConfig, Base: base, Version: version, Body: []byte(strconv.FormatUint(version, 10))}
 	call(o.s, operatorPlace, to, 1000, func(answer func(codes.Code)) { o.s.members[to].serveCommand(command, answer) }, func(code codes.Code, ok bool) {
 		switch {
@@ -209,6 +216,8 @@
 			o.highest = max(o.highest, version)
 		case ok && (code == codes.ConfigBase || code == codes.ConfigInvalid):
 			o.read(to)
+		default:
+			o.send(o.s.nextMember(to), base, version, attempts-1)
 		}
 	})
 }
--- a/tier/replica/contact.go
+++ b/tier/replica/contact.go
@@ -43,6 +43,7 @@
 	// of a backup
 	confirmed     int64 // start of the newest span for which the primary in force confirmed this backup's question
 	primaryProven int64 // when a majority stood behind the primary, as far as is known here
+	lastQuestion  Stamp // the newest question of the primary that was read
 
 	voted View // the newest record that this process's witness accepted
 }
@@ -89,6 +90,15 @@
 // PrimaryProven is when, by this replica's clock, a majority last stood behind the primary that it hears.
 func (g *Group) PrimaryProven() int64 { return g.contact.primaryProven }
 
+// LastQuestion is the newest question of the primary that this backup has read. A message that carries it was written later than
+// that, however late it is read.
+func (g *Group) LastQuestion() Stamp { return g.contact.lastQuestion }
+
+// AskedAt is when this replica asked a question of its present life; ok is false for any other question.
+func (g *Group) AskedAt(question Stamp, now int64) (at int64, ok bool) {
+	return question.At, g.contact.life != 0 && question.Life == g.contact.life && question.At <= now
+}
+
 // majorityAnswered is when the newest question was asked that a majority has answered, this replica included.
 func (g *Group) majorityAnswered(now int64) int64 {
 	asked := make([]int64, 0, len(g.view.Replicas))
@@ -141,12 +151,14 @@
 	if since := g.ConfirmedSince(now); since > 0 {
 		age = now - since
 	}
+	// what was committed before this epoch opened is known to be committed once its opening entry is
+	committed := max(g.commit, g.openedEpochAt)
 	for _, id := range g.view.Replicas {
 		if id == g.self {
 			continue
 		}
 		probe := Probe{Asked: Stamp{g.contact.life, now}, Echoed: g.contact.questions[id], Age: age}
-		g.send(id, Message{Kind: MessageProbe, Epoch: g.view.Epoch, Commit: g.commit, Probe: probe})
+		g.send(id, Message{Kind: MessageProbe, Epoch: g.view.Epoch, Commit: committed, Probe: probe})
 	}
 }
 
@@ -165,6 +177,9 @@
 			c.confirmed = max(c.confirmed, probe.Echoed.At-probe.Age)
 		}
 	}
+	if c.lastQuestion.Life != probe.Asked.Life || c.lastQuestion.At < probe.Asked.At {
+		c.lastQuestion = probe.Asked
+	}
 	answer := Probe{Asked: Stamp{c.life, now}, Echoed: probe.Asked}
 	g.send(from, Message{Kind: MessageProbeAnswer, Epoch: g.view.Epoch, Probe: answer})
 }
@@ -188,18 +203,21 @@
 	}
 }
 
+// Encode appends a stamp to a message.
+func (s Stamp) Encode(e *codec.Encoder) {
+	e.Uint64(s.Life)
+	e.Int64(s.At)
+}
+
+// DecodeStamp reads a stamp from a message.
+func DecodeStamp(d *codec.Decoder) Stamp { return Stamp{Life: d.Uint64(), At: d.Int64()} }
+
 func (p Probe) encode(e *codec.Encoder) {
-	e.Uint64(p.Asked.Life)
-	e.Int64(p.Asked.At)
-	e.Uint64(p.Echoed.Life)
-	e.Int64(p.Echoed.At)
+	p.Asked.Encode(e)
+	p.Echoed.Encode(e)
 	e.Int64(p.Age)
 }
 
 func decodeProbe(d *codec.Decoder) Probe {
-	return Probe{
-		Asked:  Stamp{Life: d.Uint64(), At: d.Int64()},
-		Echoed: Stamp{Life: d.Uint64(), At: d.Int64()},
-		Age:    d.Int64(),
-	}
+	return Probe{Asked: DecodeStamp(d), Echoed: DecodeStamp(d), Age: d.Int64()}
 }
--- a/tier/replica/contact_test.go
+++ b/tier/replica/contact_test.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// A new primary does not know what its predecessor committed until the entry that opens its epoch is committed.
+func TestANewPrimaryConfirmsNoCopyBeforeItIsReady(t *testing.T) {
+	primary := contactGroup(t, 1)
+	primary.SetView(threeReplicas, 1000)
+	message := onlyProbe(t, primary, 2)
+	if primary.IsReady() || message.Commit < primary.OpenedAt() {
+		t.Fatalf("the probe asks for entry %d, the epoch opens with %d", message.Commit, primary.OpenedAt())
+	}
+}
+
 // What a backup reads late confirms it no later than when it asked.
 func TestABackupCountsFromItsQuestion(t *testing.T) {
 	backup := contactGroup(t, 2)
