--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -6,6 +6,7 @@
 	"otterseam/tier/authority"
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
+	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
 	"otterseam/tier/membership"
 	"otterseam/tier/periodic"
@@ -194,13 +195,18 @@
 		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
 		return
 	}
-	beat, err := decodeControlBeat(message.Payload)
+	beat, err := controlclient.DecodeControlBeat(message.Payload)
 	if err != nil {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
-	s.sessions.HeardControl(beat)
-	s.noteAnswered(beat.member, groups.Now())
+	s.sessions.HeardControl(beat.Member, beat.Leaving)
+	s.host.With(controlGroup, func(g *replica.Group) {
+		if asked, own := g.AskedAt(beat.Question, groups.Now()); own {
+			s.sessions.HeardHolder(beat.Member.ID, beat.Refusals, asked)
+		}
+	})
+	s.noteAnswered(beat.Member, groups.Now())
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
