Register: a ballot is used once, and a change of members is decided before it is followed

Cause: two faults. Propose took its round from its own witness, which may not have written it: a proposer that restarted, or two proposals side by side in one process, could use one ballot for two values. And a record that followed a change of members forgot the old members even where that change had only been accepted somewhere: a proposer that tried again from such a record asked a majority of the new members alone and passed by what the old ones had decided.

Ruled out: the readers' highest ballot and the quorums of the change itself; both hold once the start is settled.

Change: rounds come from register.Rounds, whose limit is durable before a round leaves (one write a life); a witness takes one value under a ballot; a proposal is a pure state machine (register.Proposal); it confirms a pending change of members under a ballot of its own before it follows it. A proposal that meets its own value at a further attempt has won. What is known of the register is a hint: takeover and changes of members are built on the record that a quorum returned, and a decided record replaces an undecided one of its epoch.

--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -45,11 +45,13 @@
 	address string
 	log     *logrus.Entry
 
+	rounds *register.Rounds
+
 	mu      sync.Mutex
 	witness register.Witness
-	known   register.Record // the newest record seen, accepted here or told
-	round   uint64
-	led     bool // whether this process has become primary in its present life
+	known   register.Record // the newest record seen: accepted here, told, or decided here
+	decided bool            // whether known was decided by a proposal of this process
+	led     bool            // whether this process has become primary in its present life
 }
 
 func newElector(host *groups.Host, clients *rpc.Clients, address string, log *logrus.Entry) (*Elector, error) {
@@ -64,6 +66,12 @@
 		}
 		e.known = e.witness.Value
 	}
+	if e.rounds, err = openRounds(host.Values, e.witness); err != nil {
+		return nil, err
+	}
+	if err := e.rounds.Reserve(); err != nil {
+		log.WithError(err).Warn("rounds could not be reserved; the first proposal tries again")
+	}
 	return e, nil
 }
 
@@ -81,11 +89,15 @@
 	return e.known
 }
 
-// Learn takes a record told by another process.
-func (e *Elector) Learn(record register.Record) {
+// Learn takes a record that was accepted here or told by another process. It need not have been decided: what is known says
+// whom to ask and which epoch to suspect, and every decision is taken anew on the record that a quorum returns.
+func (e *Elector) Learn(record register.Record) { e.note(record, false) }
+
+func (e *Elector) note(record register.Record, decided bool) {
 	e.mu.Lock()
-	if record.Epoch > e.known.Epoch {
+	if supersedes(record, decided, e.known, e.decided) {
 		e.known = record
+		e.decided = decided
 	}
 	known := e.known
 	e.mu.Unlock()
@@ -94,6 +106,15 @@
 	}
 }
 
+// supersedes tells whether a record is to replace the one known. Two records of one epoch may be seen, of which one at most was
+// decided.
+func supersedes(record register.Record, decided bool, known register.Record, knownDecided bool) bool {
+	if record.Epoch != known.Epoch {
+		return record.Epoch > known.Epoch
+	}
+	return record.Known() && (decided || !knownDecided)
+}
+
 // primaryHeardLately tells whether this process has a primary, itself or one heard.
 func (e *Elector) primaryHeardLately(span int64) bool {
 	heard := false
@@ -216,19 +237,16 @@
 	return decodePromise(answer)
 }
 
-// propose changes the register. One proposal at a time runs in a process.
+// propose changes the register. Proposals may run side by side: each has ballots of its own.
 func (e *Elector) propose(ctx context.Context, mode prepareMode, start register.Record, change register.Change) (register.Record, error) {
 	e.mu.Lock()
-	round := max(e.round, e.witness.Promised.Round)
+	e.rounds.Saw(e.witness.Promised.Round)
 	e.mu.Unlock()
 	attempt, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	record, round, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, start, round, change)
-	e.mu.Lock()
-	e.round = max(e.round, round)
-	e.mu.Unlock()
+	record, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, e.rounds, start, change)
 	if err == nil {
-		e.Learn(record)
+		e.note(record, true)
 	}
 	return record, err
 }
@@ -237,26 +255,53 @@
 
 // TakeOver makes this process primary in place of the one of the suspected epoch.
 func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, gone func(uint64) bool, floor func(members int) int) error {
-	start := e.Known()
-	took := false
-	record, err := e.propose(ctx, mode, start, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		took = false
-		if current.Epoch != suspected || !current.IsInSync(e.host.Identity) {
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
+		// a suspected epoch above the current one was proposed and never decided
+		if current.Epoch > suspected || !current.IsInSync(e.host.Identity) {
 			return current, false
 		}
-		took = true
 		return successor(current, e.host.Identity, gone, floor(len(current.Members))), true
-	})
+	}}
+	record, err := e.propose(ctx, mode, e.Known(), attempt.next)
 	if err != nil {
 		return err
 	}
-	if !took {
+	if !attempt.took {
 		return errNotWanted
 	}
 	e.lead(record)
 	return nil
 }
 
+// ownChange tells whether a change was decided by the proposal that wanted it. A proposal may meet its own value when it tries
+// again: the value of its first attempt may have reached some witnesses. It is then decided as it stands.
+type ownChange struct {
+	change func(current register.Record) (register.Record, bool)
+	made   []register.Record // by earlier attempts of this proposal
+	took   bool
+}
+
+func (c *ownChange) next(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+	for _, made := range c.made {
+		if withoutPrevious(made).Equal(withoutPrevious(current)) {
+			c.took = true
+			return current, false
+		}
+	}
+	next, wanted := c.change(current)
+	c.took = wanted
+	if wanted {
+		c.made = append(c.made, next)
+	}
+	return next, wanted
+}
+
+// withoutPrevious is a record without the note that its members were changed, which each writing of it may set anew.
+func withoutPrevious(record register.Record) register.Record {
+	record.Previous = nil
+	return record
+}
+
 // successor is the record of the next epoch: a new primary, and the in-sync set without the old one unless too few remain.
 // Replicas whose disk is gone leave the set in any case.
 func successor(current register.Record, primary uint64, gone func(uint64) bool, floor int) register.Record {
@@ -294,24 +339,19 @@
 
 // Adjust changes the record while this process is its primary: members, or the in-sync set.
 func (e *Elector) Adjust(ctx context.Context, change func(register.Record) (register.Record, bool)) error {
-	adjusted := false
-	record, err := e.propose(ctx, prepareBySelf, e.Known(), func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		adjusted = false
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Primary != e.host.Identity {
 			return current, false
 		}
 		next, wanted := change(current)
-		if !wanted {
-			return current, false
-		}
-		adjusted = true
 		next.Epoch = current.Epoch + 1
-		return next, true
-	})
+		return next, wanted
+	}}
+	record, err := e.propose(ctx, prepareBySelf, e.Known(), attempt.next)
 	if err != nil {
 		return err
 	}
-	if adjusted {
+	if attempt.took {
 		e.lead(record)
 	}
 	return nil
@@ -320,20 +360,18 @@
 // Found decides the first record.
 func (e *Elector) Found(ctx context.Context, members []register.Member) error {
 	first := register.Record{Members: members}
-	founded := false
-	record, err := e.propose(ctx, prepareBySelf, first, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		founded = false
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Known() {
 			return current, false
 		}
-		founded = true
 		next := register.Record{Epoch: 1, Primary: e.host.Identity, Members: members}
 		for _, member := range members {
 			next.InSync = append(next.InSync, member.ID)
 		}
 		return next, true
-	})
-	if err == nil && founded {
+	}}
+	record, err := e.propose(ctx, prepareBySelf, first, attempt.next)
+	if err == nil && attempt.took {
 		e.lead(record)
 	}
 	return err
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -100,18 +100,13 @@
 // adjustMembers makes one change of the members: a lost one is replaced, a missing one added.
 func (s *Server) adjustMembers(ctx context.Context) {
 	known := s.elector.Known()
-	next, wanted := s.nextMembers(known)
-	if !wanted && len(known.Previous) == 0 {
+	if _, wanted := s.nextMembers(known); !wanted && len(known.Previous) == 0 {
 		return
 	}
 	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch != known.Epoch {
-			return record, false
-		}
-		if !wanted {
-			return record, true
-		}
-		return next, true
+		// the record known here need not have been decided: what is to follow is built on the one that was read
+		next, wanted := s.nextMembers(record)
+		return next, wanted || len(record.Previous) > 0
 	})
 }
 
--- /dev/null
+++ b/tier/register/proposal.go
@@ -0,0 +1,206 @@
+package register
+
+// RequestKind tells what a proposal asks of a witness.
+type RequestKind uint8
+
+// The kinds of requests.
+const (
+	RequestPrepare RequestKind = iota + 1
+	RequestAccept
+)
+
+// Request is a message of a proposal to one witness.
+type Request struct {
+	Kind   RequestKind
+	To     Member
+	Ballot Ballot
+	Value  Record // of an accept
+}
+
+// Phase is how far a proposal has come.
+type Phase uint8
+
+// The phases of a proposal.
+const (
+	PhaseReading Phase = iota // collecting promises
+	PhaseWriting              // collecting accepts
+	PhaseDecided              // a quorum accepted the value
+	PhaseFailed               // no quorum can be reached; the value may or may not be decided later
+)
+
+// rules are the decisions of a proposal that tests replace by wrong ones, to see that wrong ones are found.
+type rules struct {
+	quorum  func(record Record, voted map[uint64]bool) bool
+	newest  func(promises map[uint64]Promise, standard Record) Record
+	pending func(current, next Record) []Member
+	settled func(current, confirmed Record) bool
+}
+
+var standardRules = rules{quorum: Quorum, newest: Newest, pending: pending, settled: settled}
+
+// settled tells whether a record may be followed by another. One that changed the members has to be decided before: a majority
+// of the old members must know the new ones, or a reader that begins at a follower would pass the old ones by.
+func settled(current, confirmed Record) bool {
+	return len(current.Previous) == 0 || current.Equal(confirmed)
+}
+
+// Proposal is one attempt to change the register under one ballot. It is pure: it returns the requests to send and takes the
+// answers, in any order. A ballot is used by one proposal only.
+type Proposal struct {
+	ballot    Ballot
+	start     Record
+	confirmed Record // a record known to be decided
+	change    Change
+	rules     rules
+
+	phase    Phase
+	asked    map[uint64]bool    // in the present phase
+	answers  map[uint64]Promise // of the present phase
+	failed   map[uint64]bool    // members of the present phase from which no answer will come
+	current  Record             // what was read
+	next     Record             // what is written
+	confirms bool               // next is the current record, so that it is decided before it is followed
+	promised uint64             // the highest round that an answer named
+}
+
+// NewProposal makes a proposal. start is the newest record known, which names the witnesses to begin with. confirmed is the record
+// that an earlier proposal of the same change confirmed, if any.
+func NewProposal(ballot Ballot, start, confirmed Record, change Change) *Proposal {
+	return &Proposal{
+		ballot: ballot, start: start, current: start, confirmed: confirmed, change: change, rules: standardRules,
+		asked: map[uint64]bool{}, answers: map[uint64]Promise{}, failed: map[uint64]bool{},
+	}
+}
+
+// Phase is how far the proposal has come.
+func (p *Proposal) Phase() Phase { return p.phase }
+
+// Decided is the value that a quorum accepted, in PhaseDecided.
+func (p *Proposal) Decided() Record { return p.next }
+
+// OnlyConfirmed tells, in PhaseDecided, that the current record was decided as it stood and that the change has yet to be made.
+func (p *Proposal) OnlyConfirmed() bool { return p.confirms }
+
+// Newest is the newest record that the proposal has read so far.
+func (p *Proposal) Newest() Record { return p.current }
+
+// HighestRound is the highest round that a witness named.
+func (p *Proposal) HighestRound() uint64 { return p.promised }
+
+// Begin returns the first requests. A start that names no witness can decide nothing.
+func (p *Proposal) Begin() []Request {
+	if len(p.start.Members) == 0 {
+		p.phase = PhaseFailed
+		return nil
+	}
+	return p.ask(RequestPrepare, p.start.Voters(), Record{})
+}
+
+// Answer takes a witness's answer to a request of the kind and returns further requests. Answers of an earlier phase change
+// nothing.
+func (p *Proposal) Answer(kind RequestKind, from uint64, answer Promise) []Request {
+	p.promised = max(p.promised, answer.Promised.Round)
+	if !p.waitsFor(kind, from) {
+		return nil
+	}
+	p.answers[from] = answer
+	return p.advance()
+}
+
+// Fail notes that no answer to a request will come, and returns further requests.
+func (p *Proposal) Fail(kind RequestKind, from uint64) []Request {
+	if !p.waitsFor(kind, from) {
+		return nil
+	}
+	p.failed[from] = true
+	return p.advance()
+}
+
+func (p *Proposal) waitsFor(kind RequestKind, from uint64) bool {
+	expected := p.phase == PhaseReading && kind == RequestPrepare || p.phase == PhaseWriting && kind == RequestAccept
+	_, answered := p.answers[from]
+	return expected && p.asked[from] && !answered && !p.failed[from]
+}
+
+func (p *Proposal) advance() []Request {
+	if p.phase == PhaseReading {
+		return p.read()
+	}
+	p.write()
+	return nil
+}
+
+// read looks whether the promises are a quorum of the start and of the newest record among them. Members that a newer record
+// names are asked besides.
+func (p *Proposal) read() []Request {
+	p.current = p.rules.newest(p.answers, p.start)
+	voted := given(p.answers)
+	if p.rules.quorum(p.start, voted) && p.rules.quorum(p.current, voted) {
+		return p.beginWriting(voted)
+	}
+	more := p.ask(RequestPrepare, p.current.Voters(), Record{})
+	if possible := p.possible(); !Quorum(p.start, possible) || !Quorum(p.current, possible) {
+		p.phase = PhaseFailed
+		return nil
+	}
+	return more
+}
+
+// beginWriting decides the next value and has it accepted by a quorum of the record that it replaces and by one of its own.
+func (p *Proposal) beginWriting(voted map[uint64]bool) []Request {
+	p.next = p.following(voted)
+	p.phase = PhaseWriting
+	p.asked = map[uint64]bool{}
+	p.answers = map[uint64]Promise{}
+	p.failed = map[uint64]bool{}
+	both := Record{Members: p.current.Voters(), Previous: p.next.Voters()}
+	return p.ask(RequestAccept, both.Voters(), p.next)
+}
+
+// following is the value to write after the current one.
+func (p *Proposal) following(voted map[uint64]bool) Record {
+	if p.confirms = !p.rules.settled(p.current, p.confirmed); p.confirms {
+		return p.current
+	}
+	next, wanted := p.change(p.current, voted)
+	if !wanted {
+		next = p.current
+	}
+	next.Previous = p.rules.pending(p.current, next)
+	return next
+}
+
+func (p *Proposal) write() {
+	voted := given(p.answers)
+	possible := p.possible()
+	switch {
+	case p.rules.quorum(p.current, voted) && p.rules.quorum(p.next, voted):
+		p.phase = PhaseDecided
+	case !Quorum(p.current, possible) || !Quorum(p.next, possible):
+		p.phase = PhaseFailed
+	}
+}
+
+// possible are the members that have voted or still may.
+func (p *Proposal) possible() map[uint64]bool {
+	possible := given(p.answers)
+	for id := range p.asked {
+		if _, answered := p.answers[id]; !answered && !p.failed[id] {
+			possible[id] = true
+		}
+	}
+	return possible
+}
+
+// ask makes requests for the members that have not been asked in this phase.
+func (p *Proposal) ask(kind RequestKind, members []Member, value Record) []Request {
+	var requests []Request
+	for _, member := range members {
+		if p.asked[member.ID] {
+			continue
+		}
+		p.asked[member.ID] = true
+		requests = append(requests, Request{Kind: kind, To: member, Ballot: p.ballot, Value: value})
+	}
+	return requests
+}
--- a/tier/register/register.go
+++ b/tier/register/register.go
@@ -4,6 +4,8 @@
 package register
 
 import (
+	"bytes"
+
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 )
@@ -51,6 +53,14 @@
 // IsInSync tells whether a replica holds all that was acknowledged.
 func (r Record) IsInSync(id uint64) bool { return Contains(r.InSync, id) }
 
+// Equal tells whether two records are the same.
+func (r Record) Equal(other Record) bool {
+	var a, b codec.Encoder
+	EncodeRecord(&a, r)
+	EncodeRecord(&b, other)
+	return bytes.Equal(a.Bytes, b.Bytes)
+}
+
 // HasMember tells whether a list holds a member of that identity.
 func HasMember(members []Member, id uint64) bool {
 	for _, member := range members {
@@ -113,11 +123,15 @@
 	return true
 }
 
-// Accept takes a value unless a higher ballot has been promised.
+// Accept takes a value unless a higher ballot has been promised. Under one ballot it takes one value only: a second one would
+// come from two proposals that used the ballot, and might replace what is decided.
 func (w *Witness) Accept(ballot Ballot, value Record) bool {
 	if ballot.Less(w.Promised) {
 		return false
 	}
+	if ballot == w.Accepted && !value.Equal(w.Value) {
+		return false
+	}
 	w.Promised = ballot
 	w.Accepted = ballot
 	w.Value = value
--- a/tier/register/register_test.go
+++ b/tier/register/register_test.go
@@ -98,6 +98,19 @@
 	}
 }
 
+// firstLife are the rounds of a proposer that never restarts.
+func firstLife() *Rounds { return NewRounds(0, func(uint64) error { return nil }) }
+
+// proposers are the rounds of several proposers.
+type proposers map[uint64]*Rounds
+
+func (p proposers) of(id uint64) *Rounds {
+	if p[id] == nil {
+		p[id] = firstLife()
+	}
+	return p[id]
+}
+
 func isPrefix(short, long []uint64) bool {
 	if len(short) > len(long) {
 		return false
@@ -118,7 +131,7 @@
 		decided := start
 		known := start
 		nextID := uint64(100)
-		rounds := map[uint64]uint64{}
+		rounds := proposers{}
 		for mark := range uint64(rapid.IntRange(1, 30).Draw(rt, "proposals")) {
 			c.trouble(rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "loss"), rapid.IntRange(-1, 12).Draw(rt, "calls before death"))
 			remove, add := uint64(0), uint64(0)
@@ -133,8 +146,7 @@
 			if rapid.Bool().Draw(rt, "knows the newest") {
 				from = decided
 			}
-			record, round, err := Propose(context.Background(), c, proposer, from, rounds[proposer], addMark(mark+1, remove, add))
-			rounds[proposer] = round
+			record, err := Propose(context.Background(), c, proposer, rounds.of(proposer), from, addMark(mark+1, remove, add))
 			if err != nil {
 				continue
 			}
@@ -153,7 +165,7 @@
 		c, start := newCluster(seed, 3)
 		random := rand.New(rand.NewSource(seed))
 		records := []Record{start}
-		rounds := map[uint64]uint64{}
+		rounds := proposers{}
 		for mark := range uint64(14) {
 			c.trouble([]float64{0, 0.05, 0.2}[random.Intn(3)], random.Intn(18)-2)
 			newest := records[len(records)-1]
@@ -165,8 +177,7 @@
 			}
 			proposer := uint64(1 + random.Intn(3))
 			from := records[max(0, len(records)-1-random.Intn(3))]
-			record, round, err := Propose(context.Background(), c, proposer, from, rounds[proposer], addMark(mark+1, remove, add))
-			rounds[proposer] = round
+			record, err := Propose(context.Background(), c, proposer, rounds.of(proposer), from, addMark(mark+1, remove, add))
 			if err != nil {
 				continue
 			}
@@ -182,7 +193,7 @@
 	c, start := newCluster(1, 3)
 	c.set(2, nil)
 	c.set(3, nil)
-	if _, _, err := Propose(context.Background(), c, 1, start, 0, addMark(1, 0, 0)); err == nil {
+	if _, err := Propose(context.Background(), c, 1, firstLife(), start, addMark(1, 0, 0)); err == nil {
 		t.Fatal("one of three witnesses decided")
 	}
 }
@@ -190,18 +201,19 @@
 // A witness that lost its disk comes back under another identity, which no record names: it must not count.
 func TestAnEmptyWitnessDoesNotCountForTheOneBefore(t *testing.T) {
 	c, start := newCluster(1, 3)
-	first, round, err := Propose(context.Background(), c, 1, start, 0, addMark(1, 0, 0))
+	rounds := firstLife()
+	first, err := Propose(context.Background(), c, 1, rounds, start, addMark(1, 0, 0))
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.set(3, nil)
 	c.set(4, &Witness{})
 	c.set(2, nil)
-	if _, _, err := Propose(context.Background(), c, 1, first, round, addMark(2, 0, 0)); err == nil {
+	if _, err := Propose(context.Background(), c, 1, rounds, first, addMark(2, 0, 0)); err == nil {
 		t.Fatal("decided with one witness and an empty one")
 	}
 	c.set(2, &Witness{Promised: c.get(1).Promised, Accepted: c.get(1).Accepted, Value: first})
-	replaced, _, err := Propose(context.Background(), c, 1, first, round+10, addMark(2, 3, 4))
+	replaced, err := Propose(context.Background(), c, 1, rounds, first, addMark(2, 3, 4))
 	if err != nil || !HasMember(replaced.Members, 4) || HasMember(replaced.Members, 3) {
 		t.Fatalf("replacing the lost member gave %+v, %v", replaced, err)
 	}
--- /dev/null
+++ b/tier/register/rounds_test.go
@@ -0,0 +1,167 @@
+package register
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// limitDisk keeps the limit of a proposer's rounds.
+type limitDisk struct {
+	limit  uint64
+	writes int
+	fails  bool
+}
+
+var errDisk = errors.New("disk failed")
+
+func (d *limitDisk) reserve(limit uint64) error {
+	if d.fails {
+		return errDisk
+	}
+	d.limit = limit
+	d.writes++
+	return nil
+}
+
+// Whatever a life used or saw, and however often it restarts, no round comes twice and each is above all seen before.
+func TestNoRoundIsHandedOutTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		disk := &limitDisk{}
+		rounds := NewRounds(0, disk.reserve)
+		used := map[uint64]bool{}
+		highest := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				disk.fails = rapid.Bool().Draw(rt, "disk fails")
+			case 1:
+				rounds = NewRounds(disk.limit, disk.reserve)
+				highest = 0 // what was only seen is forgotten
+			case 2:
+				seen := rapid.Uint64Range(0, 4*roundsReserved).Draw(rt, "seen")
+				rounds.Saw(seen)
+				highest = max(highest, seen)
+			default:
+				round, err := rounds.Next()
+				if err != nil {
+					continue
+				}
+				if used[round] || round <= highest {
+					rt.Fatalf("round %d again, or not above %d", round, highest)
+				}
+				if round > disk.limit {
+					rt.Fatalf("round %d left while %d was durable", round, disk.limit)
+				}
+				used[round] = true
+				highest = round
+			}
+		}
+	})
+}
+
+func TestALifeWritesItsRoundsOnce(t *testing.T) {
+	disk := &limitDisk{}
+	rounds := NewRounds(0, disk.reserve)
+	if err := rounds.Reserve(); err != nil {
+		t.Fatal(err)
+	}
+	for range 1000 {
+		if _, err := rounds.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if disk.writes != 1 {
+		t.Fatalf("%d writes", disk.writes)
+	}
+}
+
+func TestProposalsSideBySideUseDifferentRounds(t *testing.T) {
+	rounds := firstLife()
+	const each, proposals = 200, 4
+	taken := make(chan uint64, each*proposals)
+	var wait sync.WaitGroup
+	for range proposals {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for range each {
+				round, _ := rounds.Next()
+				taken <- round
+			}
+		}()
+	}
+	wait.Wait()
+	close(taken)
+	seen := map[uint64]bool{}
+	for round := range taken {
+		if seen[round] {
+			t.Fatalf("round %d was handed out twice", round)
+		}
+		seen[round] = true
+	}
+}
+
+// A disk of an older version holds no limit. The first life of this version starts far above what its witness promised.
+func TestADiskWithoutALimitStartsAboveWhatItMayHaveUsed(t *testing.T) {
+	if got := UsedWithoutLimit(Witness{}); got != 0 {
+		t.Fatalf("a first life starts above %d", got)
+	}
+	if got := UsedWithoutLimit(Witness{Promised: Ballot{Round: 7, Proposer: 1}}); got < 7+maxAttempts*1000 {
+		t.Fatalf("starts above %d", got)
+	}
+}
+
+// A proposer whose own witness never wrote its ballot restarts and proposes another value. The former life's accept, which
+// comes last, must not replace the decided value.
+func TestALateAcceptOfAFormerLifeReplacesNothing(t *testing.T) {
+	c, start := newCluster(1, 3)
+	disk := &limitDisk{}
+	first := NewRounds(disk.limit, disk.reserve)
+	round, err := first.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	former := Ballot{Round: round, Proposer: 1}
+	// the former life's own witness, number 1, has written nothing; 2 and 3 promised
+	for _, id := range []uint64{2, 3} {
+		if promise, err := c.Prepare(context.Background(), Member{ID: id}, former); err != nil || !promise.Given {
+			t.Fatalf("%+v, %v", promise, err)
+		}
+	}
+	decided, err := Propose(context.Background(), c, 1, NewRounds(disk.limit, disk.reserve), start, addMark(2, 0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []uint64{1, 2, 3} {
+		_, _ = c.Accept(context.Background(), Member{ID: id}, former, Record{Epoch: 1, InSync: []uint64{1}, Members: start.Members})
+	}
+	read, err := Propose(context.Background(), c, 2, firstLife(), start, func(r Record, _ map[uint64]bool) (Record, bool) { return r, false })
+	if err != nil || !read.Equal(decided) {
+		t.Fatalf("decided %+v, then read %+v, %v", decided, read, err)
+	}
+}
+
+func TestAWitnessTakesOneValueUnderABallot(t *testing.T) {
+	var w Witness
+	ballot := Ballot{Round: 5, Proposer: 1}
+	first := Record{Epoch: 1, Primary: 1, Members: []Member{{ID: 1}}}
+	for range 2 {
+		if !w.Accept(ballot, first) {
+			t.Fatal("an accept was refused, or the same one again")
+		}
+	}
+	if w.Accept(ballot, Record{Epoch: 1, Primary: 2, Members: []Member{{ID: 1}}}) || !w.Value.Equal(first) {
+		t.Fatal("a second value was accepted under one ballot")
+	}
+}
+
+func TestAProposalWithoutWitnessesDecidesNothing(t *testing.T) {
+	c, _ := newCluster(1, 3)
+	if record, err := Propose(context.Background(), c, 1, firstLife(), Record{}, addMark(1, 0, 0)); err == nil {
+		t.Fatalf("decided %+v without a witness", record)
+	}
+}
