--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -98,25 +98,24 @@
 	}
 }
 
-// adjustMembers takes one step of the members.
+// adjustMembers takes one step of the members. The step is built on the record that the proposal reads: the one known here need not
+// have been decided.
 func (s *Server) adjustMembers(ctx context.Context, ledSince int64) {
 	known := s.elector.Known()
-	step, wanted := s.elector.policy.Next(known, s.observe(ledSince))
+	observed := s.observe(ledSince)
+	planned, wanted := s.elector.policy.Next(known, observed)
 	if !wanted && len(known.Previous) == 0 {
 		return
 	}
-	if wanted && step.Admit != 0 && !s.admit(step.Admit) {
+	if planned.Admit != 0 && !s.admit(planned.Admit) {
 		return
 	}
 	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch > known.Epoch {
-			return record, false
+		step, wanted := s.elector.policy.Next(record, observed)
+		if !wanted {
+			return record, len(record.Previous) > 0
 		}
-		// a known record above the current one was proposed and never decided: the current one gets the next epoch
-		if record.Epoch < known.Epoch || !wanted {
-			return record, true
-		}
-		return step.Record, true
+		return step.Record, step.Admit == planned.Admit
 	})
 }
 
