A slow disk everywhere leaves control its primary

Cause: a member whose disk counted as stalled did none of the primary's work and stood for no election. On a machine where all disks were slow at once (a loaded one: real processes on loopback) control stood still, and logged it every 50 ms. Ruled out: a higher threshold (it only moves the point). Change: the primary asks another to lead once a second and goes on with its work where none does; a candidate with a troubled disk waits 1 s longer than the others instead of for ever. Test: TestACandidateWithATroubledDiskComesLast.

--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -224,3 +224,25 @@
 		t.Error("it protects a primary without a majority")
 	}
 }
+
+// A candidate whose disk is stalled lets the others come first; where none comes, it replaces the primary all the same.
+func TestACandidateWithATroubledDiskComesLast(t *testing.T) {
+	s := Situation{InSync: true, PrimaryProven: 1000, DiskTroubled: true}
+	last := int64(1000 + SuspectAfter + TroubledWait)
+	if TroubledWait <= 2*SuspectStep {
+		t.Error("it may come before another candidate")
+	}
+	if s.Now = last; s.Next() != Wait {
+		t.Error("it does not wait")
+	}
+	if s.Now = last + 1; s.Next() != ReplaceOther {
+		t.Error("it never comes")
+	}
+	s.NamedPrimary = true
+	if s.Now = 1000 + SuspectAfter; s.Next() != Wait {
+		t.Error("it leads again at once")
+	}
+	if s.Now = last; s.Next() != ReplaceItself {
+		t.Error("it never leads again")
+	}
+}
--- a/tier/authority/bounds.go
+++ b/tier/authority/bounds.go
@@ -14,6 +14,8 @@
 	SuspectAfter = 620
 	// SuspectStep is how much longer each further candidate waits.
 	SuspectStep = 120
+	// TroubledWait is how much longer a candidate waits whose disk does not do its work, so that others come first.
+	TroubledWait = 1000
 	// StickyFor is how long after such a proof a voter helps nobody to replace the primary.
 	StickyFor = 400
 
--- a/tier/authority/succession.go
+++ b/tier/authority/succession.go
@@ -12,6 +12,7 @@
 	HasLed        bool  // whether it has become primary in its present life
 	Rank          int   // its place among the candidates
 	Jitter        int64 // drawn, below SuspectStep
+	DiskTroubled  bool  // its disk is stalled or was lately: others are to come first
 }
 
 // Action is what a process does about its primary.
@@ -34,8 +35,11 @@
 		return Wait // it waits for a replica, which will answer, be dropped, or tell that the epoch has passed
 	}
 	silence := s.Now - max(s.PrimaryProven, s.RecordLearned, s.StartedAt)
+	if s.DiskTroubled {
+		silence -= TroubledWait
+	}
 	if s.NamedPrimary {
-		if s.HasLed && silence < SuspectAfter {
+		if (s.HasLed || s.DiskTroubled) && silence < SuspectAfter {
 			return Wait
 		}
 		return ReplaceItself
--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -65,6 +65,7 @@
 		HasLed:        s.elector.hasLed(),
 		Rank:          rank(known, s.self.ID),
 		Jitter:        rand.Int64N(authority.SuspectStep),
+		DiskTroubled:  s.host.DiskTroubled(),
 	}
 	s.host.With(controlGroup, func(g *replica.Group) {
 		situation.PrimaryProven = g.PrimaryProven()
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -50,7 +50,8 @@
 	beatHere      []byte // the answer to a heartbeat that asks the host to stay here
 	beatElsewhere []byte // the answer that leaves it the choice
 
-	locatedAt int64 // of the supervising goroutine
+	locatedAt      int64 // of the supervising goroutine
+	steppedAsideAt int64 // of the supervising goroutine
 
 	mu       sync.Mutex
 	seen     *membership.Sightings
@@ -152,11 +153,12 @@
 		if !s.host.IsPrimary(controlGroup) {
 			s.endLeading()
 		}
+		if s.host.DiskTroubled() {
+			s.stepAside(ctx)
+		}
 		switch {
 		case !s.elector.Known().Known():
 			s.findOrFound(ctx)
-		case s.host.DiskTroubled():
-			s.stepAside(ctx)
 		case s.host.IsPrimary(controlGroup):
 			s.lead(ctx)
 		default:
--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"otterseam/tier/codes"
+	"otterseam/tier/groups"
 	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/rpc"
@@ -16,6 +19,8 @@
 
 const (
 	handOverPause = 50 * time.Millisecond
+	// stepAsideEvery is how often a primary with a troubled disk asks others to lead, in milliseconds.
+	stepAsideEvery = 1000
 	// stopMargin is how long before the platform would kill it the process ends by itself.
 	stopMargin = 1500 * time.Millisecond
 	// shortestStop bounds the wait from below, where the platform gives no time worth speaking of.
@@ -79,13 +84,15 @@
 	return false
 }
 
-// stepAside gives the lead to a member whose disk works, and takes none over as long as the own disk is in trouble.
+// stepAside asks a member whose disk works to take the lead. Where none does, this process goes on leading: a slow disk everywhere
+// must not leave the group without a primary.
 func (s *Server) stepAside(ctx context.Context) {
-	if !s.leadsControl() {
+	if !s.leadsControl() || groups.Now()-s.steppedAsideAt < stepAsideEvery {
 		return
 	}
-	s.log.WithField("code", uint16(codes.DiskStalled)).Warn("the disk does not do its work: the lead goes to another member")
-	s.handOver(ctx)
+	s.steppedAsideAt = groups.Now()
+	taken := s.handOver(ctx)
+	s.log.WithFields(logrus.Fields{"code": uint16(codes.DiskStalled), "taken": taken}).Warn("the disk does not do its work: another member is asked to lead")
 }
 
 // answerTakeOver becomes primary if it can, and answers with the record that says so. A process that is itself about to stop
