--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -35,10 +35,12 @@
 			}
 			d := codec.NewDecoder(answer)
 			there := register.Member{ID: d.Uint64(), Address: address, Node: d.String()}
+			founds := d.Bool()
 			record := register.DecodeRecord(d)
 			if d.Err() == nil {
 				s.elector.Learn(record)
 				s.noteAnswered(there, asked)
+				s.noteFounder(there, founds)
 			}
 		}()
 	}
@@ -49,6 +51,7 @@
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
 	e.String(s.self.Node)
+	e.Bool(s.settings.Bootstrap)
 	register.EncodeRecord(&e, s.elector.Known())
 	message.Answer(codes.OK, e.Bytes)
 }
--- a/tier/control/founding.go
+++ b/tier/control/founding.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 )
 
@@ -16,16 +17,11 @@
 	if s.elector.Known().Known() || !s.settings.Bootstrap || !containsText(seeds, s.self.Address) {
 		return
 	}
-	members := []register.Member{s.self}
-	for _, seed := range seeds {
-		if found, answered := s.seenAt(seed); answered && seed != s.self.Address {
-			members = append(members, found)
-		}
+	founding := membership.Founding{
+		Self: s.self, Seeds: seeds, Founders: s.foundersHeard(), Waited: groups.Now()-s.startedAt > foundAfter,
 	}
-	complete := len(members) == len(seeds)
-	waited := groups.Now()-s.startedAt > foundAfter
-	first := s.self.Address == firstOf(seeds)
-	if len(members) <= len(seeds)/2 || (!complete && !waited) || (!first && !waited) {
+	members, may := founding.Members()
+	if !may {
 		return
 	}
 	if err := s.elector.Found(ctx, members); err != nil {
@@ -33,12 +29,24 @@
 	}
 }
 
-func firstOf(addresses []string) string {
-	first := ""
-	for _, address := range addresses {
-		if first == "" || address < first {
-			first = address
-		}
+// noteFounder notes whether the process that answered at an address was started to found the installation.
+func (s *Server) noteFounder(there register.Member, founds bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if founds {
+		s.founders[there.Address] = there
+	} else {
+		delete(s.founders, there.Address)
 	}
-	return first
+}
+
+// foundersHeard are the founders that answered, by their address.
+func (s *Server) foundersHeard() map[string]register.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard := make(map[string]register.Member, len(s.founders))
+	for address, founder := range s.founders {
+		heard[address] = founder
+	}
+	return heard
 }
--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -180,13 +180,6 @@
 	return s.seen.Lost(id)
 }
 
-// seenAt is who answered last at an address.
-func (s *Server) seenAt(address string) (register.Member, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.seen.At(address)
-}
-
 // answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
 // for may come with this very beat.
 func (s *Server) answerControlBeat(message rpc.Message) {
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -54,6 +54,7 @@
 
 	mu       sync.Mutex
 	seen     *membership.Sightings
+	founders map[string]register.Member // by address
 	leaving  bool
 	heard    heardHosts // hosts heard since the primary was told
 	leading  uint64     // the entry that opened the lead for which sessions were begun
@@ -86,6 +87,7 @@
 		self:      register.Member{ID: host.Identity, Address: s.ControlAddress(), Node: s.Node},
 		startedAt: groups.Now(),
 		seen:      membership.NewSightings(),
+		founders:  map[string]register.Member{},
 		heard:     heardHosts{},
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -56,8 +56,8 @@
 	if s.leadsControl() || known.Primary == s.self.ID {
 		return true
 	}
-	// a spare takes this member's vote while it is still there, so that no majority is missed
-	return len(known.Learners) > 0 || membership.View(known).LeavesTooFew(s.self.ID)
+	// a spare takes this member's vote while it is still there, so that no majority is missed; so does a change under way end
+	return len(known.Learners) > 0 || len(known.Previous) > 0 || membership.View(known).LeavesTooFew(s.self.ID)
 }
 
 // handOver asks the in-sync members one after the other to take the lead, until one has it.
--- a/tier/membership/sightings.go
+++ b/tier/membership/sightings.go
@@ -55,9 +55,3 @@
 	there, answered := s.addresses[seen.address]
 	return answered && there.identity != id && there.node == seen.node && there.at > seen.at
 }
-
-// At is who answered last at an address.
-func (s *Sightings) At(address string) (register.Member, bool) {
-	there, answered := s.addresses[address]
-	return register.Member{ID: there.identity, Address: address, Node: there.node}, answered
-}
--- a/tier/status/protection.go
+++ b/tier/status/protection.go
@@ -26,17 +26,17 @@
 	if !record.Known() {
 		return Protection{WhyNotMore: "control is not founded, or nobody answers"}
 	}
-	inSync := 0
 	var lagging []uint64
 	for _, member := range record.Members {
-		if record.IsInSync(member.ID) {
-			inSync++
-		} else {
+		if !record.IsInSync(member.ID) {
 			lagging = append(lagging, member.ID)
 		}
 	}
 	copies := max(0, len(record.InSync)-1)
-	votes := max(0, inSync-len(record.Members)/2-1)
+	votes := spareVotes(record, record.Members)
+	if len(record.Previous) > 0 {
+		votes = min(votes, spareVotes(record, record.Previous))
+	}
 	p := Protection{Bears: min(copies, votes), Acknowledges: len(record.InSync) >= record.MinCopies}
 	switch {
 	case !p.Acknowledges:
@@ -52,6 +52,17 @@
 	return p
 }
 
+// spareVotes is how many of the members in sync may go before there is no majority of them.
+func spareVotes(record register.Record, members []register.Member) int {
+	inSync := 0
+	for _, member := range members {
+		if record.IsInSync(member.ID) {
+			inSync++
+		}
+	}
+	return max(0, inSync-len(members)/2-1)
+}
+
 // OfShard is the protection of a shard of programs.
 func OfShard(view replica.View, name Name) Protection {
 	var lagging []uint64
--- a/tier/status/protection_test.go
+++ b/tier/status/protection_test.go
@@ -18,6 +18,14 @@
 	return r
 }
 
+// withPrevious is a record whose members were changed just now.
+func withPrevious(r register.Record, members ...uint64) register.Record {
+	for _, id := range members {
+		r.Previous = append(r.Previous, register.Member{ID: id})
+	}
+	return r
+}
+
 func TestWhatControlBears(t *testing.T) {
 	cases := []struct {
 		name         string
@@ -32,6 +40,7 @@
 		{"five whole", record([]uint64{1, 2, 3, 4, 5}, 3, 1, 2, 3, 4, 5), 2, true, "more than half of 5 members"},
 		{"four", record([]uint64{1, 2, 3, 4}, 3, 1, 2, 3, 4), 1, true, "more than half of 4 members"},
 		{"one machine", record([]uint64{1}, 1, 1), 0, true, "more than half of 1 member "},
+		{"a fourth on its way in while the first is lost", withPrevious(record([]uint64{2, 3, 4}, 2, 1, 2, 3, 4), 1, 2, 3), 0, true, "a is not in sync"},
 		{"unknown", register.Record{}, 0, false, "nobody answers"},
 	}
 	for _, c := range cases {
--- a/tier/status/status.go
+++ b/tier/status/status.go
@@ -87,6 +87,7 @@
 			d := codec.NewDecoder(answer)
 			d.Uint64()
 			_ = d.String()
+			_ = d.Bool()
 			record := register.DecodeRecord(d)
 			mu.Lock()
 			defer mu.Unlock()
