--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -6,6 +6,7 @@
 	"otterseam/tier/authority"
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
+	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
 	"otterseam/tier/membership"
 	"otterseam/tier/periodic"
@@ -97,25 +98,24 @@
 	}
 }
 
-// adjustMembers takes one step of the members.
+// adjustMembers takes one step of the members. The step is built on the record that the proposal reads: the one known here need not
+// have been decided.
 func (s *Server) adjustMembers(ctx context.Context, ledSince int64) {
 	known := s.elector.Known()
-	step, wanted := s.elector.policy.Next(known, s.observe(ledSince))
+	observed := s.observe(ledSince)
+	planned, wanted := s.elector.policy.Next(known, observed)
 	if !wanted && len(known.Previous) == 0 {
 		return
 	}
-	if wanted && step.Admit != 0 && !s.admit(step.Admit) {
+	if planned.Admit != 0 && !s.admit(planned.Admit) {
 		return
 	}
 	_ = s.elector.Adjust(ctx, func(record register.Record) (register.Record, bool) {
-		if record.Epoch > known.Epoch {
-			return record, false
+		step, wanted := s.elector.policy.Next(record, observed)
+		if !wanted {
+			return record, len(record.Previous) > 0
 		}
-		// a known record above the current one was proposed and never decided: the current one gets the next epoch
-		if record.Epoch < known.Epoch || !wanted {
-			return record, true
-		}
-		return step.Record, true
+		return step.Record, step.Admit == planned.Admit
 	})
 }
 
@@ -187,13 +187,18 @@
 		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
 		return
 	}
-	beat, err := decodeControlBeat(message.Payload)
+	beat, err := controlclient.DecodeControlBeat(message.Payload)
 	if err != nil {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
-	s.sessions.HeardControl(beat)
-	s.noteAnswered(beat.member, groups.Now())
+	s.sessions.HeardControl(beat.Member, beat.Leaving)
+	s.host.With(controlGroup, func(g *replica.Group) {
+		if asked, own := g.AskedAt(beat.Question, groups.Now()); own {
+			s.sessions.HeardHolder(beat.Member.ID, beat.Refusals, asked)
+		}
+	})
+	s.noteAnswered(beat.Member, groups.Now())
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
