One of two members decides alone when the other's disk is provably lost

Cause: a group founded with two of three seeds had no majority for ever after one wipe. Change: a witness whose disk is provably lost (its own machine answers at its address under another identity) counts as one that will never vote: half of an even number may be lost if all others vote, since every majority of before holds one of these (register.QuorumWithLost, in the proposal's quorums). A member that is only silent still blocks.

--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -43,6 +43,7 @@
 	clients *rpc.Clients
 	address string
 	policy  membership.Policy
+	lost    func(uint64) bool // whether a disk is provably lost
 	log     *logrus.Entry
 
 	rounds *register.Rounds
@@ -57,7 +58,7 @@
 }
 
 func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{host: host, clients: clients, address: address, policy: policy, log: log}
+	e := &Elector{lost: func(uint64) bool { return false }, host: host, clients: clients, address: address, policy: policy, log: log}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
@@ -249,6 +250,9 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := t.elector.clients.To(to.Address).Call(call, kind, payload)
+	if errors.Is(err, codes.WrongIdentity) && t.elector.lost(to.ID) {
+		return register.Promise{Lost: true}, nil
+	}
 	if err != nil {
 		return register.Promise{}, err
 	}
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -98,6 +98,7 @@
 	if server.elector, err = newElector(host, clients, server.self.Address, membership.Policy{Tolerate: s.TolerateMachine}, log); err != nil {
 		return nil, err
 	}
+	server.elector.lost = server.lost
 	options := replica.Options{
 		EagerCommit: true, BytesKept: controlBytesKept, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter,
 	}
--- a/tier/register/lost_test.go
+++ b/tier/register/lost_test.go
@@ -41,3 +41,56 @@
 		}
 	}
 }
+
+// raiseEpoch is a change that raises the epoch.
+func raiseEpoch(current Record, _ map[uint64]bool) (Record, bool) {
+	next := current
+	next.Epoch++
+	return next, true
+}
+
+// Of two members one lost its disk: the other decides alone, on what both had decided before.
+func TestOneOfTwoDecidesWhenTheOtherDiskIsLost(t *testing.T) {
+	both := Record{Epoch: 4, Members: []Member{{ID: 1}, {ID: 2}}}
+	held := Promise{Given: true, Accepted: Ballot{Round: 3, Proposer: 2}, Value: both}
+	p := NewProposal(Ballot{Round: 9, Proposer: 1}, both, Record{}, raiseEpoch)
+	p.Begin()
+	p.Answer(RequestPrepare, 1, held)
+	if p.Phase() != PhaseReading {
+		t.Fatalf("phase %d after one of two votes", p.Phase())
+	}
+	p.Answer(RequestPrepare, 2, Promise{Lost: true})
+	if p.Phase() != PhaseWriting {
+		t.Fatalf("phase %d though the other disk is lost", p.Phase())
+	}
+	p.Answer(RequestAccept, 1, Promise{Given: true})
+	p.Answer(RequestAccept, 2, Promise{Lost: true})
+	if p.Phase() != PhaseDecided || p.Decided().Epoch != 5 {
+		t.Fatalf("phase %d, decided %+v", p.Phase(), p.Decided())
+	}
+}
+
+// A member that is merely not reached may have voted for something else: nothing is decided without it.
+func TestOneOfTwoDecidesNothingWhileTheOtherIsSilent(t *testing.T) {
+	both := Record{Epoch: 4, Members: []Member{{ID: 1}, {ID: 2}}}
+	p := NewProposal(Ballot{Round: 9, Proposer: 1}, both, Record{}, raiseEpoch)
+	p.Begin()
+	p.Answer(RequestPrepare, 1, Promise{Given: true, Accepted: Ballot{Round: 3, Proposer: 2}, Value: both})
+	p.Fail(RequestPrepare, 2)
+	if p.Phase() != PhaseFailed {
+		t.Fatalf("phase %d", p.Phase())
+	}
+}
+
+// Two of three lost may have decided without the third.
+func TestOneOfThreeDecidesNothingThoughTheOthersAreLost(t *testing.T) {
+	three := Record{Epoch: 4, Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	p := NewProposal(Ballot{Round: 9, Proposer: 1}, three, Record{}, raiseEpoch)
+	p.Begin()
+	p.Answer(RequestPrepare, 1, Promise{Given: true, Accepted: Ballot{Round: 3, Proposer: 2}, Value: three})
+	p.Answer(RequestPrepare, 2, Promise{Lost: true})
+	p.Answer(RequestPrepare, 3, Promise{Lost: true})
+	if p.Phase() != PhaseFailed {
+		t.Fatalf("phase %d", p.Phase())
+	}
+}
--- a/tier/register/proposal.go
+++ b/tier/register/proposal.go
@@ -135,11 +135,11 @@
 func (p *Proposal) read() []Request {
 	p.current = p.rules.newest(p.answers, p.start)
 	voted := given(p.answers)
-	if p.rules.quorum(p.start, voted) && p.rules.quorum(p.current, voted) {
+	if p.decides(p.start, voted) && p.decides(p.current, voted) {
 		return p.beginWriting(voted)
 	}
 	more := p.ask(RequestPrepare, p.current.Voters(), Record{})
-	if possible := p.possible(); !Quorum(p.start, possible) || !Quorum(p.current, possible) {
+	if possible := p.possible(); !QuorumWithLost(p.start, possible, p.lost()) || !QuorumWithLost(p.current, possible, p.lost()) {
 		p.phase = PhaseFailed
 		return nil
 	}
@@ -174,13 +174,29 @@
 	voted := given(p.answers)
 	possible := p.possible()
 	switch {
-	case p.rules.quorum(p.current, voted) && p.rules.quorum(p.next, voted):
+	case p.decides(p.current, voted) && p.decides(p.next, voted):
 		p.phase = PhaseDecided
-	case !Quorum(p.current, possible) || !Quorum(p.next, possible):
+	case !QuorumWithLost(p.current, possible, p.lost()) || !QuorumWithLost(p.next, possible, p.lost()):
 		p.phase = PhaseFailed
 	}
 }
 
+// decides tells whether the voters decide for a record.
+func (p *Proposal) decides(record Record, voted map[uint64]bool) bool {
+	return p.rules.quorum(record, voted) || QuorumWithLost(record, voted, p.lost())
+}
+
+// lost are the members whose disk is provably lost, by the answers of the present phase.
+func (p *Proposal) lost() map[uint64]bool {
+	lost := map[uint64]bool{}
+	for id, promise := range p.answers {
+		if promise.Lost {
+			lost[id] = true
+		}
+	}
+	return lost
+}
+
 // possible are the members that have voted or still may.
 func (p *Proposal) possible() map[uint64]bool {
 	possible := given(p.answers)
--- a/tier/register/register.go
+++ b/tier/register/register.go
@@ -157,6 +157,7 @@
 // Promise is a witness's answer to a prepare.
 type Promise struct {
 	Given    bool
+	Lost     bool // the witness's disk is provably lost: it votes never again, and what it promised is gone
 	Promised Ballot
 	Accepted Ballot
 	Value    Record
