The play of control runs the register's own proposals; seeds that are no members are told where the group is; when a record was learned

The play: register.Proposal in place of a copy of its own; a lost disk as an answer of a witness; faults put in: eight, each found.

--- a/lab/faultsim/control.go
+++ b/lab/faultsim/control.go
@@ -29,8 +29,8 @@
 	Bugs
 	NoMinCopies  bool // no number of copies is demanded
 	AdmitLagging bool // a replica is taken in whatever it holds
-	LeaveAtOnce  bool // a process that is stopped for good ends at once
-	HalfIsEnough bool // half of the members decide
+	SeatInSync   bool // who takes the vote of a lost disk counts as in sync at once
+	LostBlocks   bool // a lost disk blocks the decisions that wait for its vote
 	NotFollowed  bool // a primary goes on under the view before a change of its own that it did not hear to be decided
 	AnyoneLeads  bool // a member that is not in sync takes over
 }
@@ -485,28 +485,37 @@
 }
 
 func (p *process) adjustMembers(known register.Record, hasState map[uint64]bool) {
-	step, wanted := p.play.policy.Next(known, p.observe(hasState))
+	observed := p.observe(hasState)
+	planned, wanted := p.play.policy.Next(known, observed)
 	if !wanted && len(known.Previous) == 0 {
 		return
 	}
-	if wanted && step.Admit != 0 {
-		if !hasState[step.Admit] {
-			return
-		}
-		p.group.Admit(step.Admit)
+	if planned.Admit != 0 {
+		p.group.Admit(planned.Admit)
 		p.carryOut()
 	}
 	p.change(func(record register.Record) (register.Record, bool) {
-		if record.Epoch > known.Epoch {
-			return record, false
+		step, wanted := p.play.policy.Next(record, observed)
+		if !wanted {
+			return record, len(record.Previous) > 0
 		}
-		if record.Epoch < known.Epoch || !wanted {
-			return record, true
+		if p.play.options.Bugs.SeatInSync {
+			step.Record = seatInSync(record, step.Record)
 		}
-		return step.Record, true
+		return step.Record, step.Admit == planned.Admit
 	})
 }
 
+// seatInSync is a fault: new members count as in sync.
+func seatInSync(before, next register.Record) register.Record {
+	for _, member := range next.Members {
+		if !register.HasMember(before.Members, member.ID) && !next.IsInSync(member.ID) {
+			next.InSync = append(append([]uint64(nil), next.InSync...), member.ID)
+		}
+	}
+	return next
+}
+
 func (p *process) caughtUp() []uint64 {
 	if !p.play.options.Bugs.AdmitLagging {
 		return p.group.CaughtUp(p.play.Now)
@@ -622,7 +631,7 @@
 
 // endWhenFree ends a leaving process once the others can do without it or time is up.
 func (p *process) endWhenFree(limit int64, allowed func() bool, ended func()) {
-	needed := p.play.Now < limit && p.needed() && !p.play.options.Bugs.LeaveAtOnce
+	needed := p.play.Now < limit && p.needed()
 	if needed || !allowed() {
 		if p.group.IsPrimary() {
 			p.handOver()
--- a/lab/faultsim/control_test.go
+++ b/lab/faultsim/control_test.go
@@ -31,12 +31,12 @@
 	}{
 		{"no number of copies is demanded", ControlBugs{NoMinCopies: true}, 115},
 		{"a replica is taken in whatever it holds", ControlBugs{AdmitLagging: true}, 0},
-		{"a member that leaves for good ends at once", ControlBugs{LeaveAtOnce: true}, 189},
-		{"half of the members decide", ControlBugs{HalfIsEnough: true}, 213},
-		{"a member that is not in sync takes over", ControlBugs{AnyoneLeads: true}, 3},
-		{"a primary does not follow its own undecided change", ControlBugs{NotFollowed: true}, 11},
-		{"a machine that lost its disk keeps its identity", ControlBugs{Bugs: Bugs{KeepIdentity: true}}, 4},
-		{"a write counts as durable when it is begun", ControlBugs{Bugs: Bugs{EarlyDurable: true}}, 105},
+		{"who takes a lost vote counts as in sync at once", ControlBugs{SeatInSync: true}, 11},
+		{"a lost disk blocks what waits for its vote", ControlBugs{LostBlocks: true}, 3},
+		{"a member that is not in sync takes over", ControlBugs{AnyoneLeads: true}, 15},
+		{"a primary does not follow its own undecided change", ControlBugs{NotFollowed: true}, 44},
+		{"a machine that lost its disk keeps its identity", ControlBugs{Bugs: Bugs{KeepIdentity: true}}, 9},
+		{"a write counts as durable when it is begun", ControlBugs{Bugs: Bugs{EarlyDurable: true}}, 31},
 	}
 	for _, each := range bugs {
 		t.Run(each.name, func(t *testing.T) {
--- a/lab/faultsim/proposal.go
+++ b/lab/faultsim/proposal.go
@@ -11,153 +11,155 @@
 	prepareOnTransfer
 )
 
-// proposal is an attempt of a process to change the register.
-type proposal struct {
-	process  *process
-	mode     prepareMode
-	ballot   register.Ballot
-	start    register.Record
-	change   func(register.Record) (register.Record, bool)
-	asked    map[uint64]bool
-	promises map[uint64]register.Promise
-	accepted map[uint64]bool
-	current  register.Record
-	next     register.Record
-	wanted   bool
-	writing  bool
-	ended    bool
+// attempt is a change of the register by a process, with the proposals that it takes.
+type attempt struct {
+	process   *process
+	mode      prepareMode
+	change    func(register.Record) (register.Record, bool)
+	made      []register.Record // by earlier proposals of this attempt
+	won       bool              // the newest proposal's value is this attempt's own
+	confirmed register.Record
+	proposals int
+	ended     bool
 }
 
-// propose changes the register; one proposal of a process runs at a time.
+const maxProposals = 5
+
+// propose changes the register; one attempt of a process runs at a time.
 func (p *process) propose(mode prepareMode, start register.Record, change func(register.Record) (register.Record, bool)) {
 	if p.busy {
 		return
 	}
 	p.busy = true
-	p.round = max(p.round, p.witness.Promised.Round) + 1
-	attempt := &proposal{
-		process: p, mode: mode, ballot: register.Ballot{Round: p.round, Proposer: p.identity}, start: start, change: change,
-		asked: map[uint64]bool{}, promises: map[uint64]register.Promise{}, accepted: map[uint64]bool{},
-	}
-	p.later(proposeTimeout, attempt.end)
-	attempt.read()
+	a := &attempt{process: p, mode: mode, change: change}
+	p.later(proposeTimeout, a.end)
+	a.begin(start)
 }
 
-func (a *proposal) end() {
+func (a *attempt) end() {
 	if !a.ended {
 		a.ended = true
 		a.process.busy = false
 	}
 }
 
-// quorum tells whether voters decide for a record.
-func (a *proposal) quorum(record register.Record, voted map[uint64]bool) bool {
-	bugs := a.process.play.options.Bugs
-	if bugs.HalfIsEnough {
-		count := 0
-		for _, member := range record.Members {
-			if voted[member.ID] {
-				count++
-			}
-		}
-		return 2*count >= len(record.Members)
-	}
-	lost := map[uint64]bool{}
-	for _, member := range record.Voters() {
-		lost[member.ID] = a.process.lost(member.ID)
+// begin makes the next proposal. Its round is durable, as the process's disk writes rounds before it uses them.
+func (a *attempt) begin(start register.Record) {
+	if a.proposals == maxProposals {
+		a.end()
+		return
 	}
-	return register.QuorumWithLost(record, voted, lost)
+	a.proposals++
+	p := a.process
+	p.round = max(p.round, p.witness.Promised.Round) + 1
+	proposal := register.NewProposal(register.Ballot{Round: p.round, Proposer: p.identity}, start, a.confirmed, a.next)
+	a.send(proposal, proposal.Begin())
+	a.follow(proposal)
 }
 
-// read collects promises until they are a quorum of the start and of the newest record among them.
-func (a *proposal) read() {
-	if a.ended || a.writing {
-		return
-	}
-	newest := register.Newest(a.promises, a.start)
-	voted := map[uint64]bool{}
-	for id, promise := range a.promises {
-		voted[id] = promise.Given
-	}
-	if a.quorum(a.start, voted) && a.quorum(newest, voted) {
-		a.write(newest)
-		return
-	}
-	for _, member := range append(a.start.Voters(), newest.Voters()...) {
-		if a.asked[member.ID] {
-			continue
+// next is the change as a proposal asks for it. A proposal that meets this attempt's own value has won.
+func (a *attempt) next(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+	for _, made := range a.made {
+		bare := current
+		bare.Previous, made.Previous = nil, nil
+		if made.Equal(bare) {
+			a.won = true
+			return current, false
 		}
-		a.asked[member.ID] = true
-		a.process.vote(member, a.mode, func(w *register.Witness) bool { return w.Prepare(a.ballot) }, func(promise register.Promise) {
-			a.process.round = max(a.process.round, promise.Promised.Round)
-			a.promises[member.ID] = promise
-			a.read()
-		})
 	}
+	next, wanted := a.change(current)
+	a.won = wanted
+	if wanted {
+		a.made = append(a.made, next)
+	}
+	return next, wanted
 }
 
-// write has the value accepted by a quorum of the record that it replaces and by one of its own.
-func (a *proposal) write(current register.Record) {
-	a.writing = true
-	a.current = current
-	a.next, a.wanted = a.change(current)
-	if !a.wanted {
-		a.next = current
-	}
-	a.next.Previous = nil
-	if !sameMembers(current.Members, a.next.Members) {
-		a.next.Previous = current.Members
-	}
-	both := register.Record{Members: current.Voters(), Previous: a.next.Voters()}
-	for _, member := range both.Voters() {
-		a.process.vote(member, prepareBySelf, func(w *register.Witness) bool { return w.Accept(a.ballot, a.next) }, func(promise register.Promise) {
-			a.accepted[member.ID] = promise.Given
-			a.decide()
+func (a *attempt) send(proposal *register.Proposal, requests []register.Request) {
+	for _, request := range requests {
+		a.process.vote(request, a.mode, func(promise register.Promise) {
+			if !a.ended {
+				a.send(proposal, proposal.Answer(request.Kind, request.To.ID, promise))
+				a.follow(proposal)
+			}
+		}, func() {
+			if !a.ended {
+				a.send(proposal, proposal.Fail(request.Kind, request.To.ID))
+				a.follow(proposal)
+			}
 		})
 	}
 }
 
-func (a *proposal) decide() {
-	if a.ended || !a.quorum(a.current, a.accepted) || !a.quorum(a.next, a.accepted) {
+// follow acts on a proposal that has come to its end.
+func (a *attempt) follow(proposal *register.Proposal) {
+	if a.ended || proposal.Phase() == register.PhaseReading || proposal.Phase() == register.PhaseWriting {
 		return
 	}
-	a.end()
-	if a.wanted {
-		a.process.lead(a.next)
-	} else {
-		a.process.note(a.next, true)
+	p := a.process
+	p.round = max(p.round, proposal.HighestRound())
+	switch {
+	case proposal.Phase() == register.PhaseFailed:
+		a.begin(proposal.Newest())
+	case proposal.OnlyConfirmed():
+		a.confirmed = proposal.Decided()
+		a.begin(proposal.Newest())
+	case a.won:
+		a.end()
+		p.lead(proposal.Decided())
+	default:
+		a.end()
+		p.note(proposal.Decided(), true)
 	}
 }
 
-func sameMembers(a, b []register.Member) bool {
-	for _, member := range a {
-		if !register.HasMember(b, member.ID) {
-			return false
+const voteTimeout = 350 // milliseconds
+
+// vote has a witness act on a request and answer once that is durable. Another identity at the address gives no vote; it may be the
+// proof that the witness's disk is lost.
+func (p *process) vote(request register.Request, mode prepareMode, answered func(register.Promise), failed func()) {
+	done := false
+	once := func(act func()) func() {
+		return func() {
+			if !done {
+				done = true
+				act()
+			}
 		}
 	}
-	return len(a) == len(b)
-}
-
-// vote has a witness change and answer once the change is durable. Another identity at the address gives no vote.
-func (p *process) vote(to register.Member, mode prepareMode, change func(*register.Witness) bool, answered func(register.Promise)) {
-	p.ask(to.Address, func(other *process) func() {
-		if other.identity != to.ID {
-			there, asked := other.self(), p.play.Now
-			return func() { p.seen.Answered(there, asked) }
+	p.later(voteTimeout, once(failed))
+	p.ask(request.To.Address, func(other *process) func() {
+		if other.identity != request.To.ID {
+			return once(func() {
+				if p.lost(request.To.ID) && !p.play.options.Bugs.LostBlocks {
+					answered(register.Promise{Lost: true})
+				} else {
+					failed()
+				}
+			})
 		}
-		if mode == prepareOnSilence && !other.group.IsPrimary() && !other.replaced() && p.play.Now-other.group.PrimaryHeard() < stickyFor {
-			return nil
+		sticky := !other.group.IsPrimary() && !other.replaced() && p.play.Now-other.group.PrimaryHeard() < stickyFor
+		if request.Kind == register.RequestPrepare && mode == prepareOnSilence && sticky {
+			return once(failed)
 		}
 		other.later(p.play.diskDelay(), func() {
-			given := change(&other.witness)
-			promise := register.Promise{
-				Given: given, Promised: other.witness.Promised, Accepted: other.witness.Accepted, Value: other.witness.Value,
-			}
-			if given {
-				other.learn(other.witness.Value)
-			}
-			p.later(p.play.Between(1, 4), func() { answered(promise) })
+			promise := other.decide(request)
+			p.later(p.play.Between(1, 4), once(func() { answered(promise) }))
 		})
 		return nil
 	})
 }
+
+// decide has this process's witness act on a request.
+func (p *process) decide(request register.Request) register.Promise {
+	given := false
+	if request.Kind == register.RequestPrepare {
+		given = p.witness.Prepare(request.Ballot)
+	} else {
+		given = p.witness.Accept(request.Ballot, request.Value)
+	}
+	if given {
+		p.learn(p.witness.Value)
+	}
+	return register.Promise{Given: given, Promised: p.witness.Promised, Accepted: p.witness.Accepted, Value: p.witness.Value}
+}
--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -47,7 +47,11 @@
 	wait.Wait()
 }
 
+// answerLocate tells who this process is and what it knows, and takes what the asker may have told.
 func (s *Server) answerLocate(message rpc.Message) {
+	if len(message.Payload) > 0 {
+		s.learnEncoded(message.Payload)
+	}
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
 	e.String(s.self.Node)
--- /dev/null
+++ b/tier/control/learn_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"otterseam/tier/groups"
+	"otterseam/tier/membership"
+	"otterseam/tier/register"
+	"otterseam/tier/rpc"
+)
+
+// A newer record is dated when it is learned: who follows a primary that never came has to know since when it waits.
+func TestANewerRecordIsDatedWhenItIsLearned(t *testing.T) {
+	log := logrus.NewEntry(logrus.New())
+	clients := rpc.NewClients(nil)
+	host, err := groups.Open(t.TempDir(), clients, log, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	elector, err := newElector(host, clients, "", membership.Policy{Tolerate: 1}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := groups.Now()
+	elector.Learn(register.Record{Epoch: 3, Primary: 7})
+	if known, since := elector.KnownSince(); known.Epoch != 3 || since < before {
+		t.Fatalf("epoch %d is known since %d, before %d", known.Epoch, since, before)
+	}
+}
--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -15,6 +15,9 @@
 	"otterseam/tier/rpc"
 )
 
+// announceEvery is how often the primary tells seeds that are no members where the group is, in milliseconds.
+const announceEvery = 1000
+
 // controlGone is the silence in milliseconds after which a control process may be taken out of the members with none in its place.
 const controlGone = 6000
 
@@ -35,6 +38,7 @@
 // which may wait for a replica that has to be dropped or taken in first.
 func (s *Server) adjustReplicas(ctx context.Context) {
 	ledSince := int64(0)
+	announcedAt := int64(0)
 	periodic.Run(ctx, superviseEvery, func() {
 		if !s.leadsWithLease() {
 			ledSince = 0
@@ -43,12 +47,32 @@
 		if ledSince == 0 {
 			ledSince = groups.Now()
 		}
+		if now := groups.Now(); now-announcedAt > announceEvery {
+			announcedAt = now
+			go s.announce(ctx)
+		}
 		s.followRecord(ctx)
 		s.adjustInSync(ctx)
 		s.adjustMembers(ctx, ledSince)
 	})
 }
 
+// announce tells the seeds that are no members where the group is: a process that comes up on an empty disk may know them alone.
+func (s *Server) announce(ctx context.Context) {
+	known := s.elector.Known()
+	members := map[string]bool{}
+	for _, member := range known.Holders() {
+		members[member.Address] = true
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for _, seed := range s.seeds.Addresses() {
+		if !members[seed] {
+			_, _ = s.clients.To(seed).Call(call, controlclient.KindLocate, encodeRecord(known))
+		}
+	}
+}
+
 // followRecord has the primary's replica follow a record that this process proposed and of which it did not hear that it was
 // decided: the replica would go on without the members that the record names. The record is decided anew under the next epoch.
 func (s *Server) followRecord(ctx context.Context) {
