--- a/tier/replica/snapshot_test.go
+++ b/tier/replica/snapshot_test.go
@@ -248,3 +248,19 @@
 		t.Fatal("committed by the word of a disk that no longer holds it")
 	}
 }
+
+// A piece of a primary whose epoch has passed is refused, and the sender is told.
+func TestASnapshotOfAnOlderEpochIsRefused(t *testing.T) {
+	g, machine := newBackup(t)
+	g.SetView(View{Epoch: 5, Primary: 3, InSync: []uint64{3}, Replicas: []uint64{2, 3}}, 10)
+	g.Take()
+	state := (&journalMachine{applied: []string{"old"}}).Snapshot()
+	g.Step(1, wholeInstall(4, 7, 4, state), 11)
+	output := g.Take()
+	if len(machine.applied) != 0 || g.AppliedIndex() != 0 || len(output.Writes) != 0 {
+		t.Fatalf("installed: %v", machine.applied)
+	}
+	if len(output.Messages) != 1 || output.Messages[0].Message.Kind != MessageStale || output.Messages[0].Message.Epoch != 5 {
+		t.Fatalf("the sender is told %+v", output.Messages)
+	}
+}
