--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -45,13 +45,15 @@
 	policy  membership.Policy
 	log     *logrus.Entry
 
+	rounds *register.Rounds
+
 	voting  sync.Mutex // held while a vote is written, however long the disk takes; taken before mu
 	mu      sync.Mutex
 	witness register.Witness
-	known   register.Record // the newest record seen, accepted here or told
-	learned int64           // when it was seen first
-	round   uint64
-	led     bool // whether this process has become primary in its present life
+	known   register.Record // the newest record seen: accepted here, told, or decided here
+	decided bool            // whether known was decided by a proposal of this process
+	learned int64           // when an epoch as new as that of known was seen first
+	led     bool            // whether this process has become primary in its present life
 }
 
 func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
@@ -66,6 +68,12 @@
 		}
 		e.known = e.witness.Value
 	}
+	if e.rounds, err = openRounds(host.Values, e.witness); err != nil {
+		return nil, err
+	}
+	if err := e.rounds.Reserve(); err != nil {
+		log.WithError(err).Warn("rounds could not be reserved; the first proposal tries again")
+	}
 	return e, nil
 }
 
@@ -83,15 +91,22 @@
 	return e.known
 }
 
-// Learn takes a record told by another process.
-func (e *Elector) Learn(record register.Record) {
+// Learn takes a record that was accepted here or told by another process. It need not have been decided: what is known says
+// whom to ask and which epoch to suspect, and every decision is taken anew on the record that a quorum returns.
+func (e *Elector) Learn(record register.Record) { e.note(record, false) }
+
+func (e *Elector) note(record register.Record, decided bool) {
 	if e.host.IsForeign(record.Installation) {
 		return
 	}
 	e.mu.Lock()
-	if record.Epoch > e.known.Epoch {
+	if supersedes(record, decided, e.known, e.decided) {
+		e.known = record
+		if record.Epoch > e.known.Epoch {
+			e.learned = groups.Now()
+		}
 		e.known = record
-		e.learned = groups.Now()
+		e.decided = decided
 	}
 	known := e.known
 	e.mu.Unlock()
@@ -101,13 +116,22 @@
 	}
 }
 
-// KnownSince is the newest record seen, and when it was seen first.
+// KnownSince is the newest record seen, and when its epoch was seen first.
 func (e *Elector) KnownSince() (record register.Record, since int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.known, e.learned
 }
 
+// supersedes tells whether a record is to replace the one known. Two records of one epoch may be seen, of which one at most was
+// decided.
+func supersedes(record register.Record, decided bool, known register.Record, knownDecided bool) bool {
+	if record.Epoch != known.Epoch {
+		return record.Epoch > known.Epoch
+	}
+	return record.Known() && (decided || !knownDecided)
+}
+
 // handlePrepare answers a prepare for this process's witness.
 func (e *Elector) handlePrepare(message rpc.Message) {
 	d := codec.NewDecoder(message.Payload)
@@ -231,19 +255,16 @@
 	return decodePromise(answer)
 }
 
-// propose changes the register. One proposal at a time runs in a process.
+// propose changes the register. Proposals may run side by side: each has ballots of its own.
 func (e *Elector) propose(ctx context.Context, mode prepareMode, start register.Record, change register.Change) (register.Record, error) {
 	e.mu.Lock()
-	round := max(e.round, e.witness.Promised.Round)
+	e.rounds.Saw(e.witness.Promised.Round)
 	e.mu.Unlock()
 	attempt, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	record, round, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, start, round, change)
-	e.mu.Lock()
-	e.round = max(e.round, round)
-	e.mu.Unlock()
+	record, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, e.rounds, start, change)
 	if err == nil {
-		e.Learn(record)
+		e.note(record, true)
 	}
 	return record, err
 }
@@ -252,26 +273,53 @@
 
 // TakeOver makes this process primary in place of the one of the suspected epoch.
 func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, lost func(uint64) bool) error {
-	start := e.Known()
-	took := false
-	record, err := e.propose(ctx, mode, start, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		took = false
-		if current.Epoch != suspected || !current.IsInSync(e.host.Identity) {
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
+		// a suspected epoch above the current one was proposed and never decided
+		if current.Epoch > suspected || !current.IsInSync(e.host.Identity) {
 			return current, false
 		}
-		took = true
 		return e.policy.Successor(current, e.host.Identity, lost), true
-	})
+	}}
+	record, err := e.propose(ctx, mode, e.Known(), attempt.next)
 	if err != nil {
 		return err
 	}
-	if !took {
+	if !attempt.took {
 		return errNotWanted
 	}
 	e.lead(record)
 	return nil
 }
 
+// ownChange tells whether a change was decided by the proposal that wanted it. A proposal may meet its own value when it tries
+// again: the value of its first attempt may have reached some witnesses. It is then decided as it stands.
+type ownChange struct {
+	change func(current register.Record) (register.Record, bool)
+	made   []register.Record // by earlier attempts of this proposal
+	took   bool
+}
+
+func (c *ownChange) next(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+	for _, made := range c.made {
+		if withoutPrevious(made).Equal(withoutPrevious(current)) {
+			c.took = true
+			return current, false
+		}
+	}
+	next, wanted := c.change(current)
+	c.took = wanted
+	if wanted {
+		c.made = append(c.made, next)
+	}
+	return next, wanted
+}
+
+// withoutPrevious is a record without the note that its members were changed, which each writing of it may set anew.
+func withoutPrevious(record register.Record) register.Record {
+	record.Previous = nil
+	return record
+}
+
 // lead has the replica act on a record that this process has decided.
 func (e *Elector) lead(record register.Record) {
 	if !e.host.Bind(record.Installation) {
@@ -286,25 +334,20 @@
 
 // Adjust changes the record while this process is its primary: members, or the in-sync set.
 func (e *Elector) Adjust(ctx context.Context, change func(register.Record) (register.Record, bool)) error {
-	adjusted := false
-	record, err := e.propose(ctx, prepareBySelf, e.Known(), func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		adjusted = false
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Primary != e.host.Identity {
 			return current, false
 		}
 		next, wanted := change(current)
-		if !wanted {
-			return current, false
-		}
-		adjusted = true
 		next = e.policy.WithCopies(next)
 		next.Epoch = current.Epoch + 1
-		return next, true
-	})
+		return next, wanted
+	}}
+	record, err := e.propose(ctx, prepareBySelf, e.Known(), attempt.next)
 	if err != nil {
 		return err
 	}
-	if adjusted {
+	if attempt.took {
 		e.lead(record)
 	}
 	return nil
@@ -314,18 +357,16 @@
 func (e *Elector) Found(ctx context.Context, members []register.Member) error {
 	first := register.Record{Members: members}
 	installation := rand.Uint64() | 1
-	founded := false
-	record, err := e.propose(ctx, prepareBySelf, first, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
-		founded = false
+	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Known() {
 			return current, false
 		}
-		founded = true
 		next := e.policy.Found(e.host.Identity, members)
 		next.Installation = installation
 		return next, true
-	})
-	if err == nil && founded {
+	}}
+	record, err := e.propose(ctx, prepareBySelf, first, attempt.next)
+	if err == nil && attempt.took {
 		e.lead(record)
 	}
 	return err
