--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -101,7 +101,6 @@
 	}
 	e.mu.Lock()
 	if supersedes(record, decided, e.known, e.decided) {
-		e.known = record
 		if record.Epoch > e.known.Epoch {
 			e.learned = groups.Now()
 		}
--- a/tier/control/installation_test.go
+++ b/tier/control/installation_test.go
@@ -34,6 +34,30 @@
 	}
 }
 
+// A record counts as known since its epoch was seen first, not since the last one of that epoch.
+func TestARecordIsKnownSinceItsEpochWasSeen(t *testing.T) {
+	clients := rpc.NewClients(nil)
+	host, err := groups.Open(t.TempDir(), clients, logrus.NewEntry(logrus.New()), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	elector := &Elector{host: host, clients: clients}
+	elector.Learn(register.Record{Epoch: 3, Primary: 1})
+	_, first := elector.KnownSince()
+	if first == 0 {
+		t.Fatal("nothing says since when the record is known")
+	}
+	elector.learned = first - 10
+	elector.Learn(register.Record{Epoch: 3, Primary: 1, MinCopies: 2})
+	if _, since := elector.KnownSince(); since != first-10 {
+		t.Fatalf("another record of the same epoch counts as new: %d, not %d", since, first-10)
+	}
+	elector.Learn(register.Record{Epoch: 4, Primary: 2})
+	if _, since := elector.KnownSince(); since < first {
+		t.Fatal("a newer epoch does not count as new")
+	}
+}
+
 // The installation of the record that tells where control is becomes that of the view.
 func TestTheViewTakesTheInstallationOfTheRecord(t *testing.T) {
 	state := NewState()
