A client that leaves behind the beginning of its next request is seen; a proxy that ends answers what is under way

Cause: the server reads no further than the first byte of a pipelined request, so it did not see that the client had left: hosts worked on for 20 s (the route's time) in TestAClientThatLeavesBehindAPipelinedRequestEndsItsHostsWork. The guard took a head that had come with the request before it as still due. At the end of the grace period requests without an answer were cut off.

Ruled out: reading further on behalf of the server, which shares deadlines with it.

Readiness answers 503 from SIGTERM on, as before, now with a test.

--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -38,6 +38,7 @@
 	DeadlineReached   Code = 410
 	ClientGone        Code = 411
 	AnswerNotKept     Code = 412
+	Stopping          Code = 413
 	DiskDamaged       Code = 501
 	DiskWrite         Code = 502
 	DiskRegressed     Code = 503
@@ -86,6 +87,7 @@
 	{DeadlineReached, "deadline-reached", "the client's deadline or the route's timeout was reached"},
 	{ClientGone, "client-gone", "the client closed its connection"},
 	{AnswerNotKept, "answer-not-kept", "the turn was served but could not be made durable; its answer is broken off"},
+	{Stopping, "stopping", "the proxy is about to end; ask another one"},
 	{DiskDamaged, "disk-damaged", "a file on disk is torn, cut or altered"},
 	{DiskWrite, "disk-write", "a write or sync failed"},
 	{DiskRegressed, "disk-regressed", "a member's disk holds less than it acknowledged: an older copy of it was put back"},
--- a/tier/httpguard/httpguard.go
+++ b/tier/httpguard/httpguard.go
@@ -1,5 +1,6 @@
 // Package httpguard watches the heads of requests on the connections of an HTTP server, for what net/http settles by itself and
-// a gateway has to refuse: bodies with two lengths or with a length and chunks, and heads that take too long.
+// a gateway has to refuse: bodies with two lengths or with a length and chunks, and heads that take too long. It also sees that a
+// client has left behind the beginning of a further request.
 package httpguard
 
 import (
@@ -35,6 +36,9 @@
 		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if watched, is := conn.(*guardedConn); is {
+			ctx, watched.leave = context.WithCancel(ctx)
+		}
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 }
@@ -42,7 +46,8 @@
 // Listen wraps a listener.
 func (g *Guard) Listen(inner net.Listener) net.Listener { return &guardedListener{inner, g} }
 
-// AmbiguousLength tells whether the head of a request names its body's length twice, or a length beside chunks.
+// AmbiguousLength tells whether the head of a request names its body's length twice, or a length beside chunks. A handler calls it
+// once, before it does anything else.
 func AmbiguousLength(r *http.Request) bool {
 	conn, is := r.Context().Value(connKey{}).(*guardedConn)
 	if !is {
@@ -72,8 +77,10 @@
 type guardedConn struct {
 	net.Conn
 	guard *Guard
+	leave context.CancelFunc // ends the requests of the connection
 
 	mu     sync.Mutex
+	watch  chan struct{} // closed when the request is over whose client is watched; nil if none is
 	inHead bool
 	head   []byte
 	due    time.Time // when the head under way has to be whole
@@ -82,6 +89,7 @@
 func (c *guardedConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endWatch()
 	c.inHead = true
 	c.head = nil
 	c.due = time.Time{}
@@ -93,6 +101,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inHead {
+		if n > 0 && len(p) == 1 {
+			c.beginWatch()
+		}
 		return n, err
 	}
 	if n > 0 {
@@ -106,6 +117,32 @@
 	return n, err
 }
 
+// beginWatch has the client watched while a request is under way; the lock is held. While it is, the server reads single bytes to
+// see that the client leaves, and stops with the first one of the next request.
+func (c *guardedConn) beginWatch() {
+	if c.watch != nil || c.leave == nil {
+		return
+	}
+	c.watch = make(chan struct{})
+	go watchLeave(c.Conn, c.leave, c.watch)
+}
+
+// endWatch ends the watching; the lock is held.
+func (c *guardedConn) endWatch() {
+	if c.watch != nil {
+		close(c.watch)
+		c.watch = nil
+	}
+}
+
+// Close ends the connection.
+func (c *guardedConn) Close() error {
+	c.mu.Lock()
+	c.endWatch()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // seen takes bytes of a head; the lock is held.
 func (c *guardedConn) seen(data []byte) {
 	if len(c.head) == 0 {
@@ -125,6 +162,19 @@
 	}
 }
 
+// headCameBefore notes that the head of the request under way came together with the request before it; the lock is held. What has
+// been read since is the beginning of the next head, which is not due while this request is under way.
+func (c *guardedConn) headCameBefore() {
+	c.inHead = false
+	if len(c.head) == 0 {
+		return
+	}
+	c.head = nil
+	c.due = time.Time{}
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.beginWatch()
+}
+
 // SetReadDeadline sets when reading ends, but no later than a head under way is due.
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -147,6 +197,10 @@
 func (c *guardedConn) bodyHeaders() (lengths, chunks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.inHead {
+		c.headCameBefore()
+		return 0, 0
+	}
 	for _, line := range bytes.Split(c.head, []byte("\r\n")) {
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		switch {
--- a/tier/httpguard/httpguard_test.go
+++ b/tier/httpguard/httpguard_test.go
@@ -159,3 +159,48 @@
 		conn.expectHead()
 	}
 }
+
+// A client that leaves behind the first byte of a further request is seen; one that stays is not taken for it.
+func TestAClientThatLeavesBehindAFurtherRequestIsSeen(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	guard := &Guard{}
+	begun := make(chan struct{}, 2)
+	ended := make(chan error, 2)
+	goOn := make(chan struct{})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		AmbiguousLength(r)
+		begun <- struct{}{}
+		select {
+		case <-r.Context().Done():
+		case <-goOn:
+		}
+		ended <- r.Context().Err()
+	})}
+	guard.Install(server)
+	go func() { _ = server.Serve(guard.Listen(inner)) }()
+	t.Cleanup(func() { server.Close() })
+	conn, reader := dial(t, inner.Addr().String())
+	pipelined := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	if _, err := io.WriteString(conn, pipelined+pipelined); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	goOn <- struct{}{}
+	if err := <-ended; err != nil {
+		t.Fatalf("a client that stays was taken to have left: %v", err)
+	}
+	if _, err := http.ReadResponse(reader, nil); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	if _, err := io.WriteString(conn, "G"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	if err := <-ended; err == nil {
+		t.Fatal("the client has left")
+	}
+}
--- a/tier/proxy/harness_test.go
+++ b/tier/proxy/harness_test.go
@@ -36,6 +36,7 @@
 type gateway struct {
 	*testing.T
 	proxy   *Proxy
+	server  *http.Server
 	address string
 	hosts   int
 	serving sync.WaitGroup // requests that the proxy has not ended
@@ -58,10 +59,9 @@
 		t.Fatal(err)
 	}
 	g := &gateway{T: t, proxy: p, address: listener.Addr().String()}
-	server := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: time.Minute}
-	p.guard.Install(server)
-	go func() { _ = server.Serve(p.guard.Listen(listener)) }()
-	t.Cleanup(func() { server.Close() })
+	g.server = p.newServer(http.HandlerFunc(g.serve))
+	go func() { _ = g.server.Serve(p.guard.Listen(listener)) }()
+	t.Cleanup(func() { g.server.Close() })
 	return g
 }
 
--- a/tier/proxy/leave_test.go
+++ b/tier/proxy/leave_test.go
@@ -129,3 +129,35 @@
 		t.Fatal("a host was asked for nobody")
 	}
 }
+
+// A client that has begun its next request before it leaves is seen to leave all the same.
+func TestAClientThatLeavesBehindAPipelinedRequestEndsItsHostsWork(t *testing.T) {
+	for _, further := range []string{"P", "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r2\r\nContent-Length: 1\r\n\r\nx"} {
+		for _, part := range []string{"", streamOK + event(1)} {
+			g := newGateway(t)
+			reached := make(chan struct{}, 2)
+			ended := make(chan time.Time, 2)
+			counted := g.addHost(func(a asked) {
+				a.answer(part)
+				reached <- struct{}{}
+				a.gone()
+				ended <- time.Now()
+			})
+			c := g.dial()
+			c.send("/stream/1", "r1", "", "x")
+			<-reached
+			if _, err := c.Write([]byte(further)); err != nil {
+				t.Fatal(err)
+			}
+			left := time.Now()
+			_ = c.Close()
+			if took := (<-ended).Sub(left); took > goneWithin {
+				t.Errorf("%q, %q: the host worked on for %v", further, part, took)
+			}
+			g.settled()
+			if counted.total() != 1 {
+				t.Errorf("%q: a request was sent for a client that has gone", further)
+			}
+		}
+	}
+}
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -171,12 +171,16 @@
 	return plainAnswer{sent.response, head, body}, exchange.OutcomeOf(sent.lease.Exchange())
 }
 
-// outOfTime ends a request whose time is up or whose client has gone, while a host may still be at work on it.
+// outOfTime ends a request whose time is up, or the proxy's, or whose client has gone, while a host may still be at work on it.
 func (p *Proxy) outOfTime(ctx context.Context, w http.ResponseWriter) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		p.fail(w, http.StatusGatewayTimeout, codes.DeadlineReached)
+	case errors.Is(context.Cause(ctx), errStopping):
+		p.fail(w, http.StatusBadGateway, codes.Stopping)
+	default:
 		panic(http.ErrAbortHandler)
 	}
-	p.fail(w, http.StatusGatewayTimeout, codes.DeadlineReached)
 }
 
 // silentOutcome is that of a request that got no answer at all. A deadline that passed without a sign of life counts against the
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -45,6 +45,11 @@
 	unroutedPatience = 10 * time.Second
 	// writeMargin is how long after its deadline a request's answer may still be written to a client that reads slowly.
 	writeMargin = 300 * time.Millisecond
+	// takeShare is the part of drainFor in which requests are still taken on connections that are open; clients give up one that
+	// has rested for as long as they were told. Work that is taken later could last beyond the end.
+	takeShare = 6.0 / 7
+	// lastAnswers is how long before the end requests that have no answer yet are given one.
+	lastAnswers = 300 * time.Millisecond
 	// graceMargin is how long before the platform kills the process its last answers are given up.
 	graceMargin = 400 * time.Millisecond
 )
@@ -58,8 +63,11 @@
 	programs *programClient
 	table    atomic.Pointer[opconfig.Table]
 	guard    httpguard.Guard
-	stopping atomic.Bool
-	work     sync.WaitGroup // settlements that nobody waits for
+	stopping atomic.Bool // the platform is to send no more connections
+	refusing atomic.Bool // no more requests are taken
+	lifetime context.Context
+	endAll   context.CancelCauseFunc // ends the requests under way
+	work     sync.WaitGroup          // settlements that nobody waits for
 }
 
 // New makes a proxy.
@@ -69,7 +77,9 @@
 		return nil, err
 	}
 	view := feed.NewView()
-	return &Proxy{settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view)}, nil
+	p := &Proxy{settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view)}
+	p.lifetime, p.endAll = context.WithCancelCause(context.Background())
+	return p, nil
 }
 
 // Run serves until the context ends, and then ends in order.
@@ -89,26 +99,41 @@
 	go subscriber.Run(background)
 	go periodic.Run(background, sweepEvery, p.hosts.sweep)
 	go func() { _ = http.Serve(readiness, p.readinessRoutes()) }()
+	server := p.newServer(http.HandlerFunc(p.serve))
+	go func() { _ = server.Serve(p.guard.Listen(front)) }()
+	<-ctx.Done()
+	return p.stop(server)
+}
+
+// newServer makes the server for clients. Its requests end with the process's life, and its connections have to come from the
+// guard.
+func (p *Proxy) newServer(handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler:           http.HandlerFunc(p.serve),
+		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return p.lifetime },
 	}
 	p.guard.Install(server)
-	go func() { _ = server.Serve(p.guard.Listen(front)) }()
-	<-ctx.Done()
-	return p.stop(server)
+	return server
 }
 
+// errStopping is why requests end with the process.
+var errStopping = errors.New("the proxy is about to end")
+
 // stop takes no more work once the platform sends none, and ends when the last answer has.
 func (p *Proxy) stop(server *http.Server) error {
 	p.stopping.Store(true)
-	limit, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Grace-graceMargin)
+	patience := p.settings.Bounds.Grace - graceMargin
+	limit, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	defer time.AfterFunc(patience-lastAnswers, func() { p.endAll(errStopping) }).Stop()
+	drain := min(drainFor, p.settings.Bounds.Grace/2)
+	defer time.AfterFunc(time.Duration(float64(drain)*takeShare), func() { p.refusing.Store(true) }).Stop()
 	select {
 	case <-limit.Done():
-	case <-time.After(min(drainFor, p.settings.Bounds.Grace/2)):
+	case <-time.After(drain):
 	}
 	err := server.Shutdown(limit)
 	settled := make(chan struct{})
@@ -199,6 +224,10 @@
 	if id != "" {
 		w.Header().Set(headerRequestID, id)
 	}
+	if p.refusing.Load() {
+		p.refuse(w, codes.Stopping)
+		return
+	}
 	table := p.table.Load()
 	if table == nil {
 		p.refuse(w, codes.NotReady)
--- /dev/null
+++ b/tier/proxy/stop_test.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"otterseam/tier/feed"
+)
+
+// readiness is the answer to the platform's question.
+func (g *gateway) readiness() int {
+	recorder := httptest.NewRecorder()
+	g.proxy.readinessRoutes().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/readiness", nil))
+	return recorder.Code
+}
+
+// The platform hears at its first question after SIGTERM that the proxy takes no more connections.
+func TestAStoppingProxyIsNotReady(t *testing.T) {
+	g := newGateway(t)
+	g.proxy.view.Put(feed.SectionHost, "h", 1, nil)
+	if got := g.readiness(); got != http.StatusOK {
+		t.Fatalf("before: %d", got)
+	}
+	g.proxy.stopping.Store(true)
+	if got := g.readiness(); got != http.StatusServiceUnavailable {
+		t.Fatalf("while it stops: %d", got)
+	}
+}
+
+// A request that is still under way when the process has to end gets a whole answer, and its host is let go.
+func TestARequestUnderWayGetsAnAnswerBeforeTheProcessEnds(t *testing.T) {
+	g := newGateway(t)
+	g.proxy.settings.Bounds.Grace = graceMargin + lastAnswers + 200*time.Millisecond
+	reached := make(chan struct{}, 2)
+	let := make(chan struct{}, 2)
+	g.addHost(func(a asked) {
+		reached <- struct{}{}
+		a.gone()
+		let <- struct{}{}
+	})
+	clients := []*client{g.dial(), g.dial()}
+	clients[0].send("/once/1", "r1", "", "x")
+	clients[1].send("/stream/1", "r2", "", "x")
+	<-reached
+	<-reached
+	ended := make(chan error, 1)
+	go func() { ended <- g.proxy.stop(g.server) }()
+	for _, c := range clients {
+		if got := c.receive(); got.StatusCode != http.StatusBadGateway || got.err != nil {
+			t.Errorf("%d %q, %v", got.StatusCode, got.text, got.err)
+		}
+		<-let
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Work that could last beyond the end is not taken: the client is told to ask elsewhere, on another connection.
+func TestAProxyThatIsAboutToEndTakesNoRequests(t *testing.T) {
+	g := newGateway(t)
+	counted := g.addHost(func(a asked) { a.answer(plainOK) })
+	g.proxy.stopping.Store(true)
+	if got := g.dial().ask("/once/1", "r1", "", "x"); got.StatusCode != http.StatusOK || !got.Close {
+		t.Fatalf("while it drains: %d, close %v", got.StatusCode, got.Close)
+	}
+	g.proxy.refusing.Store(true)
+	got := g.dial().ask("/once/1", "r2", "", "x")
+	if got.StatusCode != http.StatusServiceUnavailable || !got.Close || got.Header.Get("Retry-After") == "" {
+		t.Fatalf("at its end: %d %v", got.StatusCode, got.Header)
+	}
+	if counted.total() != 1 {
+		t.Fatal("a host was asked")
+	}
+}
