--- a/tier/proxy/harness_test.go
+++ b/tier/proxy/harness_test.go
@@ -26,6 +26,7 @@
 const testConfig = `{"version":1,"routes":[
 {"name":"safe","host":"a.example","path_prefix":"/safe/","route_type":"safe","timeout_ms":20000,"service":"hosts","max_attempts":2},
 {"name":"brief","host":"a.example","path_prefix":"/brief/","route_type":"unsafe","timeout_ms":60,"service":"hosts","max_attempts":1},
+{"name":"glimpse","host":"a.example","path_prefix":"/glimpse/","route_type":"streaming","timeout_ms":60,"service":"hosts","max_attempts":1},
 {"name":"once","host":"a.example","path_prefix":"/once/","route_type":"unsafe","timeout_ms":20000,"service":"hosts","max_attempts":3},
 {"name":"stream","host":"a.example","path_prefix":"/stream/","route_type":"streaming","timeout_ms":20000,"service":"hosts","max_attempts":3},
 {"name":"resume","host":"a.example","path_prefix":"/resume/","route_type":"streaming","timeout_ms":20000,"service":"hosts","max_attempts":3,"resumable":true},
--- a/tier/proxy/relay_test.go
+++ b/tier/proxy/relay_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // streamFrom answers with the events behind Last-Event-Id, up to last.
@@ -142,3 +143,68 @@
 		}
 	}
 }
+
+// A stream that ends with its connection is whole only if it ends behind an event.
+func TestAStreamWithoutALengthThatEndsInAnEventIsNotWhole(t *testing.T) {
+	text := "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+	for length := range len(text) + 1 {
+		g := newGateway(t)
+		g.addHost(func(a asked) {
+			a.answer(sealed + "\r\n" + text[:length])
+			_ = a.conn.Close()
+		})
+		c := g.dial()
+		c.send("/stream/1", "id", "", "x")
+		response, err := http.ReadResponse(c.reader, nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		looksWhole := err == nil && response.StatusCode == http.StatusOK
+		if behindEvent := length%(len(text)/2) == 0; looksWhole != behindEvent {
+			t.Fatalf("ended at %d of %d: it looks whole: %v", length, len(text), looksWhole)
+		}
+	}
+}
+
+// A client that takes up a stream itself gets what follows, from whichever host.
+func TestAClientTakesUpAStreamItself(t *testing.T) {
+	g := newGateway(t)
+	g.addHost(func(a asked) { streamFrom(a, "s", 4) })
+	if got := g.dial().ask("/resume/1", "id", "Last-Event-Id: 2\r\n", "x"); got.text != events(3, 4) || got.err != nil {
+		t.Fatalf("%q, %v", got.text, got.err)
+	}
+}
+
+// A stream ends with its route's time, also if its host goes on and its client does not read.
+func TestAStreamEndsWithItsRoutesTime(t *testing.T) {
+	for _, reading := range []bool{true, false} {
+		g := newGateway(t)
+		ended := make(chan time.Time, 1)
+		g.addHost(func(a asked) {
+			a.answer(streamOK)
+			text := strings.Repeat("x", 60<<10)
+			for id := 1; ; id++ {
+				data := fmt.Sprintf("id: %d\ndata: %s\n\n", id, text)
+				if _, err := fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(data), data); err != nil {
+					ended <- time.Now()
+					return
+				}
+			}
+		})
+		c := g.dial()
+		begun := time.Now()
+		c.send("/glimpse/1", "id", "", "x")
+		if reading {
+			if got := c.receive(); got.err == nil {
+				t.Error("a stream that was ended by time looks whole")
+			}
+		}
+		if took := (<-ended).Sub(begun); took > 560*time.Millisecond {
+			t.Errorf("reading %v: the host worked for %v", reading, took)
+		}
+		g.settled()
+		if took := time.Since(begun); took > 2*time.Second {
+			t.Errorf("reading %v: the request lasted %v", reading, took)
+		}
+	}
+}
