--- a/lab/days/days.go
+++ b/lab/days/days.go
@@ -3,39 +3,26 @@
 
 import (
 	"embed"
-	"errors"
-	"io/fs"
-	"os"
-	"strings"
 
+	"otterseam/lab/bundled"
 	"otterseam/lab/day"
 )
 
 //go:embed *.toml
 var files embed.FS
 
+var set = bundled.Set{Files: files, Folder: ".", Sort: "day"}
+
 // Names are the days there are, in order.
-func Names() (names []string) {
-	all, _ := fs.Glob(files, "*.toml") // the pattern is good
-	for _, f := range all {
-		names = append(names, strings.TrimSuffix(f, ".toml"))
-	}
-	return names
-}
+func Names() []string { return set.Names() }
 
 // Load reads a day by its name, or from a file.
 func Load(name string) (*day.Day, error) {
-	text, err := files.ReadFile(name + ".toml")
-	if err == nil {
-		return Over(name+".toml", text)
-	}
-	if text, err = os.ReadFile(name); err == nil {
-		return Over(name, text)
-	}
-	if errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "./") {
-		return nil, errors.New(name + ": no such file, and no day of that name; there are " + strings.Join(Names(), ", "))
+	file, text, err := set.Read(name)
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	return Over(file, text)
 }
 
 // Over reads a day, on top of the one that comes with the program which it names as its base.
@@ -44,9 +31,9 @@
 	if name == "" {
 		return day.Read(file, text)
 	}
-	b, err := files.ReadFile(name + ".toml")
+	b, err := set.Bundled(name)
 	if err != nil || day.BaseOf(b) != "" {
-		return nil, day.Faults{{File: file, Key: "base", What: "there is no day of that name to build on; there are " + strings.Join(Names(), ", ")}}
+		return nil, day.Faults{{File: file, Key: "base", What: "there is no day of that name to build on; there are " + set.List()}}
 	}
 	base, err := day.Read(name+".toml", b)
 	if err != nil {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -6,14 +6,13 @@
 import (
 	"context"
 	"embed"
-	"errors"
 	"fmt"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 
+	"otterseam/lab/bundled"
 	"otterseam/lab/day"
 	"otterseam/lab/days"
 	"otterseam/lab/figures"
@@ -23,26 +22,16 @@
 //go:embed scripts/*.toml
 var files embed.FS
 
+var scripts = bundled.Set{Files: files, Folder: "scripts", Sort: "script"}
+
 // Names are the scripts that come with the program, in order.
-func Names() (names []string) {
-	all, _ := fs.Glob(files, "scripts/*.toml") // the pattern is good
-	for _, f := range all {
-		names = append(names, strings.TrimSuffix(strings.TrimPrefix(f, "scripts/"), ".toml"))
-	}
-	return names
-}
+func Names() []string { return scripts.Names() }
 
 // Load reads a script by its name, or from a file.
 func Load(name string) (*day.Day, error) {
-	text, err := files.ReadFile("scripts/" + name + ".toml")
-	file := name + ".toml"
+	file, text, err := scripts.Read(name)
 	if err != nil {
-		if text, err = os.ReadFile(name); errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "./") {
-			return nil, errors.New(name + ": no such file, and no script of that name; there are " + strings.Join(Names(), ", "))
-		} else if err != nil {
-			return nil, err
-		}
-		file = name
+		return nil, err
 	}
 	d, err := days.Over(file, text)
 	if err != nil {
