--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -12,48 +12,17 @@
 	"otterseam/tier/groups"
 	"otterseam/tier/periodic"
 	"otterseam/tier/register"
+	"otterseam/tier/replica"
 )
 
 // controlBeatEvery is how often a control process keeps its session with the primary.
 const controlBeatEvery = 200 * time.Millisecond
 
-// controlBeat keeps a control process's session with the primary.
-type controlBeat struct {
-	member   register.Member
-	leaving  bool
-	refusals uint64 // how many heartbeats the process has refused for want of a lease
-}
-
-func (b controlBeat) encode() []byte {
-	var e codec.Encoder
-	e.Uint64(b.member.ID)
-	e.String(b.member.Address)
-	e.String(b.member.Node)
-	e.Bool(b.leaving)
-	e.Uint64(b.refusals)
-	return e.Bytes
-}
-
-func decodeControlBeat(data []byte) (controlBeat, error) {
-	d := codec.NewDecoder(data)
-	beat := controlBeat{
-		member:   register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()},
-		leaving:  d.Bool(),
-		refusals: d.Uint64(),
-	}
-	return beat, d.Err()
-}
-
-// ownBeat is what this process says of itself.
-func (s *Server) ownBeat() controlBeat {
-	return controlBeat{member: s.self, leaving: s.isLeaving(), refusals: s.refusals.Load()}
-}
-
 // beat keeps this process's session with the primary.
 func (s *Server) beat(ctx context.Context) {
 	periodic.Run(ctx, controlBeatEvery, func() {
 		if s.leadsControl() {
-			s.sessions.HeardControl(s.ownBeat())
+			s.sessions.HeardControl(s.self, s.isLeaving())
 		} else if s.elector.Known().Known() {
 			s.beatPrimary(ctx)
 		}
@@ -63,10 +32,12 @@
 // beatPrimary tells the primary that this process is there. The answer says how old the primary's contact with a majority is; it
 // counts from before the question was sent.
 func (s *Server) beatPrimary(ctx context.Context) {
+	beat := controlclient.ControlBeat{Member: s.self, Leaving: s.isLeaving(), Refusals: s.refusals.Load()}
+	s.host.With(controlGroup, func(g *replica.Group) { beat.Question = g.LastQuestion() })
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := groups.Now()
-	answer, err := s.primary.Call(call, controlclient.KindControlBeat, s.ownBeat().encode())
+	answer, err := s.primary.Call(call, controlclient.KindControlBeat, beat.Encode())
 	if err != nil {
 		return
 	}
@@ -95,7 +66,7 @@
 
 // hostBeat keeps a host's session; only what changed is replicated.
 func (s *Server) hostBeat(ctx context.Context, beat controlclient.HostBeat) (Result, error) {
-	removing := s.sessions.HeardHost(beat.Host.ID, s.self.ID)
+	removing := s.sessions.HeardHost(beat.Host.ID, s.self.ID, groups.Now())
 	held, known := s.state.Host(beat.Host.ID)
 	if known && held == beat.Host && !removing {
 		return Result{}, s.standing().MayDecide(groups.Now())
