--- a/lab/owndays/entry.go
+++ b/lab/owndays/entry.go
@@ -20,7 +20,8 @@
 	kindScaleIn      = "scale_in"
 	variantGone      = "gone"
 	variantAll       = "all"
-	cutSuffix        = "_cut" // of the kinds that partition machines
+	variantDrain     = "drain" // servers leave soon after a machine is back
+	cutSuffix        = "_cut"  // of the kinds that partition machines
 	variantIdle      = "idle"
 	variantOneZone   = "one_zone"
 )
--- a/lab/owndays/generate.go
+++ b/lab/owndays/generate.go
@@ -33,6 +33,8 @@
 	chanceOfClosing = 0.4
 	mostHostsStruck = 0.6  // sum of the shares of servers that a day takes away or spoils
 	mostHostsGone   = 0.25 // of those that don't come back
+	rolledMachines  = 3    // about as many does a rolling restart strike
+	hostsDrained    = 0.07 // of the servers, that leave after one machine's return
 	longestWait     = 12.0 // a loss that doesn't fit yet is put off by this at most
 )
 
@@ -187,15 +189,22 @@
 // leavesCapacity says whether enough servers are left after a disruption, and books what it takes. A day without them is
 // overload, in which nothing else shows.
 func (d *drawing) leavesCapacity(disruption Disruption) bool {
-	if !specs[disruption.Kind].spoils {
-		return true
-	}
-	share, gone := disruption.Share, 0.0
-	if slices.Contains(strings.Fields(disruption.How), variantAll) {
-		share = 1
+	words := strings.Fields(disruption.How)
+	share, gone := 0.0, 0.0
+	if specs[disruption.Kind].spoils {
+		share = disruption.Share
+		if slices.Contains(words, variantAll) {
+			share = 1
+		}
+		if disruption.Kind == kindScaleIn || slices.Contains(words, variantGone) {
+			gone = share
+		}
 	}
-	if disruption.Kind == kindScaleIn || strings.Contains(disruption.How, variantGone) {
-		gone = share
+	if specs[disruption.Kind].target != targetServers && slices.Contains(words, variantDrain) {
+		gone = hostsDrained
+		if disruption.Kind == kindRollTerm {
+			gone *= rolledMachines
+		}
 	}
 	if d.struck+share > mostHostsStruck || d.gone+gone > mostHostsGone {
 		return false
--- a/lab/owndays/generate_test.go
+++ b/lab/owndays/generate_test.go
@@ -233,6 +233,9 @@
 	for seed := range uint64(seedsTried) {
 		sum, gone := 0.0, 0.0
 		for _, d := range g.Day(seed).Disruptions {
+			if specs[d.Kind].target != targetServers && slices.Contains(strings.Fields(d.How), variantDrain) {
+				gone += hostsDrained
+			}
 			if !specs[d.Kind].spoils {
 				continue
 			}
