--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -189,14 +189,33 @@
 
 // setCut cuts or heals a direction.
 func (s *simNetwork) setCut(from, to place, cut bool) {
-	s.changed = s.now
 	s.cut[link{from, to}] = cut
+	s.noteChange()
+}
+
+// noteChange notes since when each member runs and has a majority around it.
+func (s *simNetwork) noteChange() {
+	s.changed = s.now
+	for _, m := range s.members {
+		around := 0
+		for _, other := range s.members {
+			if !m.frozen && !other.frozen && s.connected(m.place, other.place) {
+				around++
+			}
+		}
+		switch {
+		case around <= len(s.members)/2:
+			m.wellSince = 0
+		case m.wellSince == 0:
+			m.wellSince = s.now
+		}
+	}
 }
 
 // heal ends all cuts; what was held arrives.
 func (s *simNetwork) heal() {
-	s.changed = s.now
 	clear(s.cut)
+	s.noteChange()
 	held := s.held
 	s.held = nil
 	for _, each := range held {
@@ -209,10 +228,10 @@
 		return
 	}
 	m.frozen = true
-	s.changed = s.now
+	s.noteChange()
 	s.at(span, func() {
 		m.frozen = false
-		s.changed = s.now
+		s.noteChange()
 		backlog := m.backlog
 		m.backlog = nil
 		if s.random.Intn(2) == 0 {
@@ -226,29 +245,30 @@
 
 // simMember is a control process.
 type simMember struct {
-	s        *simNetwork
-	place    place
-	id       uint64
-	origin   int64 // of its steady clock
-	frozen   bool
-	backlog  []func()
-	group    *replica.Group
-	machine  *simMachine
-	witness  register.Witness
-	known    register.Record
-	learned  int64
-	hasLed   bool
-	round    uint64
-	busy     bool // a proposal runs
-	hosts    *authority.HostSessions
-	stores   *authority.StoreSessions
-	leading  uint64
-	ticked   int64
-	located  int64
-	heard    map[string]int64 // when the hosts were heard that the primary was not told of
-	refusals uint64
-	waiting  map[uint64]func(Result, error)
-	guess    place // where the primary may be
+	s         *simNetwork
+	place     place
+	id        uint64
+	origin    int64 // of its steady clock
+	frozen    bool
+	backlog   []func()
+	group     *replica.Group
+	machine   *simMachine
+	witness   register.Witness
+	known     register.Record
+	learned   int64
+	hasLed    bool
+	round     uint64
+	wellSince int64 // since when it runs and has a majority around it, 0 if it has not
+	busy      bool  // a proposal runs
+	hosts     *authority.HostSessions
+	stores    *authority.StoreSessions
+	leading   uint64
+	ticked    int64
+	located   int64
+	heard     map[string]int64 // when the hosts were heard that the primary was not told of
+	refusals  uint64
+	waiting   map[uint64]func(Result, error)
+	guess     place // where the primary may be
 }
 
 func (m *simMember) clock() int64 { return m.s.now + m.origin }
@@ -555,6 +575,7 @@
 		s.addFollower(firstFollower + place(i))
 	}
 	s.operator = newSimOperator(s)
+	s.noteChange()
 	return s
 }
 
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -86,15 +86,17 @@
 func (m *simMember) elect(mode prepareMode, suspected uint64) {
 	floor := max(1, len(m.s.members)/2+1)
 	took := false
+	replaced := uint64(0)
 	m.propose(mode, func(current register.Record) (register.Record, bool) {
 		if current.Epoch != suspected || !current.IsInSync(m.id) {
 			return current, false
 		}
 		took = true
+		replaced = current.Primary
 		return successor(current, m.id, func(uint64) bool { return false }, floor), true
 	}, func(record register.Record, ok bool) {
 		if ok && took {
-			m.s.judgeElection(m)
+			m.s.judgeElection(m, replaced)
 			m.hasLed = true
 			m.group.SetView(viewOf(record), m.clock())
 			m.carryOut()
--- a/tier/control/simjudge_test.go
+++ b/tier/control/simjudge_test.go
@@ -360,10 +360,12 @@
 	}
 }
 
-// judgeElection condemns a takeover in a network that was quiet.
-func (s *simNetwork) judgeElection(m *simMember) {
-	if s.now > simStable && s.now-s.changed > simStable {
-		s.condemn(disturbed, "by member %d, %d ms after the last change", m.place, s.now-s.changed)
+// judgeElection condemns a takeover from a primary that ran and had a majority around it for longer than any message takes.
+func (s *simNetwork) judgeElection(m *simMember, replaced uint64) {
+	const settled = 1500
+	old := s.members[replaced-1]
+	if old != m && old.wellSince > 0 && s.now-old.wellSince > settled && m.group.View().Epoch <= old.group.View().Epoch {
+		s.condemn(disturbed, "member %d, well since %d ms, by member %d", old.place, s.now-old.wellSince, m.place)
 	}
 }
 
@@ -376,8 +378,12 @@
 			others = append(others, m.place)
 		}
 	}
-	if way == 4 { // from one other member alone
+	switch {
+	case way == 4: // from one other member alone
 		others = others[:1]
+	case len(others) == 4 && s.random.Intn(2) == 0: // with a companion
+		s.cutOffPair(victim, others[0], others[1:])
+		return
 	}
 	for _, other := range others {
 		if way != 1 {
@@ -397,6 +403,16 @@
 	}
 }
 
+// cutOffPair cuts two members off that stay connected with each other.
+func (s *simNetwork) cutOffPair(first, second place, others []place) {
+	for _, other := range others {
+		for _, p := range []place{first, second} {
+			s.setCut(p, other, true)
+			s.setCut(other, p, true)
+		}
+	}
+}
+
 func (s *simNetwork) callers() []place {
 	all := []place{operatorPlace}
 	for _, h := range s.hosts {
@@ -424,13 +440,28 @@
 func (s *simNetwork) plan() {
 	begin := 4000 + s.random.Int63n(2000)
 	span := 6000 + s.random.Int63n(16_000)
-	s.at(begin, func() {
-		victim := s.randomMember()
+	victim := s.randomMember()
+	choose := func() {
 		if s.random.Intn(3) > 0 {
 			victim = s.primaryOr(victim)
 		}
+	}
+	frozenBefore := s.random.Intn(4) == 0 // so that it reads late what came before the cut
+	if frozenBefore {
+		s.at(begin-s.random.Int63n(400), func() {
+			choose()
+			s.freeze(s.members[victim], 500+s.random.Int63n(5000))
+		})
+	}
+	s.at(begin, func() {
+		if !frozenBefore {
+			choose()
+		}
 		s.cutOff(victim)
 	})
+	if s.random.Intn(3) == 0 { // another one stands still while the successor opens its epoch
+		s.at(begin+s.random.Int63n(700), func() { s.freeze(s.members[s.nextMember(victim)], 500+s.random.Int63n(2500)) })
+	}
 	s.at(begin+span, s.heal)
 	for range s.random.Intn(4) {
 		at := begin - 1000 + s.random.Int63n(span+1500)
