--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -127,18 +127,15 @@
 }
 
 // takeOver asks the others first whether they would follow, and only then for their promises, so that a process that could not
-// win disturbs nobody. Meanwhile it finds out whose disks are lost.
+// win disturbs nobody.
 func (s *Server) takeOver(ctx context.Context, mode prepareMode, epoch uint64) {
-	located := make(chan struct{})
-	go func() {
-		defer close(located)
-		if mode != prepareOnTransfer {
-			s.locate(ctx)
-		}
-	}()
-	supported := s.elector.askSupport(ctx, mode, epoch)
-	<-located
-	if !supported || s.elector.Known().Epoch != epoch {
+	if !s.elector.askSupport(ctx, mode, epoch) {
+		return
+	}
+	if mode != prepareOnTransfer {
+		s.locate(ctx) // whose disks are lost
+	}
+	if s.elector.Known().Epoch != epoch {
 		return
 	}
 	if err := s.elector.TakeOver(ctx, mode, epoch, s.gone, s.floor); err != nil {
--- a/tier/control/prevote.go
+++ b/tier/control/prevote.go
@@ -61,25 +61,24 @@
 }
 
 // askSupport asks all voters whether they would help this process to replace the primary of an epoch. It returns once enough
-// would, or all have answered.
+// would, or enough would not.
 func (e *Elector) askSupport(ctx context.Context, mode prepareMode, epoch uint64) bool {
 	known := e.Known()
 	voters := known.Voters()
-	answers := make(chan uint64, len(voters)) // who would help; 0 for one who would not
+	type reply struct {
+		voter     uint64
+		supported bool
+	}
+	replies := make(chan reply, len(voters))
+	supporters, possible := map[uint64]bool{}, map[uint64]bool{}
 	for _, voter := range voters {
-		go func() {
-			if e.askVoter(ctx, voter, mode, epoch) {
-				answers <- voter.ID
-			} else {
-				answers <- 0
-			}
-		}()
+		possible[voter.ID] = true
+		go func() { replies <- reply{voter.ID, e.askVoter(ctx, voter, mode, epoch)} }()
 	}
-	supporters := map[uint64]bool{}
-	for range voters {
-		if id := <-answers; id != 0 {
-			supporters[id] = true
-		}
+	for register.Quorum(known, possible) {
+		got := <-replies
+		supporters[got.voter] = got.supported
+		possible[got.voter] = got.supported
 		if register.Quorum(known, supporters) {
 			return true
 		}
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -58,23 +58,23 @@
 	}
 	m.busy = true
 	suspected := m.known.Epoch
-	supporters := map[uint64]bool{}
-	asked, answered := len(m.s.members), 0
+	supporters, possible := map[uint64]bool{}, map[uint64]bool{}
+	for _, peer := range m.s.members {
+		possible[peer.id] = true
+	}
 	decided := false
 	for _, peer := range m.s.members {
 		call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(bool)) {
 			answer(peer.voter().Supports(authority.Ballot{Candidate: m.id, Epoch: suspected}))
 		}, func(supported, ok bool) {
-			answered++
-			if supported && ok {
-				supporters[peer.id] = true
-			}
+			supporters[peer.id] = supported && ok
+			possible[peer.id] = supported && ok
 			switch {
 			case decided:
 			case register.Quorum(m.known, supporters):
 				decided = true
 				m.elect(mode, suspected)
-			case answered == asked:
+			case !register.Quorum(m.known, possible):
 				decided = true
 				m.busy = false
 				m.locate()
@@ -86,13 +86,13 @@
 func (m *simMember) elect(mode prepareMode, suspected uint64) {
 	floor := max(1, len(m.s.members)/2+1)
 	took := false
-	replaced := uint64(0)
+	var replaced register.Record
 	m.propose(mode, func(current register.Record) (register.Record, bool) {
 		if current.Epoch != suspected || !current.IsInSync(m.id) {
 			return current, false
 		}
 		took = true
-		replaced = current.Primary
+		replaced = current
 		return successor(current, m.id, func(uint64) bool { return false }, floor), true
 	}, func(record register.Record, ok bool) {
 		if ok && took {
--- a/tier/control/simjudge_test.go
+++ b/tier/control/simjudge_test.go
@@ -9,6 +9,7 @@
 	"otterseam/tier/authority"
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
+	"otterseam/tier/register"
 )
 
 // This file plays those who call control in the simulation, brings the faults about, and judges what is seen.
@@ -361,10 +362,11 @@
 }
 
 // judgeElection condemns a takeover from a primary that ran and had a majority around it for longer than any message takes.
-func (s *simNetwork) judgeElection(m *simMember, replaced uint64) {
+func (s *simNetwork) judgeElection(m *simMember, replaced register.Record) {
 	const settled = 1500
-	old := s.members[replaced-1]
-	if old != m && old.wellSince > 0 && s.now-old.wellSince > settled && m.group.View().Epoch <= old.group.View().Epoch {
+	old := s.members[replaced.Primary-1]
+	leads := old != m && old.group.IsReady() && old.group.View().Epoch == replaced.Epoch
+	if leads && old.wellSince > 0 && s.now-old.wellSince > settled {
 		s.condemn(disturbed, "member %d, well since %d ms, by member %d", old.place, s.now-old.wellSince, m.place)
 	}
 }
