--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -59,23 +59,23 @@
 	}
 	m.busy = true
 	suspected := m.known.Epoch
-	supporters := map[uint64]bool{}
-	asked, answered := len(m.s.members), 0
+	supporters, possible := map[uint64]bool{}, map[uint64]bool{}
+	for _, peer := range m.s.members {
+		possible[peer.id] = true
+	}
 	decided := false
 	for _, peer := range m.s.members {
 		call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(bool)) {
 			answer(peer.voter().Supports(authority.Ballot{Candidate: m.id, Epoch: suspected}))
 		}, func(supported, ok bool) {
-			answered++
-			if supported && ok {
-				supporters[peer.id] = true
-			}
+			supporters[peer.id] = supported && ok
+			possible[peer.id] = supported && ok
 			switch {
 			case decided:
 			case register.Quorum(m.known, supporters):
 				decided = true
 				m.elect(mode, suspected)
-			case answered == asked:
+			case !register.Quorum(m.known, possible):
 				decided = true
 				m.busy = false
 				m.locate()
@@ -91,15 +91,17 @@
 
 func (m *simMember) elect(mode prepareMode, suspected uint64) {
 	took := false
+	var replaced register.Record
 	m.propose(mode, func(current register.Record) (register.Record, bool) {
 		if current.Epoch != suspected || !current.IsInSync(m.id) {
 			return current, false
 		}
 		took = true
+		replaced = current
 		return m.s.policy().Successor(current, m.id, func(uint64) bool { return false }), true
 	}, func(record register.Record, ok bool) {
 		if ok && took {
-			m.s.judgeElection(m)
+			m.s.judgeElection(m, replaced)
 			m.hasLed = true
 			m.group.SetView(membership.View(record), m.clock())
 			m.carryOut()
