--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
@@ -21,12 +23,9 @@
 const controlGroup uint32 = 0
 
 const (
-	witnessValue    = "witness"
-	callTimeout     = 350 * time.Millisecond
-	proposeTimeout  = 1200 * time.Millisecond
-	suspectAfter    = 500 // milliseconds without the primary
-	stickyFor       = 350 // a witness that heard the primary so lately helps nobody to replace it
-	suspectRankStep = 120 // milliseconds that each further candidate waits
+	witnessValue   = "witness"
+	callTimeout    = 350 * time.Millisecond
+	proposeTimeout = 1200 * time.Millisecond
 )
 
 // prepareMode tells a witness why it is asked.
@@ -43,19 +42,22 @@
 	host    *groups.Host
 	clients *rpc.Clients
 	address string
+	policy  membership.Policy
 	log     *logrus.Entry
 
 	rounds *register.Rounds
 
+	voting  sync.Mutex // held while a vote is written, however long the disk takes; taken before mu
 	mu      sync.Mutex
 	witness register.Witness
 	known   register.Record // the newest record seen: accepted here, told, or decided here
 	decided bool            // whether known was decided by a proposal of this process
+	learned int64           // when known was seen first
 	led     bool            // whether this process has become primary in its present life
 }
 
-func newElector(host *groups.Host, clients *rpc.Clients, address string, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{host: host, clients: clients, address: address, log: log}
+func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
+	e := &Elector{host: host, clients: clients, address: address, policy: policy, log: log}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
@@ -94,14 +96,21 @@
 func (e *Elector) Learn(record register.Record) { e.note(record, false) }
 
 func (e *Elector) note(record register.Record, decided bool) {
+	if e.host.IsForeign(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	if supersedes(record, decided, e.known, e.decided) {
+		if record.Epoch != e.known.Epoch || record.Primary != e.known.Primary {
+			e.learned = groups.Now()
+		}
 		e.known = record
 		e.decided = decided
 	}
 	known := e.known
 	e.mu.Unlock()
-	for _, member := range known.Voters() {
+	e.host.With(controlGroup, func(g *replica.Group) { g.Voted(record.Epoch, record.Primary) })
+	for _, member := range append(known.Voters(), known.Learners...) {
 		e.host.SetAddress(member.ID, member.Address)
 	}
 }
@@ -112,16 +121,14 @@
 	if record.Epoch != known.Epoch {
 		return record.Epoch > known.Epoch
 	}
-	return record.Known() && (decided || !knownDecided)
+	return record.Known() && !knownDecided && (decided || !record.Equal(known))
 }
 
-// primaryHeardLately tells whether this process has a primary, itself or one heard.
-func (e *Elector) primaryHeardLately(span int64) bool {
-	heard := false
-	e.host.With(controlGroup, func(g *replica.Group) {
-		heard = groups.Now()-g.PrimaryHeard() < span && !g.IsPrimary()
-	})
-	return heard
+// KnownSince is the newest record seen, and when it was seen first.
+func (e *Elector) KnownSince() (record register.Record, since int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known, e.learned
 }
 
 // handlePrepare answers a prepare for this process's witness.
@@ -138,12 +145,12 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
-	if mode == prepareOnSilence && e.primaryHeardLately(stickyFor) {
+	if mode == prepareOnSilence && e.protectsPrimary() {
 		message.Answer(codes.PrimaryAlive, nil)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.voting.Lock()
+	defer e.voting.Unlock()
 	given := e.vote(func(w *register.Witness) bool { return w.Prepare(ballot) })
 	message.Answer(codes.OK, e.promise(given))
 }
@@ -162,19 +169,25 @@
 		message.Answer(codes.WrongIdentity, nil)
 		return
 	}
-	e.mu.Lock()
+	if e.host.IsForeign(record.Installation) {
+		message.Answer(codes.DiskForeign, nil)
+		return
+	}
+	e.voting.Lock()
 	given := e.vote(func(w *register.Witness) bool { return w.Accept(ballot, record) })
 	answer := e.promise(given)
-	e.mu.Unlock()
+	e.voting.Unlock()
 	if given {
 		e.Learn(record)
 	}
 	message.Answer(codes.OK, answer)
 }
 
-// vote changes the witness and makes the change durable before it counts; the lock is held.
+// vote changes the witness and makes the change durable before it counts; the lock on voting is held.
 func (e *Elector) vote(change func(*register.Witness) bool) bool {
+	e.mu.Lock()
 	next := e.witness
+	e.mu.Unlock()
 	if !change(&next) {
 		return false
 	}
@@ -182,11 +195,15 @@
 		e.log.WithError(err).Error("witness could not be written; no vote is given")
 		return false
 	}
+	e.mu.Lock()
 	e.witness = next
+	e.mu.Unlock()
 	return true
 }
 
 func (e *Elector) promise(given bool) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var enc codec.Encoder
 	enc.Bool(given)
 	register.EncodeBallot(&enc, e.witness.Promised)
@@ -254,13 +271,13 @@
 var errNotWanted = errors.New("another record has been decided meanwhile")
 
 // TakeOver makes this process primary in place of the one of the suspected epoch.
-func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, gone func(uint64) bool, floor func(members int) int) error {
+func (e *Elector) TakeOver(ctx context.Context, mode prepareMode, suspected uint64, lost func(uint64) bool) error {
 	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		// a suspected epoch above the current one was proposed and never decided
 		if current.Epoch > suspected || !current.IsInSync(e.host.Identity) {
 			return current, false
 		}
-		return successor(current, e.host.Identity, gone, floor(len(current.Members))), true
+		return e.policy.Successor(current, e.host.Identity, lost), true
 	}}
 	record, err := e.propose(ctx, mode, e.Known(), attempt.next)
 	if err != nil {
@@ -302,39 +319,16 @@
 	return record
 }
 
-// successor is the record of the next epoch: a new primary, and the in-sync set without the old one unless too few remain.
-// Replicas whose disk is gone leave the set in any case.
-func successor(current register.Record, primary uint64, gone func(uint64) bool, floor int) register.Record {
-	next := current
-	next.Epoch++
-	next.Primary = primary
-	next.InSync = nil
-	for _, id := range current.InSync {
-		if id == primary || !gone(id) {
-			next.InSync = append(next.InSync, id)
-		}
-	}
-	if current.Primary != primary && len(next.InSync) > floor {
-		next.InSync = register.Without(next.InSync, current.Primary)
-	}
-	return next
-}
-
 // lead has the replica act on a record that this process has decided.
 func (e *Elector) lead(record register.Record) {
+	if !e.host.Bind(record.Installation) {
+		return
+	}
 	e.mu.Lock()
 	e.led = true
 	e.mu.Unlock()
 	e.log.WithFields(logrus.Fields{"epoch": record.Epoch, "in_sync": len(record.InSync), "members": len(record.Members)}).Info("primary of control")
-	e.host.SetView(controlGroup, viewOf(record))
-}
-
-func viewOf(record register.Record) replica.View {
-	view := replica.View{Epoch: record.Epoch, Primary: record.Primary, InSync: record.InSync}
-	for _, member := range record.Members {
-		view.Replicas = append(view.Replicas, member.ID)
-	}
-	return view
+	e.host.SetView(controlGroup, membership.View(record))
 }
 
 // Adjust changes the record while this process is its primary: members, or the in-sync set.
@@ -344,8 +338,12 @@
 			return current, false
 		}
 		next, wanted := change(current)
+		if !wanted {
+			return current, false
+		}
+		next = e.policy.WithCopies(next)
 		next.Epoch = current.Epoch + 1
-		return next, wanted
+		return next, true
 	}}
 	record, err := e.propose(ctx, prepareBySelf, e.Known(), attempt.next)
 	if err != nil {
@@ -360,14 +358,13 @@
 // Found decides the first record.
 func (e *Elector) Found(ctx context.Context, members []register.Member) error {
 	first := register.Record{Members: members}
+	installation := rand.Uint64() | 1
 	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Known() {
 			return current, false
 		}
-		next := register.Record{Epoch: 1, Primary: e.host.Identity, Members: members}
-		for _, member := range members {
-			next.InSync = append(next.InSync, member.ID)
-		}
+		next := e.policy.Found(e.host.Identity, members)
+		next.Installation = installation
 		return next, true
 	}}
 	record, err := e.propose(ctx, prepareBySelf, first, attempt.next)
--- a/tier/control/elector_test.go
+++ b/tier/control/elector_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/storage"
 )
@@ -67,7 +68,7 @@
 		if current.Epoch > start.Epoch {
 			return current, false
 		}
-		return successor(current, 1, func(uint64) bool { return false }, 2), true
+		return membership.Policy{Tolerate: 1}.Successor(current, 1, func(uint64) bool { return false }), true
 	}}
 	rounds := register.NewRounds(1, func(uint64) error { return nil })
 	transport := serialTransport{make(chan struct{}, 1), local}
--- a/tier/feed/subscribe.go
+++ b/tier/feed/subscribe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"otterseam/tier/codec"
@@ -30,12 +32,36 @@
 	View *View
 	// Fresh tells whether the view may be served; nil means always.
 	Fresh func() bool
+
+	mu      sync.Mutex
+	expired chan struct{} // closed when the subscriptions are to end; nil until one begins
+}
+
+// Expire ends all subscriptions at once, so that their subscribers go on to other publishers.
+func (p *Publisher) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.expired != nil {
+		close(p.expired)
+		p.expired = nil
+	}
+}
+
+// expiry is closed when the subscriptions that run now are to end.
+func (p *Publisher) expiry() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.expired == nil {
+		p.expired = make(chan struct{})
+	}
+	return p.expired
 }
 
 // Handle takes a subscription and serves it until the connection ends or the view is no longer fresh.
 func (p *Publisher) Handle(message rpc.Message) {
 	d := codec.NewDecoder(message.Payload)
 	revision := d.Uint64()
+	installation := d.Uint64()
 	if d.Err() != nil {
 		message.Answer(codes.Malformed, nil)
 		return
@@ -44,6 +70,10 @@
 		message.Answer(codes.SubscriptionStale, nil)
 		return
 	}
+	if p.View.Refuses(installation) {
+		message.Answer(codes.DiskForeign, nil)
+		return
+	}
 	message.Answer(codes.OK, nil)
 	go p.serve(message.Conn, revision)
 }
@@ -51,21 +81,25 @@
 func (p *Publisher) stale() bool { return p.Fresh != nil && !p.Fresh() }
 
 func (p *Publisher) serve(conn *rpc.Conn, revision uint64) {
+	expired := p.expiry()
 	timer := time.NewTimer(keepAlive)
 	defer timer.Stop()
 	for {
+		changed := p.View.Changed()
+		update, upTo := p.View.SinceEncoded(revision)
 		if p.stale() {
 			conn.Close()
 			return
 		}
-		changed := p.View.Changed()
-		update, upTo := p.View.SinceEncoded(revision)
 		conn.Send(KindUpdate, update)
 		revision = upTo
 		timer.Reset(keepAlive)
 		select {
 		case <-conn.Done():
 			return
+		case <-expired:
+			conn.Close()
+			return
 		case <-changed:
 			time.Sleep(gather)
 		case <-timer.C:
@@ -80,6 +114,8 @@
 	Addresses func() []string
 	// Changed is called with the items that an update changed; nil if not wanted.
 	Changed func(items []Item)
+
+	namedForeign bool
 }
 
 // Run subscribes until the context ends.
@@ -117,9 +153,13 @@
 	defer conn.Close()
 	var e codec.Encoder
 	e.Uint64(s.View.Revision())
+	e.Uint64(s.View.Installation())
 	call, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	_, err = conn.Call(call, KindSubscribe, e.Bytes)
 	cancel()
+	if errors.Is(err, codes.DiskForeign) {
+		s.nameForeign(address)
+	}
 	if err != nil {
 		return
 	}
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -12,6 +12,11 @@
 	Primary  uint64
 	InSync   []uint64
 	Replicas []uint64 // all that are to hold the group, those in sync included
+	// MinCopies is how many replicas have to be in sync for anything to be committed. An in-sync set below it, after a lost disk,
+	// takes in another replica first.
+	MinCopies int
+	// Learners are the replicas that hold a copy without a vote, where the group's replicas vote.
+	Learners []uint64
 }
 
 // Entry is one replicated command.
@@ -71,16 +76,26 @@
 	Applied  []Applied
 	// Dropped says that this replica is no longer primary: whether commands that it took will be committed is not known.
 	Dropped bool
+	// Regressed lists replicas whose log ends before what they acknowledged in this epoch, as after an older copy of a disk was
+	// put back.
+	Regressed []uint64
 }
 
 // progress is what a primary knows of one replica.
 type progress struct {
-	match     uint64 // durable there
-	next      uint64 // the next entry to send
-	probing   bool   // whether the logs have not been found alike yet
-	installed uint64 // the index of a snapshot under way, 0 for none
-	heardAt   int64
-	sentAt    int64
+	match    uint64    // durable there
+	next     uint64    // the next entry to send
+	probing  bool      // whether the logs have not been found alike yet
+	inFlight int       // bytes of entries sent and not acknowledged
+	transfer *transfer // a snapshot under way
+	outgrown int       // transfers that the log outgrew, since the replica last held a snapshot
+	retryAt  int64     // no transfer before
+	resends  int       // of entries, without progress
+	heardAt  int64
+	sentAt   int64
+	joining  bool // commands wait for it, so that it can catch up
+	joinedAt int64
+	beatAt   int64 // of the last heartbeat beside a transfer
 }
 
 // Group is one replica of a group.
@@ -103,6 +118,17 @@
 	output        Output
 	eagerCommit   bool
 	entriesKept   uint64
+	bytesKept     int
+	pieceBytes    int
+	logBytes      int    // size of the log in memory
+	appliedBytes  int    // size of its applied entries
+	trimAtEntries uint64 // the log is looked through for entries to forget when it has grown so far
+	trimAtBytes   int
+	slots         *TransferSlots
+	incoming      *incomingSnapshot
+	clock         int64 // of the newest event
+	stepDownAfter int64
+	contact       contact
 }
 
 // Options tune a group.
@@ -112,14 +138,40 @@
 	// EntriesKept is how many applied entries stay in memory for replicas that lag; 0 means a standard number. Replicas that
 	// lag further get a snapshot.
 	EntriesKept uint64
+	// BytesKept is how many bytes of applied entries stay in memory for replicas that lag; 0 means a standard number. It also
+	// bounds what a primary holds that is not committed.
+	BytesKept int
+	// PieceBytes is the size of one piece of a snapshot; 0 means a standard size.
+	PieceBytes int
+	// Slots bounds the snapshots sent at once together with other groups; nil means no bound.
+	Slots *TransferSlots
+	// Life is a number drawn for the present life of the process. With one, the group keeps contact: its primary can prove that
+	// a majority answers it, and its backups that such a primary does.
+	Life uint64
+	// StepDownAfter is how many milliseconds a primary leads on without the answers of a majority; 0 means for ever.
+	StepDownAfter int64
 }
 
 // NewGroup makes a replica from what was found on disk: a snapshot and the entries behind it.
 func NewGroup(self uint64, machine StateMachine, base Snapshot, entries []Entry, options Options) (*Group, error) {
 	g := &Group{self: self, machine: machine, base: base, log: entries, eagerCommit: options.EagerCommit, entriesKept: options.EntriesKept}
+	g.bytesKept = options.BytesKept
+	g.pieceBytes = options.PieceBytes
+	g.slots = options.Slots
+	g.contact.life = options.Life
+	g.stepDownAfter = options.StepDownAfter
 	if g.entriesKept == 0 {
 		g.entriesKept = standardEntriesKept
 	}
+	if g.pieceBytes == 0 {
+		g.pieceBytes = standardPieceBytes
+	}
+	if g.bytesKept == 0 {
+		g.bytesKept = standardBytesKept
+	}
+	g.logBytes = sizeOf(entries)
+	g.trimAtEntries = 2 * g.entriesKept
+	g.trimAtBytes = g.bytesKept
 	if base.Index > 0 {
 		if err := machine.Restore(base.State); err != nil {
 			return nil, err
@@ -142,6 +194,9 @@
 // IsReady tells whether this primary has committed the entry that opened its epoch, so that its state is complete.
 func (g *Group) IsReady() bool { return g.role == Primary && g.applied >= g.openedEpochAt }
 
+// OpenedAt is the entry that opened the newest epoch led here, and so names that lead.
+func (g *Group) OpenedAt() uint64 { return g.openedEpochAt }
+
 // AppliedIndex is the last entry that the state machine has seen.
 func (g *Group) AppliedIndex() uint64 { return g.applied }
 
@@ -204,6 +259,7 @@
 	if g.role == Primary {
 		g.output.Dropped = true
 	}
+	g.Close()
 	g.role = Backup
 	g.peers = nil
 	g.admitting = nil
@@ -211,17 +267,20 @@
 
 func (g *Group) becomePrimary(now int64) {
 	g.role = Primary
+	g.incoming = nil
 	g.peers = map[uint64]*progress{}
 	g.admitting = map[uint64]bool{}
 	g.openedEpochAt = g.lastIndex() + 1
 	g.updatePeers(now)
+	g.beginContact(now)
 	g.Propose(nil, now)
 }
 
 // updatePeers follows the replicas of the view.
 func (g *Group) updatePeers(now int64) {
-	for id := range g.peers {
+	for id, peer := range g.peers {
 		if !register.Contains(g.view.Replicas, id) {
+			g.endTransfer(peer)
 			delete(g.peers, id)
 		}
 	}
@@ -238,12 +297,12 @@
 // Propose appends a command and returns its index. Only a primary may be asked.
 func (g *Group) Propose(command []byte, now int64) uint64 {
 	entry := Entry{Index: g.lastIndex() + 1, Epoch: g.view.Epoch, Data: command}
-	g.log = append(g.log, entry)
+	g.extendLog(entry)
 	g.writeEntries([]Entry{entry})
 	opensEpoch := entry.Index == g.openedEpochAt
 	for _, id := range g.view.Replicas {
 		peer := g.peers[id]
-		if peer != nil && (opensEpoch || (!peer.probing && peer.installed == 0)) {
+		if peer != nil && (opensEpoch || (!peer.probing && peer.transfer == nil)) {
 			g.sendEntries(id, peer, now)
 		}
 	}
@@ -289,8 +348,12 @@
 	g.output.Messages = append(g.output.Messages, Outgoing{To: to, Message: message})
 }
 
-// advanceCommit commits what every replica that counts has on disk.
+// advanceCommit commits what every replica that counts has on disk, if the in-sync set has as many replicas as the view demands.
+// A replica that is being taken in counts only once a view holds it: until then it may not lead, so it is no copy to rely upon.
 func (g *Group) advanceCommit() {
+	if !g.view.HasCopies() {
+		return
+	}
 	lowest := g.durable
 	for _, id := range g.view.InSync {
 		if id != g.self {
@@ -300,6 +363,11 @@
 	for id := range g.admitting {
 		lowest = min(lowest, g.matchOf(id))
 	}
+	for _, peer := range g.peers {
+		if peer.joining {
+			lowest = min(lowest, peer.match)
+		}
+	}
 	if lowest <= g.commit {
 		return
 	}
@@ -307,7 +375,7 @@
 	g.applyCommitted()
 	if g.eagerCommit {
 		for _, id := range g.view.Replicas {
-			if peer := g.peers[id]; peer != nil && !peer.probing && peer.installed == 0 && peer.next > g.lastIndex() {
+			if peer := g.peers[id]; peer != nil && !peer.probing && peer.transfer == nil && peer.next > g.lastIndex() {
 				g.sendEntries(id, peer, peer.sentAt)
 			}
 		}
@@ -325,6 +393,7 @@
 	for g.applied < g.commit {
 		entry := g.log[g.applied-g.base.Index]
 		g.applied++
+		g.appliedBytes += entry.size()
 		if len(entry.Data) == 0 {
 			continue
 		}
@@ -348,24 +417,3 @@
 	snapshot := Snapshot{Index: g.applied, Epoch: epoch, State: g.machine.Snapshot()}
 	return snapshot, g.log[g.applied-g.base.Index:]
 }
-
-const standardEntriesKept = 128
-
-// Trim forgets applied entries that no replica is likely to need; those that lag further get a snapshot.
-func (g *Group) Trim() {
-	if uint64(len(g.log)) < 2*g.entriesKept || g.applied < g.base.Index+g.entriesKept {
-		return
-	}
-	keepFrom := g.applied - g.entriesKept
-	for _, peer := range g.peers {
-		if peer.match > 0 {
-			keepFrom = min(keepFrom, max(peer.match, g.base.Index))
-		}
-	}
-	if keepFrom <= g.base.Index {
-		return
-	}
-	epoch, _ := g.epochAt(keepFrom)
-	g.log = append([]Entry(nil), g.log[keepFrom-g.base.Index:]...)
-	g.base = Snapshot{Index: keepFrom, Epoch: epoch}
-}
