Orders: the first answer of a configuration is kept and given again; only a commit refuses

Cause: a configuration was known by base, number and body together, so that the same one with another base was refused; its history stood in the view and grew for ever; a refused order whose base was yet to come was taken when a late copy of it arrived after that base (refused, yet in force); and a code that a process gave without a commit, such as one for a message it could not read, reached the operator as a 400, which ends a call.

Change: tier/orders decides configurations. What is older than the oldest known gets 503 with code 204 and is never refused. settled() lets only the codes of a commit through to the operator; all else is 503.

--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -20,6 +20,7 @@
 	ConfigInvalid     Code = 201
 	ConfigBase        Code = 202
 	ConfigNone        Code = 203
+	ConfigForgotten   Code = 204
 	HostStale         Code = 211
 	RetireUnknown     Code = 221
 	RetireTooFew      Code = 222
@@ -68,6 +69,7 @@
 	{ConfigInvalid, "config-invalid", "the configuration is invalid; the line says what and where"},
 	{ConfigBase, "config-base", "another version is current than the one that the change builds on"},
 	{ConfigNone, "config-none", "no configuration has been taken yet"},
+	{ConfigForgotten, "config-forgotten", "a configuration so old that whether it was taken is no longer known"},
 	{HostStale, "host-stale", "a heartbeat older than one already taken"},
 	{RetireUnknown, "retire-unknown", "no store machine of that name is known"},
 	{RetireTooFew, "retire-too-few", "too few store machines would remain"},
--- a/tier/control/api.go
+++ b/tier/control/api.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -146,7 +147,7 @@
 	if !read {
 		return
 	}
-	base, err := strconv.ParseUint(r.Header.Get("X-Base-Version"), 10, 64)
+	base, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get("X-Base-Version")), 10, 64)
 	if err != nil {
 		writeProblem(w, codes.Malformed, "X-Base-Version is missing or no whole number")
 		return
@@ -232,7 +233,7 @@
 func (s *Server) onPrimary(ctx context.Context, kind rpc.Kind, payload []byte, here func() (Result, error)) (Result, error) {
 	if s.host.IsPrimary(controlGroup) {
 		if result, err := here(); err != codes.NotPrimary {
-			return result, err
+			return settled(result, err)
 		}
 	}
 	body, err := s.primary.Call(ctx, kind, payload)
@@ -240,7 +241,7 @@
 	if err != nil && (!isCode || code == codes.Timeout) {
 		return Result{}, codes.Timeout
 	}
-	return Result{Code: code, Body: body}, nil
+	return settled(Result{Code: code, Body: body}, nil)
 }
 
 func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
--- a/tier/control/state.go
+++ b/tier/control/state.go
@@ -1,26 +1,26 @@
 package control
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
+	"otterseam/tier/orders"
 )
 
 // State is the control state machine. It is folded into a view, from which it is also served, saved and restored.
 type State struct {
 	View *feed.View
 
-	mu    sync.Mutex
-	hosts map[string]hostState
-	gone  int // hosts that deregistered and whose ids are still known
+	mu     sync.Mutex
+	orders orders.Log
+	hosts  map[string]hostState
+	gone   int // hosts that deregistered and whose ids are still known
 }
 
 // hostState is what a host's newest accepted heartbeat said.
@@ -88,25 +88,14 @@
 	return version
 }
 
-// replaceConfig takes a configuration if it builds on the current one. The same change again is taken again.
+// replaceConfig takes a configuration if it builds on the current one. The same order gets the same answer again.
 func (s *State) replaceConfig(index uint64, c Command) codes.Code {
-	hash := sha256.Sum256(configItem(c.Base, c.Body))
-	historyKey := strconv.FormatUint(c.Version, 10)
-	if held, taken := s.View.Get(feed.SectionHistory, historyKey); taken && string(held) == string(hash[:]) {
-		return codes.OK
-	}
-	current := s.currentVersion()
-	if c.Base != current {
-		return codes.ConfigBase
+	order := orders.Order{Base: c.Base, Version: c.Version, Body: orders.HashOf(c.Body)}
+	answer, fresh := s.orders.Decide(order, s.currentVersion())
+	if fresh {
+		s.View.Put(feed.SectionConfig, directory.ConfigKey, index, configItem(c.Version, c.Body))
 	}
-	if c.Version <= current {
-		return codes.ConfigInvalid
-	}
-	s.View.PutAll(index,
-		feed.Item{Section: feed.SectionHistory, Key: historyKey, Data: hash[:]},
-		feed.Item{Section: feed.SectionConfig, Key: directory.ConfigKey, Data: configItem(c.Version, c.Body)},
-	)
-	return codes.OK
+	return answer
 }
 
 func (s *State) readConfig() Result {
@@ -224,6 +213,7 @@
 		e.Bool(held.gone)
 		e.Uint64(held.goneAt)
 	}
+	s.orders.Encode(&e)
 	return e.Bytes
 }
 
@@ -260,11 +250,13 @@
 		}
 		hosts[id] = held
 	}
+	answered := orders.Decode(d)
 	if d.Err() != nil {
 		return d.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.orders = answered
 	s.hosts = hosts
 	s.gone = gone
 	s.View.Restore(update)
--- a/tier/control/submit.go
+++ b/tier/control/submit.go
@@ -14,14 +14,14 @@
 	encoded := command.Encode()
 	result, err := s.submitHere(ctx, encoded)
 	if err != codes.NotPrimary {
-		return result, err
+		return settled(result, err)
 	}
 	answer, err := s.primary.Call(ctx, controlclient.KindSubmit, encoded)
 	code, isCode := err.(codes.Code)
 	if err != nil && (!isCode || code == codes.Timeout) {
 		return Result{}, codes.Timeout
 	}
-	return Result{Code: code, Body: answer}, nil
+	return settled(Result{Code: code, Body: answer}, nil)
 }
 
 func (s *Server) submitHere(ctx context.Context, encoded []byte) (Result, error) {
--- a/tier/feed/feed_test.go
+++ b/tier/feed/feed_test.go
@@ -69,7 +69,7 @@
 
 func TestPrivateSectionsAreNotDistributed(t *testing.T) {
 	v := NewView()
-	v.Put(SectionHistory, "4", 1, []byte("hash"))
+	v.Put(SectionRetire, "4", 1, []byte("hash"))
 	v.Put(SectionHost, "h", 2, []byte("x"))
 	if update := v.Since(0); len(update.Items) != 1 || update.Items[0].Section != SectionHost {
 		t.Fatalf("%+v", update.Items)
--- a/tier/feed/view.go
+++ b/tier/feed/view.go
@@ -21,8 +21,6 @@
 	SectionShard
 	SectionControl
 	sectionPublicEnd
-	// SectionHistory holds hashes of configurations that were taken; it is not distributed.
-	SectionHistory
 	// SectionRetire holds the store machines that are to be emptied; it is not distributed.
 	SectionRetire
 )
