Programs: a call that comes after its turn was forgotten is not charged

Cause: only the last 24 settled requests of a program were known. A begin that came later, such as one that stood in a stalled connection for 30 s, was charged for ever, and a repeated end was charged a second time. A begin that the budget refused was forgotten at once: a late copy of it stayed charged though its gateway had answered 402.

Ruled out: an age bound by the time of day, since clocks are stepped and differ between machines.

Change: a gateway numbers its turns (programs.Ticket: a number drawn at its start and a rising one). Refused begins are remembered among the settled ones.

--- a/tier/programs/commands.go
+++ b/tier/programs/commands.go
@@ -27,6 +27,7 @@
 	Budget   uint64
 	Estimate uint64
 	Previous string // the turn to go on from; empty for none
+	Ticket   Ticket
 }
 
 // Encode is the command's replicated form.
@@ -41,13 +42,14 @@
 	e.Uint64(b.Budget)
 	e.Uint64(b.Estimate)
 	e.String(b.Previous)
+	b.Ticket.encode(&e)
 	return e.Bytes
 }
 
 func decodeBegin(d *codec.Decoder) Begin {
 	return Begin{
 		Now: d.Int64(), Request: d.String(), Program: d.String(), Session: d.String(), Limited: d.Bool(), Budget: d.Uint64(),
-		Estimate: d.Uint64(), Previous: d.String(),
+		Estimate: d.Uint64(), Previous: d.String(), Ticket: decodeTicket(d),
 	}
 }
 
@@ -64,6 +66,7 @@
 	Input    []byte
 	Output   []byte // the data of each event with a line feed behind
 	Host     string // the host that ran it
+	Ticket   Ticket // of the turn's begin
 }
 
 // Encode is the command's replicated form.
@@ -81,6 +84,7 @@
 	e.Blob(c.Input)
 	e.Blob(c.Output)
 	e.String(c.Host)
+	c.Ticket.encode(&e)
 	return e.Bytes
 }
 
@@ -88,6 +92,7 @@
 	return End{
 		Now: d.Int64(), Request: d.String(), Program: d.String(), Session: d.String(), Actual: d.Uint64(), Keep: d.Bool(),
 		KeepMS: d.Int64(), Previous: d.String(), Input: d.Blob(), Output: d.Blob(), Host: d.String(),
+		Ticket: decodeTicket(d),
 	}
 }
 
--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -1,6 +1,8 @@
 package programs
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"otterseam/tier/codec"
@@ -10,8 +12,6 @@
 const (
 	// countKept is how long a program's count stays after its last turn, in milliseconds: longer than any program rests.
 	countKept = 15 * 60 * 1000
-	// settledKept is how many settled requests of a program are remembered, so that a call that comes late or twice is known.
-	settledKept = 24
 	// sweepEvery is how many commands pass between looks for programs to drop.
 	sweepEvery = 512
 	// keepSlack is added to a turn's time, because clocks of machines differ.
@@ -31,12 +31,19 @@
 type program struct {
 	charged  uint64                 // settled tokens
 	reserved map[string]reservation // of turns that have not ended, by request
-	settled  []string
+	settled  []settledTurn          // the newest ones
+	passed   map[uint64]passed      // by gateway, of the settled turns before these
 	turns    map[string]turn
 	lastHost map[string]string // by session
 	touched  int64
 }
 
+func newProgram() *program {
+	return &program{
+		reserved: map[string]reservation{}, passed: map[uint64]passed{}, turns: map[string]turn{}, lastHost: map[string]string{},
+	}
+}
+
 func (p *program) total() uint64 {
 	total := p.charged
 	for _, each := range p.reserved {
@@ -45,15 +52,6 @@
 	return total
 }
 
-func (p *program) wasSettled(request string) bool {
-	for _, each := range p.settled {
-		if each == request {
-			return true
-		}
-	}
-	return false
-}
-
 // State is the programs of one shard. It has a single owner; the replica that applies commands to it.
 type State struct {
 	programs map[string]*program
@@ -103,7 +101,7 @@
 func (s *State) program(name string, now int64) *program {
 	p := s.programs[name]
 	if p == nil {
-		p = &program{reserved: map[string]reservation{}, turns: map[string]turn{}, lastHost: map[string]string{}}
+		p = newProgram()
 		s.programs[name] = p
 	}
 	p.touched = max(p.touched, now)
@@ -114,8 +112,9 @@
 // request it charges once.
 func (s *State) begin(b Begin) Result {
 	p := s.program(b.Program, b.Now)
-	if p.wasSettled(b.Request) {
-		return Result{Code: codes.TurnSettled}
+	_, again := p.reserved[b.Request]
+	if answer, settled := p.settledAnswer(b.Request, b.Ticket); settled && !again {
+		return Result{Code: answer}
 	}
 	chain, host, found := p.chain(b.Previous, b.Now)
 	if !found {
@@ -124,10 +123,11 @@
 	if host == "" {
 		host = p.lastHost[b.Session]
 	}
-	if _, again := p.reserved[b.Request]; !again {
+	if !again {
 		p.reserved[b.Request] = reservation{estimate: b.Estimate, at: b.Now}
 		if b.Limited && p.total() > b.Budget {
 			delete(p.reserved, b.Request)
+			p.settle(settledTurn{b.Request, b.Ticket, codes.BudgetSpent}, b.Now)
 			return Result{Code: codes.BudgetSpent}
 		}
 	}
@@ -174,15 +174,13 @@
 // end settles actual minus estimate. Asked twice it settles once.
 func (s *State) end(c End) Result {
 	p := s.program(c.Program, c.Now)
-	if p.wasSettled(c.Request) {
+	_, open := p.reserved[c.Request]
+	if _, settled := p.settledAnswer(c.Request, c.Ticket); settled && !open {
 		return Result{Code: codes.OK}
 	}
 	delete(p.reserved, c.Request)
 	p.charged += c.Actual
-	p.settled = append(p.settled, c.Request)
-	if len(p.settled) > settledKept {
-		p.settled = append([]string(nil), p.settled[len(p.settled)-settledKept:]...)
-	}
+	p.settle(settledTurn{c.Request, c.Ticket, codes.TurnSettled}, c.Now)
 	if c.Host != "" {
 		p.noteHost(c.Session, c.Host)
 	}
@@ -237,6 +235,10 @@
 	return e.Bytes
 }
 
+func sortedIDs[V any](values map[uint64]V) []uint64 {
+	return slices.Sorted(maps.Keys(values))
+}
+
 func sortedKeys[V any](values map[string]V) []string {
 	keys := make([]string, 0, len(values))
 	for key := range values {
@@ -255,10 +257,7 @@
 		e.Uint64(p.reserved[request].estimate)
 		e.Int64(p.reserved[request].at)
 	}
-	e.Uint32(uint32(len(p.settled)))
-	for _, request := range p.settled {
-		e.String(request)
-	}
+	p.encodeSettled(e)
 	e.Uint32(uint32(len(p.lastHost)))
 	for _, session := range sortedKeys(p.lastHost) {
 		e.String(session)
@@ -277,17 +276,14 @@
 }
 
 func decodeProgram(d *codec.Decoder) *program {
-	p := &program{
-		charged: d.Uint64(), touched: d.Int64(),
-		reserved: map[string]reservation{}, turns: map[string]turn{}, lastHost: map[string]string{},
-	}
+	p := newProgram()
+	p.charged = d.Uint64()
+	p.touched = d.Int64()
 	for range d.Count(smallestReservation) {
 		request := d.String()
 		p.reserved[request] = reservation{estimate: d.Uint64(), at: d.Int64()}
 	}
-	for range d.Count(4) {
-		p.settled = append(p.settled, d.String())
-	}
+	p.decodeSettled(d)
 	for range d.Count(8) {
 		session := d.String()
 		p.lastHost[session] = d.String()
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -24,6 +24,7 @@
 type programClient struct {
 	clients *rpc.Clients
 	view    *feed.View
+	tickets *tickets
 
 	mu     sync.Mutex
 	shards map[uint32]directory.Shard
@@ -31,7 +32,7 @@
 }
 
 func newProgramClient(view *feed.View) *programClient {
-	return &programClient{clients: rpc.NewClients(nil), view: view}
+	return &programClient{clients: rpc.NewClients(nil), view: view, tickets: newTickets()}
 }
 
 // update follows the shard map.
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -25,6 +25,7 @@
 	prompt   []byte // what the host gets: the chain and the new input
 	hint     string // the host of the turn before
 	stride   uint64 // tokens in each event
+	ticket   programs.Ticket
 }
 
 // accounted tells whether the stores have to be asked.
@@ -82,6 +83,7 @@
 	if !t.route.Retained {
 		t.previous = ""
 	}
+	t.ticket = p.programs.tickets.next()
 	result, err := p.programs.call(call, t.program, t.beginCommand().Encode())
 	if errors.Is(err, codes.TurnUnknown) && t.previous != "" {
 		return p.beginFromOther(call, t)
@@ -112,7 +114,7 @@
 func (t *turn) beginCommand() programs.Begin {
 	return programs.Begin{
 		Request: t.id, Program: t.program, Session: t.session, Limited: t.limited, Budget: t.budget, Estimate: t.most,
-		Previous: t.previous,
+		Previous: t.previous, Ticket: t.ticket,
 	}
 }
 
@@ -133,6 +135,7 @@
 	return programs.End{
 		Request: t.id, Program: t.program, Session: t.session, Actual: received, Keep: whole && t.route.Retained,
 		KeepMS: int64(t.route.KeepS * 1000), Previous: t.previous, Input: t.body, Output: output, Host: host,
+		Ticket: t.ticket,
 	}
 }
 
