--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -52,7 +52,7 @@
 	witness register.Witness
 	known   register.Record // the newest record seen: accepted here, told, or decided here
 	decided bool            // whether known was decided by a proposal of this process
-	learned int64           // when known was seen first
+	learned int64           // when an epoch as new as that of known was seen first
 	led     bool            // whether this process has become primary in its present life
 }
 
@@ -101,7 +101,7 @@
 	}
 	e.mu.Lock()
 	if supersedes(record, decided, e.known, e.decided) {
-		if record.Epoch != e.known.Epoch || record.Primary != e.known.Primary {
+		if record.Epoch > e.known.Epoch {
 			e.learned = groups.Now()
 		}
 		e.known = record
@@ -115,20 +115,20 @@
 	}
 }
 
+// KnownSince is the newest record seen, and when its epoch was seen first.
+func (e *Elector) KnownSince() (record register.Record, since int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known, e.learned
+}
+
 // supersedes tells whether a record is to replace the one known. Two records of one epoch may be seen, of which one at most was
 // decided.
 func supersedes(record register.Record, decided bool, known register.Record, knownDecided bool) bool {
 	if record.Epoch != known.Epoch {
 		return record.Epoch > known.Epoch
 	}
-	return record.Known() && !knownDecided && (decided || !record.Equal(known))
-}
-
-// KnownSince is the newest record seen, and when it was seen first.
-func (e *Elector) KnownSince() (record register.Record, since int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.known, e.learned
+	return record.Known() && (decided || !knownDecided)
 }
 
 // handlePrepare answers a prepare for this process's witness.
