--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -342,9 +342,12 @@
 			return current, false
 		}
 		next, wanted := change(current)
+		if !wanted {
+			return current, false
+		}
 		next = e.policy.WithCopies(next)
 		next.Epoch = current.Epoch + 1
-		return next, wanted
+		return next, true
 	}}
 	record, err := e.propose(ctx, prepareBySelf, e.Known(), attempt.next)
 	if err != nil {
