--- a/lab/tierrig/rig.go
+++ b/lab/tierrig/rig.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +30,7 @@
 	Controls int
 	Stores   int
 	Tolerate int
+	Late     []string // machines that Start leaves down
 }
 
 // Internal ports of rigs with a process number: below those that the system gives to outgoing connections.
@@ -89,6 +91,9 @@
 	r.addMachines("storage", options.Stores, "store")
 	r.addMachines("front", options.Fronts, "agent", "proxy")
 	for _, machine := range r.Machines {
+		if slices.Contains(options.Late, machine.Name) {
+			continue
+		}
 		if err := r.StartMachine(machine); err != nil {
 			r.Stop()
 			return nil, err
--- a/tier/control/members.go
+++ b/tier/control/members.go
@@ -34,13 +34,27 @@
 	return standing.Role == authority.Primary && standing.HasLease(groups.Now())
 }
 
+// leadsWithoutVotes tells whether this process is the primary of control while the disk of a voter is provably lost: it may have no
+// majority until another has that vote, and looks for one that can have it.
+func (s *Server) leadsWithoutVotes() bool {
+	if !s.leadsControl() {
+		return false
+	}
+	for _, voter := range s.elector.Known().Voters() {
+		if s.lost(voter.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // adjustReplicas keeps control's own replicas in order while this process leads. It runs beside the other work of the primary,
 // which may wait for a replica that has to be dropped or taken in first.
 func (s *Server) adjustReplicas(ctx context.Context) {
 	ledSince := int64(0)
 	announcedAt := int64(0)
 	periodic.Run(ctx, superviseEvery, func() {
-		if !s.leadsWithLease() {
+		if !s.leadsWithLease() && !s.leadsWithoutVotes() {
 			ledSince = 0
 			return
 		}
@@ -207,22 +221,22 @@
 // answerControlBeat keeps a control process's session. A primary does so also while it can commit nothing: the copy that it waits
 // for may come with this very beat.
 func (s *Server) answerControlBeat(message rpc.Message) {
-	if !s.leadsWithLease() {
-		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
-		return
-	}
 	beat, err := controlclient.DecodeControlBeat(message.Payload)
 	if err != nil {
 		message.Answer(codes.Malformed, nil)
 		return
 	}
+	s.noteAnswered(beat.Member, groups.Now())
+	if !s.leadsWithLease() && !s.leadsWithoutVotes() {
+		message.Answer(codes.NotPrimary, []byte(s.primaryAddress()))
+		return
+	}
 	s.sessions.HeardControl(beat.Member, beat.Leaving)
 	s.host.With(controlGroup, func(g *replica.Group) {
 		if asked, own := g.AskedAt(beat.Question, groups.Now()); own {
 			s.sessions.HeardHolder(beat.Member.ID, beat.Refusals, asked)
 		}
 	})
-	s.noteAnswered(beat.Member, groups.Now())
 	var e codec.Encoder
 	register.EncodeRecord(&e, s.elector.Known())
 	e.Int64(s.standing().Age(groups.Now()))
--- a/tier/control/prevote.go
+++ b/tier/control/prevote.go
@@ -70,16 +70,17 @@
 		supported bool
 	}
 	replies := make(chan reply, len(voters))
-	supporters, possible := map[uint64]bool{}, map[uint64]bool{}
+	supporters, possible, lost := map[uint64]bool{}, map[uint64]bool{}, map[uint64]bool{}
 	for _, voter := range voters {
 		possible[voter.ID] = true
 		go func() { replies <- reply{voter.ID, e.askVoter(ctx, voter, mode, epoch)} }()
 	}
-	for register.Quorum(known, possible) {
+	for register.QuorumWithLost(known, possible, lost) {
 		got := <-replies
 		supporters[got.voter] = got.supported
 		possible[got.voter] = got.supported
-		if register.Quorum(known, supporters) {
+		lost[got.voter] = !got.supported && e.lost(got.voter)
+		if register.QuorumWithLost(known, supporters, lost) {
 			return true
 		}
 	}
--- a/tier/membership/membership.go
+++ b/tier/membership/membership.go
@@ -158,7 +158,7 @@
 		if member.ID == record.Primary {
 			continue
 		}
-		if o.Leaving(member.ID) || (o.Silent(member.ID) && !record.IsInSync(member.ID)) {
+		if o.Leaving(member.ID) || o.Silent(member.ID) {
 			return member.ID, true
 		}
 	}
@@ -170,7 +170,8 @@
 func (p Policy) shrink(record register.Record, o Observation) (Step, bool) {
 	var gone []uint64
 	for _, member := range record.Members {
-		if member.ID != record.Primary && !record.IsInSync(member.ID) && (o.Lost(member.ID) || o.Gone(member.ID)) {
+		spared := !record.IsInSync(member.ID) || len(record.InSync) > p.Floor(record)
+		if member.ID != record.Primary && spared && (o.Lost(member.ID) || o.Gone(member.ID)) {
 			gone = append(gone, member.ID)
 		}
 	}
@@ -180,6 +181,7 @@
 	}
 	next := record
 	next.Members = withoutMember(record.Members, gone[0])
+	next.InSync = register.Without(record.InSync, gone[0])
 	return Step{Record: next}, true
 }
 
