--- a/lab/faultsim/adversary.go
+++ b/lab/faultsim/adversary.go
@@ -73,6 +73,11 @@
 	for _, id := range a.inSync() {
 		counted[id] = true
 	}
+	for id := range counted {
+		if _, known := a.open[id]; !known && a.play.find(id) == nil {
+			a.open[id] = loss{} // it went for good just before it was taken in
+		}
+	}
 	for id, lost := range a.open {
 		switch {
 		case !lost.noticed && !counted[id]:
--- a/lab/tierrig/rig_test.go
+++ b/lab/tierrig/rig_test.go
@@ -71,6 +71,10 @@
 	}
 	w := &world{T: t, rig: rig}
 	t.Cleanup(func() {
+		if t.Failed() {
+			state, err := rig.Status()
+			t.Logf("control is %+v, %v", state.Control, err)
+		}
 		rig.Stop()
 		if t.Failed() {
 			w.showLogs()
