--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -55,7 +55,7 @@
 // needed tells whether others can't do without this process yet.
 func (s *Server) needed() bool {
 	known := s.elector.Known()
-	if !register.HasMember(known.Members, s.self.ID) || len(known.Members) < 2 {
+	if !register.HasMember(known.Voters(), s.self.ID) || len(known.Members) < 2 {
 		return false
 	}
 	if s.leadsControl() || known.Primary == s.self.ID {
