--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -417,6 +417,7 @@
 	h.disk.Done(now)
 	touched := map[*hosted]bool{}
 	for _, pending := range queue {
+		pending.group.group.Wrote(pending.write)
 		if snapshot := pending.write.Snapshot; snapshot != nil {
 			pending.group.group.Durable(snapshot.Index, snapshot.Epoch, now)
 		}
--- a/tier/replica/bounds_test.go
+++ b/tier/replica/bounds_test.go
@@ -168,3 +168,37 @@
 		t.Fatalf("%d bytes were sent again in 3 s", sent)
 	}
 }
+
+// A backup whose disk is stalled takes no more than it may hold unwritten, and goes on when the disk works again.
+func TestABackupWithAStalledDiskTakesNoMoreThanItMayHold(t *testing.T) {
+	g, err := NewGroup(2, &blobMachine{}, Snapshot{}, nil, Options{BytesKept: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := make([]byte, 100<<10)
+	unwritten := 0
+	var writes []Write
+	take := func(index uint64) {
+		g.Step(1, appendFrom(1, index-1, min(index-1, 1), index-1, Entry{index, 1, command}), int64(index))
+		for _, write := range g.Take().Writes {
+			unwritten += sizeOf(write.Entries)
+			writes = append(writes, write)
+		}
+		g.Trim()
+	}
+	for index := uint64(1); index <= 1000; index++ {
+		take(index)
+	}
+	if unwritten > maxUnwritten+2*len(command) {
+		t.Fatalf("%d bytes wait for the disk", unwritten)
+	}
+	held := g.LastIndex()
+	for _, write := range writes {
+		g.Wrote(write)
+	}
+	g.Durable(held, 1, 2000)
+	take(held + 1)
+	if g.LastIndex() != held+1 {
+		t.Fatal("nothing is taken though the disk works again")
+	}
+}
--- a/tier/replica/catchup_sim_test.go
+++ b/tier/replica/catchup_sim_test.go
@@ -383,6 +383,7 @@
 			node.disk.write(write)
 		}
 		for _, write := range writes {
+			node.group.Wrote(write)
 			if write.Snapshot != nil {
 				node.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, s.ms())
 			}
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -119,6 +119,7 @@
 	eagerCommit   bool
 	entriesKept   uint64
 	bytesKept     int
+	unwritten     int // size of the entries in writes that were asked for and not reported as done
 	pieceBytes    int
 	logBytes      int    // size of the log in memory
 	appliedBytes  int    // size of its applied entries
@@ -310,6 +311,7 @@
 }
 
 func (g *Group) writeEntries(entries []Entry) {
+	g.unwritten += sizeOf(entries)
 	writes := &g.output.Writes
 	if n := len(*writes); n > 0 {
 		last := &(*writes)[n-1]
@@ -321,6 +323,9 @@
 	*writes = append(*writes, Write{Entries: append([]Entry(nil), entries...)})
 }
 
+// Wrote tells that a write that was asked for has been carried out, whatever became of its entries since.
+func (g *Group) Wrote(write Write) { g.unwritten -= sizeOf(write.Entries) }
+
 // Durable tells that all writes up to an entry have reached the disk. Entries overwritten since don't count.
 func (g *Group) Durable(index, epoch uint64, now int64) {
 	held, known := g.epochAt(index)
--- a/tier/replica/retention.go
+++ b/tier/replica/retention.go
@@ -9,6 +9,8 @@
 	entryOverhead = 64
 	// uncommittedSlack is how many bytes beyond BytesKept a primary may hold that are not committed before it takes no more.
 	uncommittedSlack = 4 << 20
+	// maxUnwritten is how many bytes of entries a backup takes that are not on its disk yet.
+	maxUnwritten = 4 << 20
 )
 
 // size is what the entry takes in memory.
--- a/tier/replica/sim_test.go
+++ b/tier/replica/sim_test.go
@@ -247,6 +247,7 @@
 		node.disk.write(write)
 	}
 	for _, write := range writes {
+		node.group.Wrote(write)
 		if write.Snapshot != nil {
 			node.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, s.now)
 		}
--- a/tier/replica/step.go
+++ b/tier/replica/step.go
@@ -158,6 +158,9 @@
 		return
 	}
 	fresh := g.skipHeld(message.Entries)
+	if len(fresh) > 0 && g.unwritten > maxUnwritten {
+		return // the disk is behind; they come again
+	}
 	if len(fresh) > 0 {
 		g.truncate(fresh[0].Index)
 		g.extendLog(fresh...)
