--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -20,6 +20,7 @@
 	ConfigInvalid     Code = 201
 	ConfigBase        Code = 202
 	ConfigNone        Code = 203
+	ConfigForgotten   Code = 204
 	HostStale         Code = 211
 	RetireUnknown     Code = 221
 	RetireTooFew      Code = 222
@@ -38,6 +39,7 @@
 	DeadlineReached   Code = 410
 	ClientGone        Code = 411
 	AnswerNotKept     Code = 412
+	Stopping          Code = 413
 	DiskDamaged       Code = 501
 	DiskWrite         Code = 502
 	DiskRegressed     Code = 503
@@ -68,6 +70,7 @@
 	{ConfigInvalid, "config-invalid", "the configuration is invalid; the line says what and where"},
 	{ConfigBase, "config-base", "another version is current than the one that the change builds on"},
 	{ConfigNone, "config-none", "no configuration has been taken yet"},
+	{ConfigForgotten, "config-forgotten", "a configuration so old that whether it was taken is no longer known"},
 	{HostStale, "host-stale", "a heartbeat older than one already taken"},
 	{RetireUnknown, "retire-unknown", "no store machine of that name is known"},
 	{RetireTooFew, "retire-too-few", "too few store machines would remain"},
@@ -86,6 +89,7 @@
 	{DeadlineReached, "deadline-reached", "the client's deadline or the route's timeout was reached"},
 	{ClientGone, "client-gone", "the client closed its connection"},
 	{AnswerNotKept, "answer-not-kept", "the turn was served but could not be made durable; its answer is broken off"},
+	{Stopping, "stopping", "the proxy is about to end; ask another one"},
 	{DiskDamaged, "disk-damaged", "a file on disk is torn, cut or altered"},
 	{DiskWrite, "disk-write", "a write or sync failed"},
 	{DiskRegressed, "disk-regressed", "a member's disk holds less than it acknowledged: an older copy of it was put back"},
