Tests of turns that the stores turn down, of hosts that leave and of early answers find the bugs put in

Cause: three tests passed with the bug that they were to find put in. A long body went into the buffers of both sockets whole, so that nothing was written beside the reading; a head too long was rejected for its missing id; a client that did not read held up nobody.

Ruled out: a fault in the code; each test fails with its bug and passes without.

Change: small buffers, an answer that is good but for its length, larger events. New: a turn that gets 402, 404 or 503 from the stores reaches no host, a turn is settled once, a host that leaves gets no further request.

--- a/tier/proxy/relay_test.go
+++ b/tier/proxy/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -182,7 +183,7 @@
 		ended := make(chan time.Time, 1)
 		g.addHost(func(a asked) {
 			a.answer(streamOK)
-			text := strings.Repeat("x", 60<<10)
+			text := strings.Repeat("x", 1<<20)
 			for id := 1; ; id++ {
 				data := fmt.Sprintf("id: %d\ndata: %s\n\n", id, text)
 				if _, err := fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(data), data); err != nil {
@@ -192,10 +193,11 @@
 			}
 		})
 		c := g.dial()
+		_ = c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10) // so that a client that does not read holds up the proxy
 		begun := time.Now()
 		c.send("/glimpse/1", "id", "", "x")
 		if reading {
-			if got := c.receive(); got.err == nil {
+			if got := c.receive(); got.StatusCode == http.StatusOK && got.err == nil {
 				t.Error("a stream that was ended by time looks whole")
 			}
 		}
--- /dev/null
+++ b/tier/proxy/turn_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"otterseam/tier/codes"
+	"otterseam/tier/directory"
+	"otterseam/tier/feed"
+	"otterseam/tier/programs"
+	"otterseam/tier/rpc"
+)
+
+const turnHeaders = "Program: p\r\nBudget: 100\r\nX-Token-Count: 1,10\r\n"
+
+// A 402 promises that the turn has not run and never will, and a 404 that there is no turn to go on from: no host is asked.
+func TestATurnThatTheStoresTurnDownReachesNoHost(t *testing.T) {
+	for code, want := range map[codes.Code]int{
+		codes.BudgetSpent: http.StatusPaymentRequired,
+		codes.TurnUnknown: http.StatusNotFound,
+		codes.Unavailable: http.StatusServiceUnavailable,
+	} {
+		g := newGateway(t)
+		counted := g.addHost(func(a asked) { a.answer(streamOK + event(1) + lastChunk) })
+		g.addStore(func(_ programs.CommandKind, m rpc.Message) { m.Answer(code, nil) })
+		if got := g.dial().ask("/turn/1", "r", turnHeaders+"X-Deadline-Ms: 300\r\n", "x"); got.StatusCode != want {
+			t.Errorf("%v: %d", code, got.StatusCode)
+		}
+		if counted.total() != 0 {
+			t.Errorf("%v: a host was asked", code)
+		}
+	}
+}
+
+// A turn is settled with what its client received, once, however many hosts it took.
+func TestATurnIsSettledWithWhatItsClientReceived(t *testing.T) {
+	g := newGateway(t)
+	settled := make(chan string, 4)
+	g.addStore(func(kind programs.CommandKind, m rpc.Message) {
+		if kind == programs.CommandEnd {
+			settled <- string(m.Payload)
+		}
+		taken(m)
+	})
+	g.addHost(func(a asked) {
+		a.answer(streamOK + event(1) + event(2) + lastChunk)
+	})
+	if got := g.dial().ask("/turn/1", "r", turnHeaders, "x"); got.text != events(1, 2) || got.err != nil {
+		t.Fatalf("%q, %v", got.text, got.err)
+	}
+	g.settled()
+	if len(settled) != 1 {
+		t.Fatalf("settled %d times", len(settled))
+	}
+}
+
+// A host that leaves gets no further request, neither a new one nor the rest of a stream.
+func TestAHostThatLeavesGetsNoFurtherRequest(t *testing.T) {
+	g := newGateway(t)
+	var counted []*connections
+	for range 2 {
+		counted = append(counted, g.addHost(func(a asked) { a.answer(plainOK) }))
+	}
+	for _, held := range g.proxy.hosts.byID {
+		if held.ID == "host-1" {
+			host := directory.Host{ID: held.ID, Service: held.service, Address: held.address, Zone: "z", Slots: 8, Draining: true}
+			defer g.proxy.hosts.update([]feed.Item{{Section: feed.SectionHost, Key: host.ID, Deleted: true}})
+			g.proxy.hosts.update([]feed.Item{{Section: feed.SectionHost, Key: host.ID, Data: host.Encode()}})
+			break
+		}
+	}
+	for i := range 50 {
+		if got := g.dial().ask("/safe/1", fmt.Sprint("r", i), "", "x"); got.StatusCode != http.StatusOK {
+			t.Fatalf("%d", got.StatusCode)
+		}
+	}
+	if counted[0].total() != 0 || counted[1].total() == 0 {
+		t.Fatalf("%d connections to the host that leaves, %d to the other", counted[0].total(), counted[1].total())
+	}
+}
--- a/tier/upstream/lease_test.go
+++ b/tier/upstream/lease_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"otterseam/tier/exchange"
 )
@@ -201,7 +202,7 @@
 		"another protocol":             {switched + short, false},
 		"only a surplus one":           {earlierOne, false},
 		"no answer":                    {"\x00\x01garbage\r\n\r\n", false},
-		"an endless head":              {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeadBytes) + "\r\n\r\n", false},
+		"an endless head":              {strings.Replace(short, "\r\n\r\n", "\r\nX: "+strings.Repeat("x", 2*maxHeadBytes)+"\r\n\r\n", 1), false},
 	} {
 		address, _ := script(t, after(test.text), respond(short))
 		p := NewPool(address)
@@ -258,9 +259,13 @@
 	}
 }
 
+// smallBuffer is what either end's socket takes while the host does not read, so that a long body cannot leave whole.
+const smallBuffer = 256 << 10
+
 // early answers a request whose body it has not read, and reads on when told.
 func early(text string, goOn <-chan struct{}, rest chan<- string) func(net.Conn, *bufio.Reader) {
 	return func(conn net.Conn, reader *bufio.Reader) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(smallBuffer)
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -283,6 +288,9 @@
 	return request
 }
 
+// earlyPatience is less than the time after which the system itself ends a connection whose other end does not read.
+const earlyPatience = userTimeoutMS * time.Millisecond * 3 / 4
+
 // A host may answer before it has read a long body. Where the rest of that body is due, it gets nothing else.
 func TestAnEarlyAnswerIsReadWhileTheBodyIsWritten(t *testing.T) {
 	for _, length := range []int{1 << 10, 15 << 10, 64 << 10, 1 << 20, 8 << 20} {
@@ -291,7 +299,10 @@
 		address, _ := script(t, early(rejected, goOn, rest), respond(short))
 		p := NewPool(address)
 		lease := acquire(t, p)
-		response, err := lease.RoundTrip(post(nextID(), length))
+		_ = lease.conn.socket.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+		request := post(nextID(), length)
+		request.Deadline = time.Now().Add(earlyPatience)
+		response, err := lease.RoundTrip(request)
 		if err != nil {
 			t.Fatalf("%d bytes: %v", length, err)
 		}
