--- a/tier/proxy/harness_test.go
+++ b/tier/proxy/harness_test.go
@@ -159,9 +159,11 @@
 }
 
 // register has the proxy know a host.
-func (g *gateway) register(listener net.Listener) {
+func (g *gateway) register(listener net.Listener) { g.registerAddress(listener.Addr().String()) }
+
+func (g *gateway) registerAddress(address string) {
 	g.hosts++
-	host := directory.Host{ID: fmt.Sprintf("host-%d", g.hosts), Service: "hosts", Address: listener.Addr().String(), Zone: "z", Slots: 8}
+	host := directory.Host{ID: fmt.Sprintf("host-%d", g.hosts), Service: "hosts", Address: address, Zone: "z", Slots: 8}
 	g.proxy.hosts.update([]feed.Item{{Section: feed.SectionHost, Key: host.ID, Data: host.Encode()}})
 }
 
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -36,7 +36,7 @@
 // send sends a request to a host and reads the head of the answer. Without an answer the outcome says how far it came. Apart from
 // the context, a limit that is not zero ends the attempt.
 func (p *Proxy) send(ctx context.Context, r *request, host *target, content payload, limit time.Time) (*attempt, exchange.Outcome) {
-	lease, err := host.pool.Acquire(ctx)
+	lease, err := host.pool.Acquire(ctx, r.id)
 	if err != nil {
 		return nil, exchange.Unsent
 	}
--- a/tier/proxy/serve_test.go
+++ b/tier/proxy/serve_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"otterseam/lab/tierhost"
 )
 
 func TestARequestWithoutAConfigurationIsRefusedForNow(t *testing.T) {
@@ -39,15 +41,20 @@
 // On a streaming route a request that names no tokens may be answered with a body that is no stream.
 func TestABareRequestOnAStreamingRouteGetsItsAnswer(t *testing.T) {
 	g := newGateway(t)
-	g.addHost(func(a asked) {
-		a.answer(sealed + "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello")
-	})
-	c := g.dial()
-	if _, err := io.WriteString(c, "GET /stream/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: bare\r\n\r\n"); err != nil {
+	host := &tierhost.Host{ID: "host-1", Service: "hosts", Slots: 4, Controls: func() []string { return nil }}
+	if err := host.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	if got := c.receive(); got.StatusCode != http.StatusOK || got.text != "hello" || got.Header.Get("X-Response-Seal") != "s" {
-		t.Fatalf("%d %q", got.StatusCode, got.text)
+	defer host.Stop()
+	g.registerAddress(host.Address)
+	for _, path := range []string{"/stream/1", "/resume/1", "/turn/1", "/once/1", "/safe/1"} {
+		c := g.dial()
+		if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: bare\r\n\r\n", path); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.receive(); got.StatusCode != http.StatusOK || got.text != "done by hosts" || got.Header.Get("X-Response-Seal") == "" {
+			t.Errorf("%s: %d %q", path, got.StatusCode, got.text)
+		}
 	}
 }
 
--- a/tier/upstream/lease_test.go
+++ b/tier/upstream/lease_test.go
@@ -28,7 +28,7 @@
 	p := NewPool(address)
 	defer p.Close()
 	ctx, leave := context.WithCancel(context.Background())
-	former, err := p.Acquire(ctx)
+	former, err := p.Acquire(ctx, nextID())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +105,7 @@
 		close(ended)
 	})
 	ctx, leave := context.WithCancel(context.Background())
-	lease, err := NewPool(address).Acquire(ctx)
+	lease, err := NewPool(address).Acquire(ctx, nextID())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +130,7 @@
 	lease.Release()
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
-	if _, err := p.Acquire(ctx); !errors.Is(err, ErrNotSent) {
+	if _, err := p.Acquire(ctx, nextID()); !errors.Is(err, ErrNotSent) {
 		t.Fatal(err)
 	}
 	if !p.Warm() {
@@ -138,20 +138,37 @@
 	}
 }
 
-// An answer to a request cannot be told from one to an earlier request of the same id.
+// An answer to a request cannot be told from one to an earlier request of the same id: it gets another connection, and the one
+// that carried it serves others.
 func TestAConnectionCarriesAnIDOnce(t *testing.T) {
-	address, _ := script(t, then(respond(short), respond(short)))
+	address, _ := script(t, then(respond(short), respond(short)), respond(short))
 	p := NewPool(address)
 	defer p.Close()
 	request := get(nextID())
 	lease := acquire(t, p)
+	first := lease.conn
 	response, err := lease.RoundTrip(request)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _ = io.ReadAll(response.Body)
 	lease.Release()
-	if _, err := acquire(t, p).RoundTrip(request); !errors.Is(err, ErrRepeatedID) || !errors.Is(err, ErrNotSent) {
+	again, err := p.Acquire(context.Background(), request.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.conn == first {
+		t.Fatal("the connection would carry an id twice")
+	}
+	if _, err := again.RoundTrip(request); err != nil {
+		t.Fatal(err)
+	}
+	again.Close()
+	other := acquire(t, p)
+	if other.conn != first {
+		t.Fatal("the connection is lost to other requests")
+	}
+	if _, err := other.RoundTrip(request); !errors.Is(err, ErrRepeatedID) || !errors.Is(err, ErrNotSent) {
 		t.Fatal(err)
 	}
 }
--- a/tier/upstream/pool.go
+++ b/tier/upstream/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,14 +50,14 @@
 	}
 }
 
-// Acquire takes an idle connection that is still good, or opens one, for the owner whose context it is: the connection ends with
-// the context, unless it is given back before. An error wraps ErrNotSent.
-func (p *Pool) Acquire(ctx context.Context) (*Lease, error) {
+// Acquire takes an idle connection that is still good, or opens one, for a request with such an id and the owner whose context it
+// is: the connection ends with the context, unless it is given back before. An error wraps ErrNotSent.
+func (p *Pool) Acquire(ctx context.Context, id string) (*Lease, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	for {
-		conn := p.takeIdle()
+		conn := p.takeIdle(id)
 		if conn == nil {
 			break
 		}
@@ -93,18 +94,18 @@
 	return len(p.idle) > 0
 }
 
-// takeIdle takes the connection that was used last.
-func (p *Pool) takeIdle() *conn {
+// takeIdle takes the connection that was used last and has not carried a request with such an id.
+func (p *Pool) takeIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		conn := p.idle[i]
+		if _, carried := conn.find(id); !carried {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return conn
+		}
 	}
-	last := len(p.idle) - 1
-	conn := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return conn
+	return nil
 }
 
 // put takes a connection that no owner holds any more.
--- a/tier/upstream/pool_test.go
+++ b/tier/upstream/pool_test.go
@@ -63,7 +63,7 @@
 // acquire takes a connection for an owner that stays.
 func acquire(t *testing.T, p *Pool) *Lease {
 	t.Helper()
-	lease, err := p.Acquire(context.Background())
+	lease, err := p.Acquire(context.Background(), nextID())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +171,7 @@
 	}
 	address := listener.Addr().String()
 	listener.Close()
-	if _, err := NewPool(address).Acquire(context.Background()); !errors.Is(err, ErrNotSent) {
+	if _, err := NewPool(address).Acquire(context.Background(), nextID()); !errors.Is(err, ErrNotSent) {
 		t.Fatal(err)
 	}
 }
