--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -35,20 +35,27 @@
 			}
 			d := codec.NewDecoder(answer)
 			there := register.Member{ID: d.Uint64(), Address: address, Node: d.String()}
+			founds := d.Bool()
 			record := register.DecodeRecord(d)
 			if d.Err() == nil {
 				s.elector.Learn(record)
 				s.noteAnswered(there, asked)
+				s.noteFounder(there, founds)
 			}
 		}()
 	}
 	wait.Wait()
 }
 
+// answerLocate tells who this process is and what it knows, and takes what the asker may have told.
 func (s *Server) answerLocate(message rpc.Message) {
+	if len(message.Payload) > 0 {
+		s.learnEncoded(message.Payload)
+	}
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
 	e.String(s.self.Node)
+	e.Bool(s.settings.Bootstrap)
 	register.EncodeRecord(&e, s.elector.Known())
 	message.Answer(codes.OK, e.Bytes)
 }
@@ -65,6 +72,7 @@
 		HasLed:        s.elector.hasLed(),
 		Rank:          rank(known, s.self.ID),
 		Jitter:        rand.Int64N(authority.SuspectStep),
+		DiskTroubled:  s.host.DiskTroubled(),
 	}
 	s.host.With(controlGroup, func(g *replica.Group) {
 		situation.PrimaryProven = g.PrimaryProven()
@@ -103,18 +111,15 @@
 }
 
 // takeOver asks the others first whether they would follow, and only then for their promises, so that a process that could not
-// win disturbs nobody. Meanwhile it finds out whose disks are lost.
+// win disturbs nobody.
 func (s *Server) takeOver(ctx context.Context, mode prepareMode, epoch uint64) {
-	located := make(chan struct{})
-	go func() {
-		defer close(located)
-		if mode != prepareOnTransfer {
-			s.locate(ctx)
-		}
-	}()
-	supported := s.elector.askSupport(ctx, mode, epoch)
-	<-located
-	if !supported || s.elector.Known().Epoch != epoch {
+	if !s.elector.askSupport(ctx, mode, epoch) {
+		return
+	}
+	if mode != prepareOnTransfer {
+		s.locate(ctx) // whose disks are lost
+	}
+	if s.elector.Known().Epoch != epoch {
 		return
 	}
 	if err := s.elector.TakeOver(ctx, mode, epoch, s.lost); err != nil {
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -50,10 +50,12 @@
 	beatHere      []byte // the answer to a heartbeat that asks the host to stay here
 	beatElsewhere []byte // the answer that leaves it the choice
 
-	locatedAt int64 // of the supervising goroutine
+	locatedAt      int64 // of the supervising goroutine
+	steppedAsideAt int64 // of the supervising goroutine
 
 	mu       sync.Mutex
 	seen     *membership.Sightings
+	founders map[string]register.Member // by address
 	leaving  bool
 	heard    heardHosts // hosts heard since the primary was told
 	leading  uint64     // the entry that opened the lead for which sessions were begun
@@ -86,6 +88,7 @@
 		self:      register.Member{ID: host.Identity, Address: s.ControlAddress(), Node: s.Node},
 		startedAt: groups.Now(),
 		seen:      membership.NewSightings(),
+		founders:  map[string]register.Member{},
 		heard:     heardHosts{},
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
@@ -96,6 +99,7 @@
 	if server.elector, err = newElector(host, clients, server.self.Address, membership.Policy{Tolerate: s.TolerateMachine}, log); err != nil {
 		return nil, err
 	}
+	server.elector.lost = server.lost
 	options := replica.Options{
 		EagerCommit: true, BytesKept: controlBytesKept, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter,
 	}
@@ -152,11 +156,12 @@
 		if !s.host.IsPrimary(controlGroup) {
 			s.endLeading()
 		}
+		if s.host.DiskTroubled() {
+			s.stepAside(ctx)
+		}
 		switch {
 		case !s.elector.Known().Known():
 			s.findOrFound(ctx)
-		case s.host.DiskTroubled():
-			s.stepAside(ctx)
 		case s.host.IsPrimary(controlGroup):
 			s.lead(ctx)
 		default:
