otterlab fleet and outage: one step a function

Change: reading, playing and telling a script are functions of their own, as is the table of outages; a folder that otterlab makes for a script goes after each seed, not at the end.

--- a/cmd/otterlab/fleet.go
+++ b/cmd/otterlab/fleet.go
@@ -32,80 +32,110 @@
 func (c *fleetCmd) Run(ctx context.Context, s *streams) error {
 	switch {
 	case c.Kinds:
-		for _, t := range []struct {
-			head string
-			list []day.Named
-		}{{"fault", day.Strikes}, {"event", day.Events}, {"promise", day.Promises}} {
-			fmt.Fprintf(s.out, "| %s | what it is |\n| --- | --- |\n", t.head)
-			for _, n := range t.list {
-				fmt.Fprintf(s.out, "| `%s` | %s |\n", n.Name, n.Does)
-			}
-			fmt.Fprintln(s.out)
-		}
+		writeKinds(s)
 		return nil
 	case c.Script == "":
-		for _, n := range fleet.Names() {
-			d, err := fleet.Load(n)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(s.out, "%-24s %s\n", n, d.About)
+		return listScripts(s)
+	}
+	script, err := c.load()
+	if err != nil {
+		return err
+	}
+	broken := false
+	for i := range max(1, c.Seeds) {
+		result, err := c.play(ctx, s, script, c.Seed+uint64(i))
+		if err != nil {
+			return err
 		}
-		return nil
+		broken = broken || len(result.Broken) > 0
+		if err := c.tell(s, script.Name, result); err != nil {
+			return err
+		}
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
+
+// writeKinds writes the kinds of faults, events and promises as tables.
+func writeKinds(s *streams) {
+	for _, table := range []struct {
+		head string
+		list []day.Named
+	}{{"fault", day.Strikes}, {"event", day.Events}, {"promise", day.Promises}} {
+		fmt.Fprintf(s.out, "| %s | what it is |\n| --- | --- |\n", table.head)
+		for _, n := range table.list {
+			fmt.Fprintf(s.out, "| `%s` | %s |\n", n.Name, n.Does)
+		}
+		fmt.Fprintln(s.out)
+	}
+}
+
+func listScripts(s *streams) error {
+	for _, name := range fleet.Names() {
+		script, err := fleet.Load(name)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "%-24s %s\n", name, script.About)
 	}
-	d, err := fleet.Load(c.Script)
+	return nil
+}
+
+// load reads the script with its changes, and says before anything is played what is missing.
+func (c *fleetCmd) load() (*day.Day, error) {
+	script, err := fleet.Load(c.Script)
 	if err != nil {
-		return badInput{err}
+		return nil, badInput{err}
 	}
-	if err := change(d, c.Set); err != nil {
-		return err
+	if err := change(script, c.Set); err != nil {
+		return nil, err
 	}
 	if _, err := os.Stat(c.Gateway); err != nil {
-		return badInput{fmt.Errorf("the api gateway's program: %w (make build makes it)", err)}
+		return nil, badInput{fmt.Errorf("the api gateway's program: %w (make build makes it)", err)}
 	}
 	if err := runs.Writable(c.Report); err != nil {
-		return badInput{fmt.Errorf("no report could be written: %w", err)}
+		return nil, badInput{fmt.Errorf("no report could be written: %w", err)}
+	}
+	return script, nil
+}
+
+// play plays the script with a seed, in the folder that was asked for or in one that goes afterwards.
+func (c *fleetCmd) play(ctx context.Context, s *streams, script *day.Day, seed uint64) (*fleet.Result, error) {
+	dir := c.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "otterlab-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
 	}
 	var env []string
-	for _, k := range slices.Sorted(maps.Keys(c.Env)) {
-		env = append(env, k+"="+c.Env[k])
+	for _, name := range slices.Sorted(maps.Keys(c.Env)) {
+		env = append(env, name+"="+c.Env[name])
 	}
-	bad := false
-	for i := range max(1, c.Seeds) {
-		dir := c.Dir
-		if dir == "" {
-			if dir, err = os.MkdirTemp("", "otterlab-"); err != nil {
-				return err
-			}
-			defer os.RemoveAll(dir)
-		}
-		r, err := fleet.Play(ctx, d, c.Seed+uint64(i), fleet.Options{Gateway: c.Gateway, Dir: dir, Memory: c.Memory, Env: env,
-			Tell: func(t string) { fmt.Fprintln(s.errs, t) }})
-		if err != nil {
+	return fleet.Play(ctx, script, seed, fleet.Options{Gateway: c.Gateway, Dir: dir, Memory: c.Memory, Env: env,
+		Tell: func(text string) { fmt.Fprintln(s.errs, text) }})
+}
+
+// tell writes a result in the forms that were asked for.
+func (c *fleetCmd) tell(s *streams, name string, result *fleet.Result) error {
+	if c.JSON {
+		if err := s.json(result); err != nil {
 			return err
 		}
-		bad = bad || len(r.Broken) > 0
-		if c.JSON {
-			if err := s.json(r); err != nil {
-				return err
-			}
-		} else {
-			say(s, d.Name, r)
-		}
-		if c.Report != "" {
-			page, err := fleet.Page(r)
-			if err != nil {
-				return err
-			}
-			if err := runs.Put(c.Report, page); err != nil {
-				return err
-			}
-		}
+	} else {
+		say(s, name, result)
 	}
-	if bad {
-		return errBroken
+	if c.Report == "" {
+		return nil
 	}
-	return nil
+	page, err := fleet.Page(result)
+	if err != nil {
+		return err
+	}
+	return runs.Put(c.Report, page)
 }
 
 // say writes what became of a script: its figures, what was kept, and what was broken with its whole story.
--- a/cmd/otterlab/outage.go
+++ b/cmd/otterlab/outage.go
@@ -105,6 +105,11 @@
 	if c.JSON {
 		return s.json(each)
 	}
+	return c.table(s, each)
+}
+
+// table writes a row for each day and decider, over the seeds.
+func (c *outageCmd) table(s *streams, each []outage) error {
 	t := tabwriter.NewWriter(s.out, 2, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "day\tdecider\tseeds\tbefore/s\tin the silence\tdials\tamid\tback after, by seed\tleast then\trules broken\t")
 	for len(each) > 0 {
