--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -239,8 +239,12 @@
 	known    register.Record
 	learned  int64
 	hasLed   bool
-	round    uint64
-	busy     bool // a proposal runs
+	rounds   *register.Rounds
+	limit    uint64 // of the rounds, on disk
+	disk     simDisk
+	synced   int64 // when the last write reaches the disk
+	life     int   // restarts so far
+	busy     bool  // a proposal runs
 	hosts    *authority.HostSessions
 	stores   *authority.StoreSessions
 	leading  uint64
@@ -275,7 +279,15 @@
 		}
 	}
 	for _, write := range output.Writes {
-		m.s.at(1+m.s.random.Int63n(3), func() { m.s.run(m.place, func() { m.written(write) }) })
+		life := m.life
+		m.synced = max(m.synced, m.s.now+1+m.s.random.Int63n(3)) // a disk keeps the order of writes
+		m.s.at(m.synced-m.s.now, func() {
+			m.s.run(m.place, func() {
+				if life == m.life {
+					m.written(write)
+				}
+			})
+		})
 	}
 	for _, out := range output.Messages {
 		to := place(out.To - 1)
@@ -304,6 +316,7 @@
 }
 
 func (m *simMember) written(write replica.Write) {
+	m.disk.write(write)
 	if write.Snapshot != nil {
 		m.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, m.clock())
 	}
@@ -533,6 +546,22 @@
 }
 
 func newSimNetwork(t testing.TB, seed int64) *simNetwork {
+	s := newSimMembers(t, seed)
+	for i := range simHosts {
+		s.addHost(firstHost + place(i))
+	}
+	for i := range simStores {
+		s.addStore(firstStore + place(i))
+	}
+	for i := range simFollowers {
+		s.addFollower(firstFollower + place(i))
+	}
+	s.operator = newSimOperator(s)
+	return s
+}
+
+// newSimMembers makes a network of three or five members that nobody calls.
+func newSimMembers(t testing.TB, seed int64) *simNetwork {
 	s := &simNetwork{t: t, random: rand.New(rand.NewSource(seed)), now: 1, cut: map[link]bool{}, arrives: map[link]int64{}}
 	count := 3
 	if s.random.Intn(4) == 0 {
@@ -547,16 +576,6 @@
 	for i := range count {
 		s.addMember(place(i), first)
 	}
-	for i := range simHosts {
-		s.addHost(firstHost + place(i))
-	}
-	for i := range simStores {
-		s.addStore(firstStore + place(i))
-	}
-	for i := range simFollowers {
-		s.addFollower(firstFollower + place(i))
-	}
-	s.operator = newSimOperator(s)
 	return s
 }
 
@@ -567,12 +586,7 @@
 		known:   first, hosts: authority.NewHostSessions(), stores: authority.NewStoreSessions(),
 		heard: map[string]int64{}, waiting: map[uint64]func(Result, error){},
 	}
-	options := replica.Options{EagerCommit: true, Life: s.random.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
-	group, err := replica.NewGroup(m.id, m.machine, replica.Snapshot{}, nil, options)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	m.group = group
+	m.open()
 	m.learned = m.clock()
 	s.members = append(s.members, m)
 	if first.Primary == m.id {
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -8,7 +8,7 @@
 	"otterseam/tier/register"
 )
 
-// This file plays the elections of the simulation: the messages of register.Propose, one at a time for each member.
+// This file plays the elections of the simulation: register.Proposal, one at a time for each member.
 
 func (m *simMember) watchPrimary() {
 	situation := authority.Situation{
@@ -147,59 +147,64 @@
 	})
 }
 
-// propose reads the register and changes it.
+// propose reads the register and changes it, in one attempt.
 func (m *simMember) propose(mode prepareMode, change func(register.Record) (register.Record, bool), done func(register.Record, bool)) {
-	m.round = max(m.round, m.witness.Promised.Round) + 1
-	ballot := register.Ballot{Round: m.round, Proposer: m.id}
-	promises := map[uint64]register.Promise{}
-	given := map[uint64]bool{}
-	accepted := map[uint64]bool{}
-	read, finished := false, false
+	m.rounds.Saw(m.witness.Promised.Round)
+	round, err := m.rounds.Next()
+	if err != nil {
+		m.s.t.Fatal(err)
+	}
+	ballot := register.Ballot{Round: round, Proposer: m.id}
+	proposal := register.NewProposal(ballot, m.known, register.Record{}, func(current register.Record, _ map[uint64]bool) (register.Record, bool) {
+		return change(current)
+	})
+	finished, life := false, m.life
 	finish := func(record register.Record, ok bool) {
-		if finished {
+		if finished || life != m.life {
 			return
 		}
 		finished = true
 		m.busy = false
+		m.rounds.Saw(proposal.HighestRound())
 		if ok {
 			m.learn(record)
 		}
 		done(record, ok)
 	}
 	m.s.at(proposeTimeout.Milliseconds(), func() { m.s.run(m.place, func() { finish(register.Record{}, false) }) })
-	write := func(next register.Record) {
-		for _, peer := range m.s.members {
-			call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(bool)) { answer(peer.accept(ballot, next)) },
-				func(ok, reached bool) {
-					if ok && reached {
-						accepted[peer.id] = true
+	var send func([]register.Request)
+	send = func(requests []register.Request) {
+		for _, request := range requests {
+			peer := m.s.members[request.To.ID-1]
+			call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(register.Promise)) { answer(peer.vote(mode, request)) },
+				func(promise register.Promise, reached bool) {
+					if finished || life != m.life {
+						return
 					}
-					if register.Quorum(next, accepted) {
-						finish(next, true)
+					if reached {
+						send(proposal.Answer(request.Kind, request.To.ID, promise))
+					} else {
+						send(proposal.Fail(request.Kind, request.To.ID))
 					}
 				})
 		}
+		switch proposal.Phase() {
+		case register.PhaseDecided:
+			finish(proposal.Decided(), true)
+		case register.PhaseFailed:
+			finish(register.Record{}, false)
+		}
 	}
-	for _, peer := range m.s.members {
-		call(m.s, m.place, peer.place, callTimeout.Milliseconds(), func(answer func(register.Promise)) { answer(peer.prepare(mode, ballot)) },
-			func(promise register.Promise, reached bool) {
-				m.round = max(m.round, promise.Promised.Round)
-				if !reached || !promise.Given || read || finished {
-					return
-				}
-				promises[peer.id] = promise
-				given[peer.id] = true
-				if !register.Quorum(m.known, given) {
-					return
-				}
-				read = true
-				if next, wanted := change(register.Newest(promises, m.known)); wanted {
-					write(next)
-				} else {
-					finish(next, false)
-				}
-			})
+	send(proposal.Begin())
+}
+
+// vote is a witness's answer to a request.
+func (m *simMember) vote(mode prepareMode, request register.Request) register.Promise {
+	if request.Kind == register.RequestPrepare {
+		return m.prepare(mode, request.Ballot)
 	}
+	given := m.accept(request.Ballot, request.Value)
+	return register.Promise{Given: given, Promised: m.witness.Promised, Accepted: m.witness.Accepted, Value: m.witness.Value}
 }
 
 func (m *simMember) prepare(mode prepareMode, ballot register.Ballot) register.Promise {
--- /dev/null
+++ b/tier/control/simlife_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"otterseam/tier/authority"
+	"otterseam/tier/codes"
+	"otterseam/tier/register"
+	"otterseam/tier/replica"
+)
+
+// This file gives the members of the simulation disks, and ends and starts their processes.
+
+// simDisk is what a restart leaves of a member's replica.
+type simDisk struct {
+	base    replica.Snapshot
+	entries []replica.Entry
+}
+
+func (d *simDisk) write(w replica.Write) {
+	if w.Snapshot != nil {
+		d.base = *w.Snapshot
+		d.entries = nil
+	}
+	for _, entry := range w.Entries {
+		if entry.Index > d.base.Index {
+			kept := entry.Index - d.base.Index - 1
+			d.entries = append(d.entries[:kept:kept], entry)
+		}
+	}
+}
+
+// open makes a member's process from its disk.
+func (m *simMember) open() {
+	m.machine = &simMachine{State: NewState()}
+	m.rounds = register.NewRounds(m.limit, func(limit uint64) error {
+		m.limit = limit
+		return nil
+	})
+	options := replica.Options{EagerCommit: true, Life: m.s.random.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
+	entries := append([]replica.Entry(nil), m.disk.entries...)
+	group, err := replica.NewGroup(m.id, m.machine, m.disk.base, entries, options)
+	if err != nil {
+		m.s.t.Fatal(err)
+	}
+	m.group = group
+}
+
+// restart ends a member's process and starts it again. What was on its way to the disk is lost, and so are its callers' answers.
+func (m *simMember) restart() {
+	m.life++
+	waiting := m.waiting
+	m.waiting = map[uint64]func(Result, error){}
+	for _, index := range sortedKeys(waiting) {
+		waiting[index](Result{}, codes.Timeout)
+	}
+	m.open()
+	m.busy = false
+	m.hasLed = false
+	m.leading = 0
+	m.ticked = 0
+	m.known = m.witness.Value
+	m.learned = m.clock()
+	m.hosts = authority.NewHostSessions()
+	m.stores = authority.NewStoreSessions()
+	m.heard = map[string]int64{}
+	m.s.changed = m.s.now
+}
