--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -43,6 +43,7 @@
 	clients *rpc.Clients
 	address string
 	policy  membership.Policy
+	lost    func(uint64) bool // whether a disk is provably lost
 	log     *logrus.Entry
 
 	rounds *register.Rounds
@@ -57,7 +58,7 @@
 }
 
 func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{host: host, clients: clients, address: address, policy: policy, log: log}
+	e := &Elector{lost: func(uint64) bool { return false }, host: host, clients: clients, address: address, policy: policy, log: log}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
@@ -248,6 +249,9 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := t.elector.clients.To(to.Address).Call(call, kind, payload)
+	if errors.Is(err, codes.WrongIdentity) && t.elector.lost(to.ID) {
+		return register.Promise{Lost: true}, nil
+	}
 	if err != nil {
 		return register.Promise{}, err
 	}
@@ -256,12 +260,19 @@
 
 // propose changes the register. Proposals may run side by side: each has ballots of its own.
 func (e *Elector) propose(ctx context.Context, mode prepareMode, start register.Record, change register.Change) (register.Record, error) {
+	return e.decide(ctx, func(attempt context.Context) (register.Record, error) {
+		return register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, e.rounds, start, change)
+	})
+}
+
+// decide runs a proposal and notes what it decided.
+func (e *Elector) decide(ctx context.Context, proposal func(context.Context) (register.Record, error)) (register.Record, error) {
 	e.mu.Lock()
 	e.rounds.Saw(e.witness.Promised.Round)
 	e.mu.Unlock()
 	attempt, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	record, err := register.Propose(attempt, witnessTransport{e, mode}, e.host.Identity, e.rounds, start, change)
+	record, err := proposal(attempt)
 	if err == nil {
 		e.note(record, true)
 	}
@@ -355,9 +366,8 @@
 	return nil
 }
 
-// Found decides the first record.
-func (e *Elector) Found(ctx context.Context, members []register.Member) error {
-	first := register.Record{Members: members}
+// Found decides the first record, with the members that were found among a number of seeds.
+func (e *Elector) Found(ctx context.Context, members []register.Member, seeds int) error {
 	installation := rand.Uint64() | 1
 	attempt := &ownChange{change: func(current register.Record) (register.Record, bool) {
 		if current.Known() {
@@ -367,7 +377,9 @@
 		next.Installation = installation
 		return next, true
 	}}
-	record, err := e.propose(ctx, prepareBySelf, first, attempt.next)
+	record, err := e.decide(ctx, func(call context.Context) (register.Record, error) {
+		return register.Found(call, witnessTransport{e, prepareBySelf}, e.host.Identity, e.rounds, members, seeds, attempt.next)
+	})
 	if err == nil && attempt.took {
 		e.lead(record)
 	}
--- a/tier/control/simlife_test.go
+++ b/tier/control/simlife_test.go
@@ -62,5 +62,6 @@
 	m.hosts = authority.NewHostSessions()
 	m.stores = authority.NewStoreSessions()
 	m.heard = map[string]int64{}
-	m.s.changed = m.s.now
+	m.wellSince = 0
+	m.s.noteChange()
 }
--- a/tier/proxy/harness_test.go
+++ b/tier/proxy/harness_test.go
@@ -26,6 +26,7 @@
 const testConfig = `{"version":1,"routes":[
 {"name":"safe","host":"a.example","path_prefix":"/safe/","route_type":"safe","timeout_ms":20000,"service":"hosts","max_attempts":2},
 {"name":"brief","host":"a.example","path_prefix":"/brief/","route_type":"unsafe","timeout_ms":60,"service":"hosts","max_attempts":1},
+{"name":"glimpse","host":"a.example","path_prefix":"/glimpse/","route_type":"streaming","timeout_ms":60,"service":"hosts","max_attempts":1},
 {"name":"once","host":"a.example","path_prefix":"/once/","route_type":"unsafe","timeout_ms":20000,"service":"hosts","max_attempts":3},
 {"name":"stream","host":"a.example","path_prefix":"/stream/","route_type":"streaming","timeout_ms":20000,"service":"hosts","max_attempts":3},
 {"name":"resume","host":"a.example","path_prefix":"/resume/","route_type":"streaming","timeout_ms":20000,"service":"hosts","max_attempts":3,"resumable":true},
@@ -36,6 +37,7 @@
 type gateway struct {
 	*testing.T
 	proxy   *Proxy
+	server  *http.Server
 	address string
 	hosts   int
 	serving sync.WaitGroup // requests that the proxy has not ended
@@ -58,10 +60,9 @@
 		t.Fatal(err)
 	}
 	g := &gateway{T: t, proxy: p, address: listener.Addr().String()}
-	server := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: time.Minute}
-	p.guard.Install(server)
-	go func() { _ = server.Serve(p.guard.Listen(listener)) }()
-	t.Cleanup(func() { server.Close() })
+	g.server = p.newServer(http.HandlerFunc(g.serve))
+	go func() { _ = g.server.Serve(p.guard.Listen(listener)) }()
+	t.Cleanup(func() { g.server.Close() })
 	return g
 }
 
--- a/tier/register/change.go
+++ b/tier/register/change.go
@@ -22,6 +22,11 @@
 // Propose reads the register and changes it. start is the newest record known, which names the witnesses to begin with. On an
 // error the change may or may not take effect later.
 func Propose(ctx context.Context, transport Transport, proposer uint64, rounds *Rounds, start Record, change Change) (Record, error) {
+	return propose(ctx, transport, proposer, rounds, start, 0, change)
+}
+
+// propose is Propose where at least a number of members have to vote.
+func propose(ctx context.Context, transport Transport, proposer uint64, rounds *Rounds, start Record, least int, change Change) (Record, error) {
 	var confirmed Record
 	for range maxAttempts {
 		round, err := rounds.Next()
@@ -29,6 +34,7 @@
 			return start, err
 		}
 		proposal := NewProposal(Ballot{Round: round, Proposer: proposer}, start, confirmed, change)
+		proposal.least = least
 		run(ctx, transport, proposal)
 		rounds.Saw(proposal.HighestRound())
 		start = proposal.Newest()
--- a/tier/register/proposal.go
+++ b/tier/register/proposal.go
@@ -52,6 +52,7 @@
 	confirmed Record // a record known to be decided
 	change    Change
 	rules     rules
+	least     int // votes without which nothing is decided, whatever the record says
 
 	phase    Phase
 	asked    map[uint64]bool    // in the present phase
@@ -135,11 +136,11 @@
 func (p *Proposal) read() []Request {
 	p.current = p.rules.newest(p.answers, p.start)
 	voted := given(p.answers)
-	if p.rules.quorum(p.start, voted) && p.rules.quorum(p.current, voted) {
+	if p.decides(p.start, voted) && p.decides(p.current, voted) {
 		return p.beginWriting(voted)
 	}
 	more := p.ask(RequestPrepare, p.current.Voters(), Record{})
-	if possible := p.possible(); !Quorum(p.start, possible) || !Quorum(p.current, possible) {
+	if possible := p.possible(); !p.mayDecide(p.start, possible) || !p.mayDecide(p.current, possible) {
 		p.phase = PhaseFailed
 		return nil
 	}
@@ -174,13 +175,34 @@
 	voted := given(p.answers)
 	possible := p.possible()
 	switch {
-	case p.rules.quorum(p.current, voted) && p.rules.quorum(p.next, voted):
+	case p.decides(p.current, voted) && p.decides(p.next, voted):
 		p.phase = PhaseDecided
-	case !Quorum(p.current, possible) || !Quorum(p.next, possible):
+	case !p.mayDecide(p.current, possible) || !p.mayDecide(p.next, possible):
 		p.phase = PhaseFailed
 	}
 }
 
+// decides tells whether the voters decide for a record.
+func (p *Proposal) decides(record Record, voted map[uint64]bool) bool {
+	return len(voted) >= p.least && (p.rules.quorum(record, voted) || QuorumWithLost(record, voted, p.lost()))
+}
+
+// mayDecide tells whether the members that have voted or still may could decide for a record.
+func (p *Proposal) mayDecide(record Record, possible map[uint64]bool) bool {
+	return len(possible) >= p.least && QuorumWithLost(record, possible, p.lost())
+}
+
+// lost are the members whose disk is provably lost, by the answers of the present phase.
+func (p *Proposal) lost() map[uint64]bool {
+	lost := map[uint64]bool{}
+	for id, promise := range p.answers {
+		if promise.Lost {
+			lost[id] = true
+		}
+	}
+	return lost
+}
+
 // possible are the members that have voted or still may.
 func (p *Proposal) possible() map[uint64]bool {
 	possible := given(p.answers)
