--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/groups"
 	"otterseam/tier/membership"
@@ -74,7 +75,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, proposeTimeout)
-		answer, err := s.clients.To(member.Address).Call(call, KindTakeOver, nil)
+		answer, err := s.clients.To(member.Address).Call(call, KindTakeOver, encodeTakeOver(known.Epoch))
 		cancel()
 		if err == nil {
 			s.learnEncoded(answer)
@@ -95,16 +96,34 @@
 	s.log.WithFields(logrus.Fields{"code": uint16(codes.DiskStalled), "taken": taken}).Warn("the disk does not do its work: another member is asked to lead")
 }
 
+// encodeTakeOver names the epoch that is handed over, so that a request which is read late replaces no later primary.
+func encodeTakeOver(epoch uint64) []byte {
+	var e codec.Encoder
+	e.Uint64(epoch)
+	return e.Bytes
+}
+
+func decodeTakeOver(payload []byte) (epoch uint64, err error) {
+	d := codec.NewDecoder(payload)
+	epoch = d.Uint64()
+	return epoch, d.Err()
+}
+
 // answerTakeOver becomes primary if it can, and answers with the record that says so. A process that is itself about to stop
 // refuses.
 func (s *Server) answerTakeOver(message rpc.Message) {
+	epoch, err := decodeTakeOver(message.Payload)
+	if err != nil {
+		message.Answer(codes.Malformed, nil)
+		return
+	}
 	if s.isLeaving() || s.host.DiskTroubled() {
 		message.Answer(codes.Unavailable, nil)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	s.takeOver(ctx, prepareOnTransfer, s.elector.Known().Epoch)
+	s.takeOver(ctx, prepareOnTransfer, epoch)
 	known := s.elector.Known()
 	if known.Primary != s.self.ID {
 		message.Answer(codes.Unavailable, nil)
--- /dev/null
+++ b/tier/control/takeover_test.go
@@ -0,0 +1,12 @@
+package control
+
+import "testing"
+
+func TestARequestToTakeOverNamesItsEpoch(t *testing.T) {
+	if epoch, err := decodeTakeOver(encodeTakeOver(7)); err != nil || epoch != 7 {
+		t.Fatalf("read %d, %v", epoch, err)
+	}
+	if _, err := decodeTakeOver(nil); err == nil {
+		t.Fatal("a request without an epoch was read")
+	}
+}
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -184,6 +184,8 @@
 	case errors.Is(err, codes.BudgetSpent):
 		p.fail(w, http.StatusPaymentRequired, codes.BudgetSpent)
 	case errors.Is(err, codes.TurnUnknown):
+		// a copy of the begin may still be under way: once the turn is settled, it is charged nothing
+		p.settleLater(t, t.end(0, false, nil, ""))
 		p.fail(w, http.StatusNotFound, codes.TurnUnknown)
 	default:
 		// whether the estimate was charged is not known
