--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -21,8 +21,8 @@
 // beat keeps this process's session with the primary.
 func (s *Server) beat(ctx context.Context) {
 	periodic.Run(ctx, controlBeatEvery, func() {
-		if s.host.IsPrimary(controlGroup) {
-			s.sessions.HeardControl(s.self)
+		if s.leadsControl() {
+			s.sessions.HeardControl(s.self, s.isLeaving())
 		} else if s.elector.Known().Known() {
 			s.beatPrimary(ctx)
 		}
@@ -32,7 +32,7 @@
 // beatPrimary tells the primary that this process is there. The answer says how old the primary's contact with a majority is; it
 // counts from before the question was sent.
 func (s *Server) beatPrimary(ctx context.Context) {
-	beat := controlclient.ControlBeat{Member: s.self, Refusals: s.refusals.Load()}
+	beat := controlclient.ControlBeat{Member: s.self, Leaving: s.isLeaving(), Refusals: s.refusals.Load()}
 	s.host.With(controlGroup, func(g *replica.Group) { beat.Question = g.LastQuestion() })
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -50,25 +50,6 @@
 	}
 }
 
-// controlBeat keeps a control process's session.
-func (s *Server) controlBeat(payload []byte) (Result, error) {
-	beat, err := controlclient.DecodeControlBeat(payload)
-	if err != nil {
-		return Result{}, err
-	}
-	s.sessions.HeardControl(beat.Member)
-	s.host.With(controlGroup, func(g *replica.Group) {
-		if asked, own := g.AskedAt(beat.Question, groups.Now()); own {
-			s.sessions.HeardHolder(beat.Member.ID, beat.Refusals, asked)
-		}
-	})
-	s.noteIdentity(beat.Member.Address, beat.Member.ID)
-	var e codec.Encoder
-	register.EncodeRecord(&e, s.elector.Known())
-	e.Int64(s.standing().Age(groups.Now()))
-	return Result{Body: e.Bytes}, nil
-}
-
 // storeBeat keeps a store's session, and registers a store that is new or was started again.
 func (s *Server) storeBeat(ctx context.Context, payload []byte) (Result, error) {
 	beat, err := controlclient.DecodeStoreBeat(payload)
--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -28,55 +28,31 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
+			asked := groups.Now()
 			answer, err := s.clients.To(address).Call(call, controlclient.KindLocate, nil)
 			if err != nil {
 				return
 			}
 			d := codec.NewDecoder(answer)
-			identity := d.Uint64()
+			there := register.Member{ID: d.Uint64(), Address: address, Node: d.String()}
 			record := register.DecodeRecord(d)
 			if d.Err() == nil {
-				s.noteIdentity(address, identity)
 				s.elector.Learn(record)
+				s.noteAnswered(there, asked)
 			}
 		}()
 	}
 	wait.Wait()
 }
 
-func (s *Server) noteIdentity(address string, identity uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.located[address] = located{identity, groups.Now()}
-}
-
-// gone tells whether a member's disk is provably lost: its address answers with another identity.
-func (s *Server) gone(id uint64) bool {
-	member, known := s.elector.Known().Member(id)
-	if !known || id == s.self.ID {
-		return false
-	}
-	if member.Address == s.self.Address {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found, asked := s.located[member.Address]
-	return asked && found.identity != id
-}
-
 func (s *Server) answerLocate(message rpc.Message) {
 	var e codec.Encoder
 	e.Uint64(s.self.ID)
+	e.String(s.self.Node)
 	register.EncodeRecord(&e, s.elector.Known())
 	message.Answer(codes.OK, e.Bytes)
 }
 
-// floor is how many members stay in the in-sync set of control although they are silent.
-func (s *Server) floor(members int) int {
-	return max(1, min(2*s.settings.TolerateMachine+1, members)-s.settings.TolerateMachine)
-}
-
 // situation is what this process knows of its primary.
 func (s *Server) situation() authority.Situation {
 	known, learned := s.elector.KnownSince()
@@ -138,7 +114,7 @@
 	if s.elector.Known().Epoch != epoch {
 		return
 	}
-	if err := s.elector.TakeOver(ctx, mode, epoch, s.gone, s.floor); err != nil {
+	if err := s.elector.TakeOver(ctx, mode, epoch, s.lost); err != nil {
 		s.log.WithField("epoch", epoch).WithError(err).Info("takeover did not succeed")
 	}
 }
--- a/tier/control/founding.go
+++ b/tier/control/founding.go
@@ -18,11 +18,8 @@
 	}
 	members := []register.Member{s.self}
 	for _, seed := range seeds {
-		s.mu.Lock()
-		found, answered := s.located[seed]
-		s.mu.Unlock()
-		if answered && seed != s.self.Address {
-			members = append(members, register.Member{ID: found.identity, Address: seed})
+		if found, answered := s.seenAt(seed); answered && seed != s.self.Address {
+			members = append(members, found)
 		}
 	}
 	complete := len(members) == len(seeds)
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -16,6 +16,7 @@
 	"otterseam/tier/controlclient"
 	"otterseam/tier/feed"
 	"otterseam/tier/groups"
+	"otterseam/tier/membership"
 	"otterseam/tier/periodic"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
@@ -27,11 +28,10 @@
 	superviseEvery = 50 * time.Millisecond
 	submitTimeout  = 850 * time.Millisecond
 	locateEvery    = 200 // milliseconds
+	// controlBytesKept bounds the changes kept in memory for members that lag: 80 configurations of 100 KB.
+	controlBytesKept = 8 << 20
 )
 
-// KindTakeOver asks a backup to become primary, since the primary is about to stop.
-const KindTakeOver rpc.Kind = 30
-
 // Server is a control process.
 type Server struct {
 	settings  *settings.Settings
@@ -53,9 +53,10 @@
 	locatedAt int64 // of the supervising goroutine
 
 	mu       sync.Mutex
-	located  map[string]located // by address
-	heard    heardHosts         // hosts heard since the primary was told
-	leading  uint64             // the entry that opened the lead for which sessions were begun
+	seen     *membership.Sightings
+	leaving  bool
+	heard    heardHosts // hosts heard since the primary was told
+	leading  uint64     // the entry that opened the lead for which sessions were begun
 	ledSince int64
 
 	reachedSince int64 // start of the newest question that the primary answered
@@ -63,12 +64,6 @@
 	refusals atomic.Uint64 // heartbeats refused for want of a lease
 }
 
-// located is what a control process answered when it was asked who it is.
-type located struct {
-	identity uint64
-	at       int64
-}
-
 // New opens the state of a control process.
 func New(s *settings.Settings, log *logrus.Entry) (*Server, error) {
 	required := map[string]string{"data_dir": s.DataDir, "listen.control": s.ListenControl}
@@ -88,9 +83,9 @@
 		state:     NewState(),
 		clients:   clients,
 		sessions:  newSessions(host.Identity),
-		self:      register.Member{ID: host.Identity, Address: s.ControlAddress()},
+		self:      register.Member{ID: host.Identity, Address: s.ControlAddress(), Node: s.Node},
 		startedAt: groups.Now(),
-		located:   map[string]located{},
+		seen:      membership.NewSightings(),
 		heard:     heardHosts{},
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
@@ -98,10 +93,12 @@
 	}
 	server.publisher = &feed.Publisher{View: server.state.View, Fresh: server.mayServe}
 	server.primary = controlclient.New(clients, server.otherAddresses)
-	if server.elector, err = newElector(host, clients, server.self.Address, log); err != nil {
+	if server.elector, err = newElector(host, clients, server.self.Address, membership.Policy{Tolerate: s.TolerateMachine}, log); err != nil {
 		return nil, err
 	}
-	options := replica.Options{EagerCommit: true, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
+	options := replica.Options{
+		EagerCommit: true, BytesKept: controlBytesKept, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter,
+	}
 	if err := host.OpenGroup(controlGroup, server.state, options); err != nil {
 		return nil, err
 	}
@@ -158,6 +155,8 @@
 		switch {
 		case !s.elector.Known().Known():
 			s.findOrFound(ctx)
+		case s.host.DiskTroubled():
+			s.stepAside(ctx)
 		case s.host.IsPrimary(controlGroup):
 			s.lead(ctx)
 		default:
@@ -182,8 +181,9 @@
 	case controlclient.KindAccept:
 		go s.elector.handleAccept(message)
 	case KindTakeOver:
-		message.Answer(codes.OK, nil)
-		go s.takeOver(context.Background(), prepareOnTransfer, s.elector.Known().Epoch)
+		go s.answerTakeOver(message)
+	case controlclient.KindControlBeat:
+		go s.answerControlBeat(message)
 	default:
 		go s.handleAsPrimary(message)
 	}
@@ -217,8 +217,6 @@
 		return s.storeBeat(ctx, message.Payload)
 	case controlclient.KindShardChange:
 		return s.shardChange(ctx, message.Payload)
-	case controlclient.KindControlBeat:
-		return s.controlBeat(message.Payload)
 	case controlclient.KindHostBeat:
 		beat, err := controlclient.DecodeHostBeat(message.Payload)
 		if err != nil {
--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -11,6 +11,7 @@
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 )
@@ -562,6 +563,7 @@
 		first.Members = append(first.Members, register.Member{ID: uint64(i + 1), Address: fmt.Sprint("m", i)})
 		first.InSync = append(first.InSync, uint64(i+1))
 	}
+	first = membership.Policy{Tolerate: (count - 1) / 2}.WithCopies(first)
 	for i := range count {
 		s.addMember(place(i), first)
 	}
@@ -597,7 +599,7 @@
 	if first.Primary == m.id {
 		m.hasLed = true
 		s.at(1, func() {
-			m.group.SetView(viewOf(first), m.clock())
+			m.group.SetView(membership.View(first), m.clock())
 			m.carryOut()
 		})
 	}
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"otterseam/tier/authority"
+	"otterseam/tier/membership"
 	"otterseam/tier/register"
 )
 
@@ -83,8 +84,12 @@
 	}
 }
 
+// policy has the group bear the loss of all members but a majority.
+func (s *simNetwork) policy() membership.Policy {
+	return membership.Policy{Tolerate: (len(s.members) - 1) / 2}
+}
+
 func (m *simMember) elect(mode prepareMode, suspected uint64) {
-	floor := max(1, len(m.s.members)/2+1)
 	took := false
 	var replaced register.Record
 	m.propose(mode, func(current register.Record) (register.Record, bool) {
@@ -93,12 +98,12 @@
 		}
 		took = true
 		replaced = current
-		return successor(current, m.id, func(uint64) bool { return false }, floor), true
+		return m.s.policy().Successor(current, m.id, func(uint64) bool { return false }), true
 	}, func(record register.Record, ok bool) {
 		if ok && took {
 			m.s.judgeElection(m, replaced)
 			m.hasLed = true
-			m.group.SetView(viewOf(record), m.clock())
+			m.group.SetView(membership.View(record), m.clock())
 			m.carryOut()
 		}
 	})
@@ -130,7 +135,7 @@
 			next.InSync = append(register.Without(next.InSync, id), id)
 		}
 		for _, id := range silent {
-			if len(caughtUp) == 0 && len(next.InSync) > len(m.s.members)/2+1 {
+			if len(caughtUp) == 0 && len(next.InSync) > m.s.policy().Floor(current) {
 				next.InSync = register.Without(next.InSync, id)
 			}
 		}
@@ -138,7 +143,7 @@
 		return next, adjusted
 	}, func(record register.Record, ok bool) {
 		if ok && adjusted {
-			m.group.SetView(viewOf(record), m.clock())
+			m.group.SetView(membership.View(record), m.clock())
 			m.carryOut()
 		}
 	})
--- a/tier/controlclient/heard.go
+++ b/tier/controlclient/heard.go
@@ -9,6 +9,7 @@
 // ControlBeat keeps a control process's session with the primary.
 type ControlBeat struct {
 	Member   register.Member
+	Leaving  bool          // it is about to end
 	Refusals uint64        // heartbeats of hosts that it has refused for want of a lease
 	Question replica.Stamp // the newest question of the primary that it has read
 }
@@ -18,6 +19,8 @@
 	var e codec.Encoder
 	e.Uint64(b.Member.ID)
 	e.String(b.Member.Address)
+	e.String(b.Member.Node)
+	e.Bool(b.Leaving)
 	e.Uint64(b.Refusals)
 	b.Question.Encode(&e)
 	return e.Bytes
@@ -27,7 +30,8 @@
 func DecodeControlBeat(data []byte) (ControlBeat, error) {
 	d := codec.NewDecoder(data)
 	b := ControlBeat{
-		Member: register.Member{ID: d.Uint64(), Address: d.String()}, Refusals: d.Uint64(), Question: replica.DecodeStamp(d),
+		Member:  register.Member{ID: d.Uint64(), Address: d.String(), Node: d.String()},
+		Leaving: d.Bool(), Refusals: d.Uint64(), Question: replica.DecodeStamp(d),
 	}
 	return b, d.Err()
 }
--- a/tier/groups/host.go
+++ b/tier/groups/host.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	tickEvery     = 40 * time.Millisecond
 	writeRetry    = 100 * time.Millisecond
 	identityValue = "identity"
+	// transfersAtOnce is how many snapshots a process sends at once, whatever the number of its groups.
+	transfersAtOnce = 2
 )
 
 // Now is the steady clock in milliseconds, as the replicas count it.
@@ -61,16 +65,19 @@
 	Identity uint64
 	Values   *storage.Values
 
+	origin     *origin
 	journal    *storage.Journal
 	found      map[uint32]*storage.Log
 	clients    *rpc.Clients
 	log        *logrus.Entry
 	heartbeats bool
+	slots      *replica.TransferSlots
 
 	mu        sync.Mutex
 	groups    map[uint32]*hosted
 	addresses map[uint64]string
 	queue     []pendingWrite
+	disk      DiskWatch
 	wake      chan struct{}
 }
 
@@ -91,6 +98,7 @@
 		clients:    clients,
 		log:        log,
 		heartbeats: heartbeats,
+		slots:      replica.NewTransferSlots(transfersAtOnce),
 		groups:     map[uint32]*hosted{},
 		addresses:  map[uint64]string{},
 		wake:       make(chan struct{}, 1),
@@ -98,6 +106,9 @@
 	if h.Identity, err = identity(values); err != nil {
 		return nil, err
 	}
+	if h.origin, err = openOrigin(values, log); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -131,6 +142,7 @@
 	if h.groups[id] != nil {
 		return nil
 	}
+	options.Slots = h.slots
 	var base replica.Snapshot
 	var entries []replica.Entry
 	if log := h.found[id]; log != nil {
@@ -154,6 +166,7 @@
 	defer h.mu.Unlock()
 	if g := h.groups[id]; g != nil {
 		g.failWaiters()
+		g.group.Close()
 		delete(h.groups, id)
 		h.queue = append(h.queue, pendingWrite{group: g, dropped: true})
 		h.wakeWriter()
@@ -201,7 +214,7 @@
 }
 
 // Submit proposes a command and waits until it is committed. NotPrimary says that it was not proposed; Timeout that it may
-// or may not be committed.
+// or may not be committed; Unavailable that too much waits to be committed and nothing was proposed.
 func (h *Host) Submit(ctx context.Context, id uint32, command []byte) (any, error) {
 	h.mu.Lock()
 	g := h.groups[id]
@@ -209,6 +222,10 @@
 		h.mu.Unlock()
 		return nil, codes.NotPrimary
 	}
+	if !g.group.HasRoom() {
+		h.mu.Unlock()
+		return nil, codes.Unavailable
+	}
 	index := g.group.Propose(command, Now())
 	result := make(chan any, 1)
 	g.waiters[index] = waiter{epoch: g.group.View().Epoch, result: result}
@@ -247,6 +264,10 @@
 	if len(output.Writes) > 0 {
 		h.wakeWriter()
 	}
+	for _, id := range output.Regressed {
+		h.log.WithFields(logrus.Fields{"code": uint16(codes.DiskRegressed), "group": g.id, "member": id}).Error(
+			"a member's log ends before what it acknowledged: an older copy of its disk was put back")
+	}
 	for _, out := range output.Messages {
 		h.sendMessage(g.id, out)
 	}
@@ -271,23 +292,32 @@
 	if address == "" {
 		return
 	}
+	h.clients.To(address).Send(KindReplica, h.encodeMessage(group, out))
+}
+
+func (h *Host) encodeMessage(group uint32, out replica.Outgoing) []byte {
 	var e codec.Encoder
 	e.Uint32(group)
+	e.Uint64(h.Installation())
 	e.Uint64(h.Identity)
+	e.Uint64(h.origin.starts)
 	e.Uint64(out.To)
 	out.Message.Encode(&e)
-	h.clients.To(address).Send(KindReplica, e.Bytes)
+	return e.Bytes
 }
 
-// HandleMessage takes a message between replicas. Those for another identity, or for a group that is not held, are dropped.
+// HandleMessage takes a message between replicas. Those for another identity, of another installation, of an earlier start of
+// the sender, or for a group that is not held, are dropped.
 // unknown is called for a group that is not open.
 func (h *Host) HandleMessage(payload []byte, unknown func(group uint32)) {
 	d := codec.NewDecoder(payload)
 	id := d.Uint32()
+	installation := d.Uint64()
 	from := d.Uint64()
+	starts := d.Uint64()
 	to := d.Uint64()
 	message := replica.DecodeMessage(d)
-	if d.Err() != nil || to != h.Identity {
+	if d.Err() != nil || to != h.Identity || !h.origin.accepts(installation, from, starts) {
 		return
 	}
 	if !h.Has(id) && unknown != nil {
@@ -329,6 +359,9 @@
 	h.mu.Lock()
 	queue := h.queue
 	h.queue = nil
+	if len(queue) > 0 {
+		h.disk.Begin(Now())
+	}
 	h.mu.Unlock()
 	if len(queue) == 0 {
 		return false
@@ -381,6 +414,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := Now()
+	h.disk.Done(now)
 	touched := map[*hosted]bool{}
 	for _, pending := range queue {
 		if snapshot := pending.write.Snapshot; snapshot != nil {
@@ -397,25 +431,50 @@
 	}
 }
 
-// rewrite replaces the journal by the present state of all groups.
-func (h *Host) rewrite() {
+// DiskTroubled tells whether this process's disk holds up what it leads, so that others should.
+func (h *Host) DiskTroubled() bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.disk.Troubled(Now())
+}
+
+// rewrite replaces the journal by the present state of all groups. The lock is taken for one group at a time: what a group takes
+// in meanwhile is queued and written behind.
+func (h *Host) rewrite() {
 	var records []storage.Record
-	for id, g := range h.groups {
+	for _, id := range h.heldGroups() {
+		records = append(records, h.stateRecords(id)...)
+	}
+	if err := h.journal.Rewrite(records); err != nil {
+		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("journal could not be written anew; the old one stays")
+	}
+}
+
+// heldGroups lists the groups that are open or on disk.
+func (h *Host) heldGroups() []uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ids := slices.Collect(maps.Keys(h.groups))
+	return append(ids, slices.Collect(maps.Keys(h.found))...)
+}
+
+// stateRecords is the present state of a group; nothing if it was dropped.
+func (h *Host) stateRecords(id uint32) []storage.Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[id]; g != nil {
 		snapshot, entries := g.group.CompactionState()
-		records = append(records, snapshotRecord(id, snapshot))
+		records := []storage.Record{snapshotRecord(id, snapshot)}
 		for _, entry := range entries {
 			records = append(records, entryRecord(id, entry))
 		}
+		return records
 	}
-	for id, log := range h.found {
-		records = append(records, storage.Record{
+	if log := h.found[id]; log != nil {
+		snapshot := storage.Record{
 			Kind: storage.RecordSnapshot, Group: id, Index: log.SnapshotIndex, Epoch: log.SnapshotEpoch, Data: log.Snapshot,
-		})
-		records = append(records, log.Entries...)
-	}
-	h.mu.Unlock()
-	if err := h.journal.Rewrite(records); err != nil {
-		h.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("journal could not be written anew; the old one stays")
+		}
+		return append([]storage.Record{snapshot}, log.Entries...)
 	}
+	return nil
 }
--- a/tier/replica/contact.go
+++ b/tier/replica/contact.go
@@ -99,10 +99,11 @@
 	return question.At, g.contact.life != 0 && question.Life == g.contact.life && question.At <= now
 }
 
-// majorityAnswered is when the newest question was asked that a majority has answered, this replica included.
+// majorityAnswered is when the newest question was asked that a majority of the voters has answered, this replica included.
 func (g *Group) majorityAnswered(now int64) int64 {
-	asked := make([]int64, 0, len(g.view.Replicas))
-	for _, id := range g.view.Replicas {
+	voters := g.view.Voters()
+	asked := make([]int64, 0, len(voters))
+	for _, id := range voters {
 		if id == g.self {
 			asked = append(asked, now)
 		} else {
