--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -26,7 +26,7 @@
 	simHeartbeat  = 300
 	simHosts      = 4
 	simStores     = 2
-	simFollowers  = 3
+	simFollowers  = 6
 	simFirstOrder = 600
 	simRepair     = 1200 // within which a host that is acknowledged has to be on the list
 	simStable     = 4000 // of an unchanged network, after which orders must be taken
@@ -151,7 +151,11 @@
 		}
 		return
 	}
-	arrival := max(s.arrives[way], s.now+1+s.random.Int63n(12))
+	delay := 1 + s.random.Int63n(12)
+	if s.random.Intn(6) == 0 { // a busy moment
+		delay += s.random.Int63n(60)
+	}
+	arrival := max(s.arrives[way], s.now+delay)
 	s.arrives[way] = arrival
 	s.at(arrival-s.now, func() { s.run(to, read) })
 }
