Orders: only the unchanged order is the same order

Change: the base's number belongs to an order's identity, taken or refused. An order is repeated unchanged, so repeats get 200 as before.

--- a/tier/orders/orders.go
+++ b/tier/orders/orders.go
@@ -33,19 +33,14 @@
 	return Hash(sum[:hashBytes])
 }
 
-// Order is one configuration as the operator sends it. That it is taken is known by its version and body; that it is refused, by
-// the version it builds on besides, since a refused body may be sent anew on top of another version.
+// Order is one configuration as the operator sends it: the version it builds on, its own, and its body. An order is repeated
+// unchanged; the same body on another version is another order.
 type Order struct {
 	Base    uint64
 	Version uint64
 	Body    Hash
 }
 
-type taken struct {
-	version uint64
-	body    Hash
-}
-
 type refusal struct {
 	order  Order
 	answer codes.Code
@@ -53,7 +48,7 @@
 
 // Log holds the answers given.
 type Log struct {
-	taken     []taken // by rising versions
+	taken     []Order // by rising versions
 	forgotten uint64  // the highest version taken that is no longer known
 	refused   []refusal
 }
@@ -79,8 +74,8 @@
 	if order.Version <= l.forgotten {
 		return codes.ConfigForgotten, true
 	}
-	position := sort.Search(len(l.taken), func(i int) bool { return l.taken[i].version >= order.Version })
-	if position < len(l.taken) && l.taken[position] == (taken{order.Version, order.Body}) {
+	position := sort.Search(len(l.taken), func(i int) bool { return l.taken[i].Version >= order.Version })
+	if position < len(l.taken) && l.taken[position] == order {
 		return codes.OK, true
 	}
 	for _, each := range l.refused {
@@ -92,10 +87,10 @@
 }
 
 func (l *Log) take(order Order) {
-	l.taken = append(l.taken, taken{order.Version, order.Body})
+	l.taken = append(l.taken, order)
 	if excess := len(l.taken) - takenKept; excess > 0 {
-		l.forgotten = l.taken[excess-1].version
-		l.taken = append([]taken(nil), l.taken[excess:]...)
+		l.forgotten = l.taken[excess-1].Version
+		l.taken = append([]Order(nil), l.taken[excess:]...)
 	}
 }
 
@@ -112,36 +107,40 @@
 	e.Uint64(l.forgotten)
 	e.Uint32(uint32(len(l.taken)))
 	for _, each := range l.taken {
-		e.Uint64(each.version)
-		e.Blob(each.body[:])
+		encodeOrder(e, each)
 	}
 	e.Uint32(uint32(len(l.refused)))
 	for _, each := range l.refused {
-		e.Uint64(each.order.Base)
-		e.Uint64(each.order.Version)
-		e.Blob(each.order.Body[:])
+		encodeOrder(e, each.order)
 		e.Uint32(uint32(each.answer))
 	}
 }
 
 const (
-	smallestTaken   = 8 + 4 + hashBytes
-	smallestRefusal = 8 + 8 + 4 + hashBytes + 4
+	smallestOrder   = 8 + 8 + 4 + hashBytes
+	smallestRefusal = smallestOrder + 4
 )
 
 // Decode reads a log from a snapshot.
 func Decode(d *codec.Decoder) Log {
 	l := Log{forgotten: d.Uint64()}
-	for range d.Count(smallestTaken) {
-		each := taken{version: d.Uint64()}
-		copy(each.body[:], d.Blob())
-		l.taken = append(l.taken, each)
+	for range d.Count(smallestOrder) {
+		l.taken = append(l.taken, decodeOrder(d))
 	}
 	for range d.Count(smallestRefusal) {
-		each := refusal{order: Order{Base: d.Uint64(), Version: d.Uint64()}}
-		copy(each.order.Body[:], d.Blob())
-		each.answer = codes.Code(d.Uint32())
-		l.refused = append(l.refused, each)
+		l.refused = append(l.refused, refusal{order: decodeOrder(d), answer: codes.Code(d.Uint32())})
 	}
 	return l
 }
+
+func encodeOrder(e *codec.Encoder, order Order) {
+	e.Uint64(order.Base)
+	e.Uint64(order.Version)
+	e.Blob(order.Body[:])
+}
+
+func decodeOrder(d *codec.Decoder) Order {
+	order := Order{Base: d.Uint64(), Version: d.Uint64()}
+	copy(order.Body[:], d.Blob())
+	return order
+}
