--- a/tier/control/growth_test.go
+++ b/tier/control/growth_test.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// What subscribers are sent, and what is remembered of hosts, after a month of 4,700 changes and 1,000 restarts of hosts a day is
+// The state, what subscribers are sent and what is remembered of hosts, after a month of 4,700 changes and 1,000 restarts of hosts a day is
 // what it is after days.
 func TestTheStateDoesNotGrowForMonths(t *testing.T) {
 	const (
@@ -122,7 +122,7 @@
 	for range hosts {
 		restart()
 	}
-	public := map[int]int{}
+	public, whole := map[int]int{}, map[int]int{}
 	for day := 1; day <= days; day++ {
 		for change := range changesADay {
 			if got := l.replace(version, version+1, config); got != codes.OK {
@@ -134,14 +134,18 @@
 			}
 		}
 		public[day] = len(l.state.View.Since(0).Encode())
+		whole[day] = len(l.state.Snapshot())
 		if day == 1 || day%10 == 0 {
 			t.Logf("day %2d: state %7d bytes; ids of gone hosts %4d; a whole view for a subscriber %6d bytes",
-				day, len(l.state.Snapshot()), l.state.gone, public[day])
+				day, whole[day], l.state.gone, public[day])
 		}
 	}
 	if public[days] > public[1]+hosts*10 {
 		t.Fatalf("what a subscriber is sent grew from %d to %d bytes", public[1], public[days])
 	}
+	if whole[days] > whole[days/3]+whole[days/3]/10 {
+		t.Fatalf("the state grew from %d bytes on day %d to %d", whole[days/3], days/3, whole[days])
+	}
 	if known := len(l.state.hosts); known > hosts+goneKept+goneSlack {
 		t.Fatalf("%d hosts are remembered", known)
 	}
--- a/tier/replica/catchup_sim_test.go
+++ b/tier/replica/catchup_sim_test.go
@@ -270,13 +270,18 @@
 		node.disk.write(write)
 	}
 	for other := range s.nodes {
-		s.links[node.position][other].life++
-		s.links[other][node.position].life++
-		s.links[node.position][other].freeAt = s.now
-		s.links[other][node.position].freeAt = s.now
+		s.links[node.position][other].breakOff(s.now)
+		s.links[other][node.position].breakOff(s.now)
 	}
 }
 
+// breakOff ends the connection; what waited on it is lost.
+func (l *catchupLink) breakOff(now int64) {
+	l.life++
+	l.freeAt = now
+	l.pieces = 0
+}
+
 func (s *catchupSim) bandwidth(from, to int) int64 {
 	if from == catchupNodes-1 || to == catchupNodes-1 {
 		return s.plan.slowLink
@@ -303,8 +308,12 @@
 	piece := int64(len(out.Message.State))
 	link.pieces += piece
 	s.mostPieces = max(s.mostPieces, link.pieces)
-	s.at(link.freeAt-s.now, func() { link.pieces -= piece })
 	life := link.life
+	s.at(link.freeAt-s.now, func() {
+		if link.life == life {
+			link.pieces -= piece
+		}
+	})
 	message := out.Message
 	sender := from.id
 	s.at(link.freeAt-s.now+s.plan.delay, func() {
@@ -620,8 +629,7 @@
 	for other := range s.nodes {
 		for _, link := range []*catchupLink{&s.links[node.position][other], &s.links[other][node.position]} {
 			link.cut = cut
-			link.life++
-			link.freeAt = s.now
+			link.breakOff(s.now)
 		}
 	}
 }
