--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -26,7 +26,7 @@
 	simHeartbeat  = 300
 	simHosts      = 4
 	simStores     = 2
-	simFollowers  = 3
+	simFollowers  = 6
 	simFirstOrder = 600
 	simRepair     = 1200 // within which a host that is acknowledged has to be on the list
 	simStable     = 4000 // of an unchanged network, after which orders must be taken
@@ -151,7 +151,11 @@
 		}
 		return
 	}
-	arrival := max(s.arrives[way], s.now+1+s.random.Int63n(12))
+	delay := 1 + s.random.Int63n(12)
+	if s.random.Intn(6) == 0 { // a busy moment
+		delay += s.random.Int63n(60)
+	}
+	arrival := max(s.arrives[way], s.now+delay)
 	s.arrives[way] = arrival
 	s.at(arrival-s.now, func() { s.run(to, read) })
 }
@@ -258,7 +262,11 @@
 	known     register.Record
 	learned   int64
 	hasLed    bool
-	round     uint64
+	rounds    *register.Rounds
+	limit     uint64 // of the rounds, on disk
+	disk      simDisk
+	synced    int64 // when the last write reaches the disk
+	life      int   // restarts so far
 	wellSince int64 // since when it runs and has a majority around it, 0 if it has not
 	busy      bool  // a proposal runs
 	hosts     *authority.HostSessions
@@ -295,7 +303,15 @@
 		}
 	}
 	for _, write := range output.Writes {
-		m.s.at(1+m.s.random.Int63n(3), func() { m.s.run(m.place, func() { m.written(write) }) })
+		life := m.life
+		m.synced = max(m.synced, m.s.now+1+m.s.random.Int63n(3)) // a disk keeps the order of writes
+		m.s.at(m.synced-m.s.now, func() {
+			m.s.run(m.place, func() {
+				if life == m.life {
+					m.written(write)
+				}
+			})
+		})
 	}
 	for _, out := range output.Messages {
 		to := place(out.To - 1)
@@ -324,6 +340,7 @@
 }
 
 func (m *simMember) written(write replica.Write) {
+	m.disk.write(write)
 	if write.Snapshot != nil {
 		m.group.Durable(write.Snapshot.Index, write.Snapshot.Epoch, m.clock())
 	}
@@ -553,6 +570,22 @@
 }
 
 func newSimNetwork(t testing.TB, seed int64) *simNetwork {
+	s := newSimMembers(t, seed)
+	for i := range simHosts {
+		s.addHost(firstHost + place(i))
+	}
+	for i := range simStores {
+		s.addStore(firstStore + place(i))
+	}
+	for i := range simFollowers {
+		s.addFollower(firstFollower + place(i))
+	}
+	s.operator = newSimOperator(s)
+	return s
+}
+
+// newSimMembers makes a network of three or five members that nobody calls.
+func newSimMembers(t testing.TB, seed int64) *simNetwork {
 	s := &simNetwork{t: t, random: rand.New(rand.NewSource(seed)), now: 1, cut: map[link]bool{}, arrives: map[link]int64{}}
 	count := 3
 	if s.random.Intn(4) == 0 {
@@ -567,16 +600,6 @@
 	for i := range count {
 		s.addMember(place(i), first)
 	}
-	for i := range simHosts {
-		s.addHost(firstHost + place(i))
-	}
-	for i := range simStores {
-		s.addStore(firstStore + place(i))
-	}
-	for i := range simFollowers {
-		s.addFollower(firstFollower + place(i))
-	}
-	s.operator = newSimOperator(s)
 	s.noteChange()
 	return s
 }
@@ -588,12 +611,7 @@
 		known:   first, hosts: authority.NewHostSessions(), stores: authority.NewStoreSessions(),
 		heard: map[string]int64{}, waiting: map[uint64]func(Result, error){},
 	}
-	options := replica.Options{EagerCommit: true, Life: s.random.Uint64() | 1, StepDownAfter: authority.StepDownAfter}
-	group, err := replica.NewGroup(m.id, m.machine, replica.Snapshot{}, nil, options)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	m.group = group
+	m.open()
 	m.learned = m.clock()
 	s.members = append(s.members, m)
 	if first.Primary == m.id {
