The context of a client's connection ends with it

Cause: the watch for leaving clients gave each connection a context that nothing ended, so that the server's context kept one entry for each connection ever accepted.

Ruled out: net/http's own context of the connection, which it ends itself.

Change: closing the connection ends its context; TestTheContextOfAConnectionEndsWithIt.

--- a/tier/httpguard/httpguard.go
+++ b/tier/httpguard/httpguard.go
@@ -135,11 +135,14 @@
 	}
 }
 
-// Close ends the connection.
+// Close ends the connection and its context, which would otherwise be kept as long as the server's.
 func (c *guardedConn) Close() error {
 	c.mu.Lock()
 	c.endWatch()
 	c.mu.Unlock()
+	if c.leave != nil {
+		c.leave()
+	}
 	return c.Conn.Close()
 }
 
--- a/tier/httpguard/httpguard_test.go
+++ b/tier/httpguard/httpguard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -204,3 +205,32 @@
 		t.Fatal("the client has left")
 	}
 }
+
+// The context of a connection ends with it, so that the server's does not grow with each.
+func TestTheContextOfAConnectionEndsWithIt(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	guard := &Guard{}
+	conns := make(chan *guardedConn, 1)
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	guard.Install(server)
+	install := server.ConnContext
+	contexts := make(chan context.Context, 1)
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		conns <- conn.(*guardedConn)
+		ctx = install(ctx, conn)
+		contexts <- ctx
+		return ctx
+	}
+	go func() { _ = server.Serve(guard.Listen(inner)) }()
+	t.Cleanup(func() { server.Close() })
+	conn, _ := dial(t, inner.Addr().String())
+	ctx := <-contexts
+	if (<-conns).leave == nil || ctx.Err() != nil {
+		t.Fatal("the context has ended before its connection")
+	}
+	_ = conn.Close()
+	<-ctx.Done()
+}
