--- a/tier/control/founding.go
+++ b/tier/control/founding.go
@@ -24,7 +24,7 @@
 	if !may {
 		return
 	}
-	if err := s.elector.Found(ctx, members); err != nil {
+	if err := s.elector.Found(ctx, members, len(seeds)); err != nil {
 		s.log.WithError(err).Warn("founding did not succeed; trying again")
 	}
 }
