--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -246,3 +246,29 @@
 		t.Error("it never leads again")
 	}
 }
+
+// While a removal may yet be committed, a heartbeat counts only when it is committed behind it.
+func TestAHeartbeatBehindARemovalIsCommitted(t *testing.T) {
+	s := NewHostSessions()
+	s.Heard("h", 7, 1000)
+	s.Removing("h")
+	s.Removed("h", false, 2000) // nobody knows whether it will be
+	if !s.Heard("h", 7, 2100) {
+		t.Fatal("a heartbeat is kept though its host may be removed")
+	}
+	s.Kept("h")
+	if s.Heard("h", 7, 2400) {
+		t.Fatal("the host is on the list again")
+	}
+}
+
+// A removal that was committed leaves nothing behind.
+func TestACommittedRemovalEndsTheSession(t *testing.T) {
+	s := NewHostSessions()
+	s.Heard("h", 7, 1000)
+	s.Removing("h")
+	s.Removed("h", true, 2000)
+	if silentAt(s, 90_000) || s.Heard("h", 7, 100_000) {
+		t.Fatal("the removal is still under way")
+	}
+}
--- a/tier/feed/feed_test.go
+++ b/tier/feed/feed_test.go
@@ -179,3 +179,33 @@
 	fresh.Put(SectionHost, "h", 2, []byte("two"))
 	wait(t, copied, "h", "two")
 }
+
+// A publisher that may serve no longer ends its subscriptions at once, though nothing changes and no update is due.
+func TestAPublisherThatExpiresEndsItsSubscriptions(t *testing.T) {
+	view := NewView()
+	view.Put(SectionHost, "h", 1, []byte("one"))
+	publisher := &Publisher{View: view}
+	updated := make(chan struct{}, 1)
+	conn, err := rpc.Dial(context.Background(), listen(t, publisher.Handle), func(message rpc.Message) {
+		if message.Kind == KindUpdate {
+			select {
+			case updated <- struct{}{}:
+			default:
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Call(context.Background(), KindSubscribe, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	<-updated
+	publisher.Expire()
+	select {
+	case <-conn.Done():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the subscription goes on")
+	}
+}
