--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -66,6 +66,10 @@
 
 func (s *Server) removeSilentHosts(ctx context.Context) {
 	for _, id := range s.sessions.SilentHosts(s.settings.Heartbeat.Milliseconds()) {
+		if _, listed := s.state.Host(id); !listed { // a late heartbeat of one that deregistered
+			s.sessions.ForgetHost(id)
+			continue
+		}
 		s.log.WithField("host", id).Info("host removed: no heartbeats")
 		_, _ = s.hostGone(ctx, id, false)
 	}
