--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -31,8 +31,10 @@
 	if !(StickyFor < SuspectAfter && SuspectAfter < LeaseLength && LeaseLength < StepDownAfter) {
 		t.Error("sticky, suspicion, lease and step-down are out of order")
 	}
-	if HolderSilence >= HeartbeatsLost*300 || HolderSilence <= ReportEvery {
-		t.Error("a holder is doubted too late for its hosts, or too soon for its reports")
+	// until a holder is doubted, its hosts have sent a heartbeat and it has had the time to report it
+	const heartbeat = 300
+	if HolderSilence+heartbeat+heartbeat/2+ReportEvery >= HeartbeatsLost*heartbeat {
+		t.Error("a holder is doubted too late for its hosts")
 	}
 }
 
--- a/tier/authority/bounds.go
+++ b/tier/authority/bounds.go
@@ -32,7 +32,7 @@
 	// HostGrace is how much longer a host's session lasts when its silence may be the fault of control.
 	HostGrace = 3500
 	// HolderSilence is how long the primary may miss a control process before it doubts the silence of the hosts kept there.
-	HolderSilence = 650
+	HolderSilence = 440
 
 	// StoreBeatEvery is how often a store keeps its session.
 	StoreBeatEvery = 120
--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -16,7 +16,7 @@
 )
 
 // controlBeatEvery is how often a control process keeps its session with the primary.
-const controlBeatEvery = 200 * time.Millisecond
+const controlBeatEvery = 150 * time.Millisecond
 
 // beat keeps this process's session with the primary.
 func (s *Server) beat(ctx context.Context) {
