--- a/tier/orders/orders.go
+++ b/tier/orders/orders.go
@@ -80,7 +80,8 @@
 		return codes.ConfigForgotten, true
 	}
 	position := sort.Search(len(l.taken), func(i int) bool { return l.taken[i].version >= order.Version })
-	if position < len(l.taken) && l.taken[position] == (taken{order.Version, order.Body}) {
+	// an order whose version is not above its base is invalid by itself and was never taken
+	if order.Base < order.Version && position < len(l.taken) && l.taken[position] == (taken{order.Version, order.Body}) {
 		return codes.OK, true
 	}
 	for _, each := range l.refused {
