--- a/tier/control/failover.go
+++ b/tier/control/failover.go
@@ -47,6 +47,13 @@
 	wait.Wait()
 }
 
+// locateNowAndThen asks unless it has asked a moment ago.
+func (s *Server) locateNowAndThen(ctx context.Context) {
+	if groups.Now()-s.locatedAt > locateEvery {
+		s.locate(ctx)
+	}
+}
+
 // answerLocate tells who this process is and what it knows, and takes what the asker may have told.
 func (s *Server) answerLocate(message rpc.Message) {
 	if len(message.Payload) > 0 {
@@ -86,9 +93,7 @@
 	epoch := s.elector.Known().Epoch
 	switch s.situation().Next() {
 	case authority.Locate:
-		if groups.Now()-s.locatedAt > locateEvery {
-			s.locate(ctx)
-		}
+		s.locateNowAndThen(ctx)
 	case authority.ReplaceItself:
 		s.takeOver(ctx, prepareBySelf, epoch)
 	case authority.ReplaceOther:
@@ -111,9 +116,13 @@
 }
 
 // takeOver asks the others first whether they would follow, and only then for their promises, so that a process that could not
-// win disturbs nobody.
+// win disturbs nobody. One without support looks around: whom it knows may have been replaced, or it may have the disk of another
+// installation.
 func (s *Server) takeOver(ctx context.Context, mode prepareMode, epoch uint64) {
 	if !s.elector.askSupport(ctx, mode, epoch) {
+		if mode != prepareOnTransfer {
+			s.locateNowAndThen(ctx)
+		}
 		return
 	}
 	if mode != prepareOnTransfer {
