A store on the list without a session is expected, not long silent

Change: such a store's session begins when it is first looked at. Test: TestAStoreOnTheListIsExpected.

--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -274,3 +274,17 @@
 		t.Fatal("the removal is still under way")
 	}
 }
+
+// A store that was put on the list by a heartbeat from before the sessions were begun is not taken for one that is long silent.
+func TestAStoreOnTheListIsExpected(t *testing.T) {
+	s := NewStoreSessions()
+	s.Begin(map[uint64]uint64{}, 50_000)
+	s.Expect(5, 1, 50_100)
+	s.Expect(5, 1, 50_200)
+	if silence := s.Silence(5, 50_300); silence != 200 || s.IsAway(5, 50_300) || !s.IsAlive(5, 1, 50_300) {
+		t.Fatalf("silent for %d", silence)
+	}
+	if !s.IsAway(5, 50_101+StoreAway) {
+		t.Fatal("it is never away")
+	}
+}
--- a/tier/authority/stores.go
+++ b/tier/authority/stores.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// Expect begins the session of a store that is on the list and has none: it was put there by a heartbeat that came before the
+// sessions were begun.
+func (s *StoreSessions) Expect(id, boot uint64, now int64) {
+	if _, known := s.stores[id]; !known {
+		s.stores[id] = storeSession{heardAt: now, boot: boot, unheard: true}
+	}
+}
+
 // Stalled makes up for the time in which this process stood still.
 func (s *StoreSessions) Stalled(span int64) {
 	for id, session := range s.stores {
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -150,6 +150,7 @@
 	now := groups.Now()
 	machines := make(map[uint64]placement.Machine, len(stores))
 	for id, store := range stores {
+		s.stores.Expect(id, store.Boot, now)
 		machines[id] = placement.Machine{
 			Store:    store,
 			Alive:    s.stores.IsAlive(id, store.Boot, now),
