--- a/tier/authority/authority_test.go
+++ b/tier/authority/authority_test.go
@@ -288,3 +288,17 @@
 		t.Fatal("it is never away")
 	}
 }
+
+// A voter that has just started has heard no primary yet, which says nothing about the primary.
+func TestAVoterThatHasJustStartedHelpsNobody(t *testing.T) {
+	v := Voter{StartedAt: 5000, KnownEpoch: 4, KnownPrimary: 1}
+	if v.Now = 4999 + StickyFor; v.Supports(Ballot{Candidate: 2, Epoch: 4}) {
+		t.Error("it helps to replace a primary that it may not have heard yet")
+	}
+	if v.Now++; !v.Supports(Ballot{Candidate: 2, Epoch: 4}) {
+		t.Error("it never helps")
+	}
+	if StickyFor >= SuspectAfter {
+		t.Error("after a start of all, voters are not ready before candidates")
+	}
+}
--- a/tier/authority/succession.go
+++ b/tier/authority/succession.go
@@ -53,6 +53,7 @@
 // Voter is what a control process knows when it is asked whether it would help to replace a primary.
 type Voter struct {
 	Now           int64
+	StartedAt     int64  // of the voter's process: before it has listened for a while it can't tell that there is no primary
 	KnownEpoch    uint64 // the newest epoch known to its witness or its replica
 	KnownPrimary  uint64
 	PrimaryProven int64
@@ -74,5 +75,5 @@
 	if b.OnRequest || b.Candidate == v.KnownPrimary {
 		return true
 	}
-	return !v.Leads && v.Now-v.PrimaryProven >= StickyFor
+	return !v.Leads && v.Now-max(v.PrimaryProven, v.StartedAt) >= StickyFor
 }
--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -46,7 +46,8 @@
 	lost    func(uint64) bool // whether a disk is provably lost
 	log     *logrus.Entry
 
-	rounds *register.Rounds
+	rounds    *register.Rounds
+	startedAt int64 // of this process
 
 	voting  sync.Mutex // held while a vote is written, however long the disk takes; taken before mu
 	mu      sync.Mutex
@@ -58,7 +59,7 @@
 }
 
 func newElector(host *groups.Host, clients *rpc.Clients, address string, policy membership.Policy, log *logrus.Entry) (*Elector, error) {
-	e := &Elector{lost: func(uint64) bool { return false }, host: host, clients: clients, address: address, policy: policy, log: log}
+	e := &Elector{lost: func(uint64) bool { return false }, host: host, clients: clients, address: address, policy: policy, log: log, startedAt: groups.Now()}
 	content, err := host.Values.Read(witnessValue)
 	if err != nil {
 		return nil, err
--- a/tier/control/prevote.go
+++ b/tier/control/prevote.go
@@ -16,7 +16,7 @@
 // voter is what this process knows when it is asked to help to replace a primary.
 func (e *Elector) voter() authority.Voter {
 	known := e.Known()
-	voter := authority.Voter{Now: groups.Now(), KnownEpoch: known.Epoch, KnownPrimary: known.Primary}
+	voter := authority.Voter{Now: groups.Now(), StartedAt: e.startedAt, KnownEpoch: known.Epoch, KnownPrimary: known.Primary}
 	e.host.With(controlGroup, func(g *replica.Group) {
 		if view := g.View(); view.Epoch > known.Epoch {
 			voter.KnownEpoch, voter.KnownPrimary = view.Epoch, view.Primary
--- a/tier/control/sim_test.go
+++ b/tier/control/sim_test.go
@@ -267,6 +267,7 @@
 	disk      simDisk
 	synced    int64 // when the last write reaches the disk
 	life      int   // restarts so far
+	startedAt int64 // of its process
 	wellSince int64 // since when it runs and has a majority around it, 0 if it has not
 	busy      bool  // a proposal runs
 	hosts     *authority.HostSessions
@@ -373,6 +374,7 @@
 	if record.Epoch > m.known.Epoch {
 		m.known = record
 		m.learned = m.clock()
+		m.startedAt = m.clock()
 	}
 	m.group.Voted(record.Epoch, record.Primary)
 }
--- a/tier/control/simelect_test.go
+++ b/tier/control/simelect_test.go
@@ -44,7 +44,9 @@
 }
 
 func (m *simMember) voter() authority.Voter {
-	voter := authority.Voter{Now: m.clock(), KnownEpoch: m.known.Epoch, KnownPrimary: m.known.Primary, PrimaryProven: m.group.PrimaryProven()}
+	voter := authority.Voter{
+		Now: m.clock(), StartedAt: m.startedAt, KnownEpoch: m.known.Epoch, KnownPrimary: m.known.Primary, PrimaryProven: m.group.PrimaryProven(),
+	}
 	if view := m.group.View(); view.Epoch > m.known.Epoch {
 		voter.KnownEpoch, voter.KnownPrimary = view.Epoch, view.Primary
 	}
--- a/tier/control/simlife_test.go
+++ b/tier/control/simlife_test.go
@@ -59,6 +59,7 @@
 	m.ticked = 0
 	m.known = m.witness.Value
 	m.learned = m.clock()
+	m.startedAt = m.clock()
 	m.hosts = authority.NewHostSessions()
 	m.stores = authority.NewStoreSessions()
 	m.heard = map[string]int64{}
