--- a/lab/owndays/entry.go
+++ b/lab/owndays/entry.go
@@ -17,6 +17,9 @@
 	kindHerdKill     = "herd_kill"
 	kindRollTerm     = "roll_term"
 	kindRetire       = "retire"
+	kindScaleIn      = "scale_in"
+	variantGone      = "gone"
+	variantAll       = "all"
 	cutSuffix        = "_cut" // of the kinds that partition machines
 	variantIdle      = "idle"
 	variantOneZone   = "one_zone"
--- a/lab/owndays/generate_test.go
+++ b/lab/owndays/generate_test.go
@@ -226,6 +226,34 @@
 	}
 }
 
+// TestDaysLeaveServers reckons anew what a day takes from the servers.
+func TestDaysLeaveServers(t *testing.T) {
+	g := newTestGenerator(t, 1)
+	refused := false
+	for seed := range uint64(seedsTried) {
+		sum, gone := 0.0, 0.0
+		for _, d := range g.Day(seed).Disruptions {
+			if !specs[d.Kind].spoils {
+				continue
+			}
+			sum += d.Share
+			if d.Kind == kindScaleIn || strings.Contains(d.How, variantGone) {
+				gone += d.Share
+			}
+			if slices.Contains(strings.Fields(d.How), variantAll) {
+				t.Errorf("seed %d: %s spares none", seed, d)
+			}
+		}
+		if sum > mostHostsStruck+1e-9 || gone > mostHostsGone+1e-9 {
+			t.Errorf("seed %d: %.3f of the servers struck, %.3f gone", seed, sum, gone)
+		}
+		refused = refused || sum > mostHostsStruck/2
+	}
+	if !refused {
+		t.Error("no day comes near the bound")
+	}
+}
+
 func checkEntry(t *testing.T, g *Generator, seed uint64, d Disruption) {
 	t.Helper()
 	kind := slices.IndexFunc(g.kinds, func(k Kind) bool { return k.Name == d.Kind })
--- a/lab/owndays/play.go
+++ b/lab/owndays/play.go
@@ -23,13 +23,27 @@
 
 // Outcome is what became of a day.
 type Outcome struct {
-	Worth  float64             `json:"G"`
-	Served float64             `json:"served"`
-	Fault  json.RawMessage     `json:"fault"`
-	Short  []json.RawMessage   `json:"short"` // what fell short of the gate
-	Breaks map[string]any      `json:"breaks"`
-	First  []json.RawMessage   `json:"first"` // of what was broken
-	Events []OutcomeDisruption `json:"events"`
+	Worth  float64              `json:"G"`
+	Served float64              `json:"served"`
+	Fault  json.RawMessage      `json:"fault"`
+	Short  []json.RawMessage    `json:"short"` // what fell short of the gate
+	Breaks map[string]any       `json:"breaks"`
+	First  []json.RawMessage    `json:"first"` // of what was broken
+	Events []OutcomeDisruption  `json:"events"`
+	Exits  int                  `json:"exits_n"` // processes that ended by themselves
+	Times  map[string][]float64 `json:"times"`   // of what took time, in ms: the middle and the longest
+}
+
+// timeOfConfig is the entry of Outcome.Times for the acknowledgement of a configuration.
+const timeOfConfig = "config acked"
+
+// SlowestConfig is how long the slowest acknowledgement of a configuration took, in ms; 0 if there was none.
+func (o *Outcome) SlowestConfig() float64 {
+	times := o.Times[timeOfConfig]
+	if len(times) == 0 {
+		return 0
+	}
+	return times[len(times)-1]
 }
 
 // OutcomeDisruption is a disruption as it was played.
