--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -146,7 +146,7 @@
 	case attempts.GiveUp() == exchange.Fail:
 		p.fail(w, http.StatusBadGateway, codes.HostFailed)
 	default:
-		p.refuse(w, failure)
+		p.refuse(w, failure, r.left(), p.outages.turnedAway(r.service))
 	}
 }
 
@@ -167,10 +167,19 @@
 		p.hosts.done(host, failedOutcome(ctx))
 		return plainAnswer{}, exchange.Uncertain
 	}
-	p.hosts.done(host, answeredOutcome(head))
+	p.answered(r, host, head)
 	return plainAnswer{sent.response, head, body}, exchange.OutcomeOf(sent.lease.Exchange())
 }
 
+// answered notes a host's whole answer.
+func (p *Proxy) answered(r *request, host *target, head exchange.Head) {
+	how := answeredOutcome(head)
+	p.hosts.done(host, how)
+	if how != outcomeFull {
+		p.outages.servedBy(r.service)
+	}
+}
+
 // outOfTime ends a request whose time is up, or the proxy's, or whose client has gone, while a host may still be at work on it.
 func (p *Proxy) outOfTime(ctx context.Context, w http.ResponseWriter) {
 	switch {
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -25,14 +25,15 @@
 	clients *rpc.Clients
 	view    *feed.View
 	tickets *tickets
+	outages *outages
 
 	mu     sync.Mutex
 	shards map[uint32]directory.Shard
 	stores map[uint64]directory.Store
 }
 
-func newProgramClient(view *feed.View) *programClient {
-	return &programClient{clients: rpc.NewClients(nil), view: view, tickets: newTickets()}
+func newProgramClient(view *feed.View, outages *outages) *programClient {
+	return &programClient{clients: rpc.NewClients(nil), view: view, tickets: newTickets(), outages: outages}
 }
 
 // update follows the shard map.
@@ -65,6 +66,15 @@
 	return p.stores[p.shards[shard].View.Primary].Address
 }
 
+// away is how long the shard of a program is expected to be out of reach.
+func (p *programClient) away(program string) time.Duration {
+	shard, found := p.shardOf(program)
+	if !found {
+		return p.outages.remaining(needsView)
+	}
+	return p.outages.remaining(shardKey(shard))
+}
+
 // allShards lists the shards, if all of them are known.
 func (p *programClient) allShards() ([]uint32, bool) {
 	p.mu.Lock()
@@ -95,8 +105,12 @@
 	for {
 		result, err := p.attempt(ctx, shard, command)
 		if err == nil || isDecision(err) {
+			p.outages.worked(shardKey(shard))
 			return result, err
 		}
+		if !errors.Is(ctx.Err(), context.Canceled) { // the client's leaving says nothing of the shard
+			p.outages.failed(shardKey(shard))
+		}
 		if !pause(ctx) {
 			return programs.Result{}, codes.StoreUnreachable
 		}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"otterseam/tier/httpguard"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/periodic"
+	"otterseam/tier/retryafter"
 	"otterseam/tier/settings"
 )
 
@@ -36,7 +37,6 @@
 	idleTold       = "timeout=3"
 	idleTimeout    = 5 * time.Second
 	maxHeaderBytes = 256 << 10
-	retryAfter     = "0.2"
 	sweepEvery     = time.Second
 	// drainFor is how long a proxy that is to stop keeps taking connections: the platform asks once a second and takes a
 	// gateway out after two misses.
@@ -62,6 +62,8 @@
 	hosts    *hostTable
 	programs *programClient
 	table    atomic.Pointer[opconfig.Table]
+	tabled   chan struct{} // closed once there is a table
+	outages  *outages
 	guard    httpguard.Guard
 	stopping atomic.Bool // the platform is to send no more connections
 	refusing atomic.Bool // no more requests are taken
@@ -77,7 +79,12 @@
 		return nil, err
 	}
 	view := feed.NewView()
-	p := &Proxy{settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view)}
+	outages := newOutages()
+	p := &Proxy{
+		settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view, outages),
+		tabled: make(chan struct{}), outages: outages,
+	}
+	outages.failed(needsView)
 	p.lifetime, p.endAll = context.WithCancelCause(context.Background())
 	return p, nil
 }
@@ -166,7 +173,10 @@
 		p.log.WithField("code", uint16(codes.ConfigInvalid)).WithError(err).Error("a distributed configuration cannot be read; the one before stays")
 		return
 	}
-	p.table.Store(opconfig.NewTable(config))
+	if p.table.Swap(opconfig.NewTable(config)) == nil {
+		close(p.tabled)
+		p.outages.worked(needsView)
+	}
 	p.guard.SetHeadTimeout(time.Duration(config.Limits.HeaderTimeoutMS * float64(time.Millisecond)))
 	p.log.WithField("version", version).Info("configuration in force")
 }
@@ -206,9 +216,11 @@
 	p.failText(w, status, code, code.Error())
 }
 
-// refuse promises that the request has not run and never will, and says when to come back.
-func (p *Proxy) refuse(w http.ResponseWriter, code codes.Code) {
-	w.Header().Set("Retry-After", retryAfter)
+// refuse promises that the request has not run and never will, and says when to come back: when what it needs is expected to be
+// there.
+func (p *Proxy) refuse(w http.ResponseWriter, code codes.Code, left, expected time.Duration) {
+	advice := retryafter.Advice(left, expected, rand.Float64())
+	w.Header().Set("Retry-After", strconv.FormatFloat(advice.Seconds(), 'f', 3, 64))
 	p.fail(w, http.StatusServiceUnavailable, code)
 }
 
@@ -225,12 +237,12 @@
 		w.Header().Set(headerRequestID, id)
 	}
 	if p.refusing.Load() {
-		p.refuse(w, codes.Stopping)
+		p.refuse(w, codes.Stopping, clientTime(r.Header), 0) // other gateways are there now
 		return
 	}
-	table := p.table.Load()
+	table := p.awaitTable(r.Context(), clientTime(r.Header))
 	if table == nil {
-		p.refuse(w, codes.NotReady)
+		p.refuse(w, codes.NotReady, clientTime(r.Header), p.outages.remaining(needsView))
 		return
 	}
 	route := table.Route(r.Host, r.URL.Path)
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -61,7 +61,7 @@
 	case step == exchange.Fail:
 		p.fail(w, http.StatusBadGateway, codes.HostFailed)
 	default:
-		p.refuse(w, failure)
+		p.refuse(w, failure, t.left(), p.outages.turnedAway(t.service))
 	}
 }
 
@@ -105,7 +105,7 @@
 		p.hosts.done(sent.host, failedOutcome(ctx))
 		return exchange.Uncertain
 	}
-	p.hosts.done(sent.host, answeredOutcome(head))
+	p.answered(t.request, sent.host, head)
 	p.settleLater(t, t.end(0, false, nil, sent.host.ID))
 	p.passOnPlain(w, t.request, state.attempts, plainAnswer{sent.response, head, body})
 	return exchange.Answered
@@ -139,7 +139,7 @@
 		}
 		if errors.Is(err, io.EOF) && splitter.Pending() == 0 {
 			sent.lease.Release()
-			p.hosts.done(sent.host, outcomeAnswered)
+			p.answered(t.request, sent.host, sent.head())
 			p.finish(ctx, w, t, sent, state)
 			return exchange.Answered
 		}
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -130,13 +130,20 @@
 	return append(prompt, input...)
 }
 
-// end settles a turn with what the client received, and keeps it if it ended whole.
+// end settles a turn with what the client received, and keeps it if it ended whole. The store needs the texts of a turn only to
+// keep them: without them a command is a few numbers on its way to every copy.
 func (t *turn) end(received uint64, whole bool, output []byte, host string) programs.End {
-	return programs.End{
-		Request: t.id, Program: t.program, Session: t.session, Actual: received, Keep: whole && t.route.Retained,
-		KeepMS: int64(t.route.KeepS * 1000), Previous: t.previous, Input: t.body, Output: output, Host: host,
-		Ticket: t.ticket,
+	end := programs.End{
+		Request: t.id, Program: t.program, Session: t.session, Actual: received, Host: host, Ticket: t.ticket,
 	}
+	if whole && t.route.Retained {
+		end.Keep = true
+		end.KeepMS = int64(t.route.KeepS * 1000)
+		end.Previous = t.previous
+		end.Input = t.body
+		end.Output = output
+	}
+	return end
 }
 
 // settle has the stores take the end of a turn, now or, where nobody waits for it, later.
@@ -190,6 +197,6 @@
 	default:
 		// whether the estimate was charged is not known
 		p.settleLater(t, t.end(0, false, nil, ""))
-		p.refuse(w, codes.StoreUnreachable)
+		p.refuse(w, codes.StoreUnreachable, t.left(), p.programs.away(t.program))
 	}
 }
--- a/tier/proxy/turn_test.go
+++ b/tier/proxy/turn_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"otterseam/tier/codes"
@@ -55,6 +56,45 @@
 	}
 }
 
+// The texts of a turn go to the stores only where they are kept: every byte of a command goes to each copy.
+func TestOnlyATurnThatIsKeptBringsItsTextToTheStores(t *testing.T) {
+	const input, output = "what was asked", "e1"
+	for path, kept := range map[string]bool{"/turn/1": true, "/stream/1": false} {
+		g := newGateway(t)
+		ended := make(chan string, 4)
+		g.addStore(func(kind programs.CommandKind, m rpc.Message) {
+			if kind == programs.CommandEnd {
+				ended <- string(m.Payload)
+			}
+			taken(m)
+		})
+		g.addHost(func(a asked) { a.answer(streamOK + event(1) + lastChunk) })
+		if got := g.dial().ask(path, "r", turnHeaders, input); got.text != events(1, 1) {
+			t.Fatalf("%s: %q", path, got.text)
+		}
+		g.settled()
+		payload := <-ended
+		if strings.Contains(payload, input) != kept || strings.Contains(payload, output) != kept {
+			t.Errorf("%s: kept %v, and the store got %q", path, kept, payload)
+		}
+	}
+}
+
+// A proxy that has just started lets requests wait in line for its first view instead of spending one of their few tries.
+func TestARequestWaitsInLineForTheFirstView(t *testing.T) {
+	g := newGateway(t)
+	table := g.proxy.table.Swap(nil)
+	g.proxy.tabled = make(chan struct{})
+	g.addHost(func(a asked) { a.answer(plainOK) })
+	c := g.dial()
+	c.send("/safe/1", "r", "", "")
+	g.proxy.table.Store(table)
+	close(g.proxy.tabled)
+	if got := c.receive(); got.StatusCode != http.StatusOK {
+		t.Fatal(got.StatusCode)
+	}
+}
+
 // A host that leaves gets no further request, neither a new one nor the rest of a stream.
 func TestAHostThatLeavesGetsNoFurtherRequest(t *testing.T) {
 	g := newGateway(t)
