--- a/tier/agent/agent.go
+++ b/tier/agent/agent.go
@@ -15,6 +15,7 @@
 	"otterseam/tier/feed"
 	"otterseam/tier/rpc"
 	"otterseam/tier/settings"
+	"otterseam/tier/timeline"
 )
 
 // Agent is the agent process.
@@ -23,6 +24,7 @@
 	seeds    *settings.Seeds
 	view     *feed.View
 	log      *logrus.Entry
+	timeline *timeline.Timeline
 }
 
 // New makes an agent.
@@ -30,7 +32,7 @@
 	if err := settings.Require(map[string]string{"seeds": strings.Join(s.Seeds, ",")}); err != nil {
 		return nil, err
 	}
-	return &Agent{settings: s, seeds: settings.NewSeeds(s), view: feed.NewView(), log: log}, nil
+	return &Agent{settings: s, seeds: settings.NewSeeds(s), view: feed.NewView(), log: log, timeline: timeline.New(log)}, nil
 }
 
 // Run serves until the context ends.
@@ -42,13 +44,17 @@
 	defer listener.Close()
 	publisher := &feed.Publisher{View: a.view}
 	go rpc.Serve(listener, func(message rpc.Message) {
-		if message.Kind == feed.KindSubscribe {
+		switch message.Kind {
+		case feed.KindSubscribe:
 			publisher.Handle(message)
-		} else {
+		case timeline.KindTimeline:
+			message.Answer(codes.OK, a.timeline.Encode())
+		default:
 			message.Answer(codes.Malformed, nil)
 		}
 	})
-	subscriber := &feed.Subscriber{View: a.view, Addresses: a.controlAddresses}
+	viewReceived := func([]feed.Item) { a.timeline.Reach(timeline.ViewReceived) }
+	subscriber := &feed.Subscriber{View: a.view, Addresses: a.controlAddresses, Changed: viewReceived}
 	subscriber.Run(ctx)
 	return nil
 }
--- a/tier/control/elector.go
+++ b/tier/control/elector.go
@@ -17,6 +17,7 @@
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
+	"otterseam/tier/timeline"
 )
 
 // controlGroup is the number of the group that holds the control state.
@@ -46,6 +47,7 @@
 	lost    func(uint64) bool // whether a disk is provably lost
 	log     *logrus.Entry
 
+	timeline  *timeline.Timeline
 	rounds    *register.Rounds
 	startedAt int64 // of this process
 
@@ -339,6 +341,7 @@
 	e.mu.Lock()
 	e.led = true
 	e.mu.Unlock()
+	e.timeline.Reach(timeline.PrimaryDecided)
 	e.log.WithFields(logrus.Fields{"epoch": record.Epoch, "in_sync": len(record.InSync), "members": len(record.Members)}).Info("primary of control")
 	e.host.SetView(controlGroup, membership.View(record))
 }
--- a/tier/control/lead.go
+++ b/tier/control/lead.go
@@ -11,6 +11,7 @@
 	"otterseam/tier/groups"
 	"otterseam/tier/placement"
 	"otterseam/tier/replica"
+	"otterseam/tier/timeline"
 )
 
 // storeForget is how long a store that holds nothing may be silent before it is forgotten, in milliseconds.
@@ -40,6 +41,7 @@
 	}
 	s.mu.Unlock()
 	if began {
+		s.timeline.Reach(timeline.PrimaryReady)
 		s.sessions.Begin(s.state)
 	}
 }
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -22,6 +22,7 @@
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
 	"otterseam/tier/settings"
+	"otterseam/tier/timeline"
 )
 
 const (
@@ -64,6 +65,7 @@
 	reachedSince int64 // start of the newest question that the primary answered
 
 	refusals atomic.Uint64 // heartbeats refused for want of a lease
+	timeline *timeline.Timeline
 }
 
 // New opens the state of a control process.
@@ -72,11 +74,13 @@
 	if err := settings.Require(required); err != nil {
 		return nil, err
 	}
+	line := timeline.New(log)
 	clients := rpc.NewClients(nil)
 	host, err := groups.Open(s.DataDir, clients, log, true)
 	if err != nil {
 		return nil, err
 	}
+	line.Reach(timeline.DiskRead)
 	server := &Server{
 		settings:  s,
 		seeds:     settings.NewSeeds(s),
@@ -90,6 +94,7 @@
 		seen:      membership.NewSightings(),
 		founders:  map[string]register.Member{},
 		heard:     heardHosts{},
+		timeline:  line,
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
 		beatElsewhere: []byte(`{}`),
@@ -100,6 +105,7 @@
 		return nil, err
 	}
 	server.elector.lost = server.lost
+	server.elector.timeline = line
 	options := replica.Options{
 		EagerCommit: true, BytesKept: controlBytesKept, Life: rand.Uint64() | 1, StepDownAfter: authority.StepDownAfter,
 	}
@@ -177,6 +183,8 @@
 		s.host.HandleMessage(message.Payload, nil)
 	case feed.KindSubscribe:
 		s.publisher.Handle(message)
+	case timeline.KindTimeline:
+		message.Answer(codes.OK, s.timeline.Encode())
 	case controlclient.KindLocate:
 		s.answerLocate(message)
 	case controlclient.KindSupport:
--- a/tier/control/standing.go
+++ b/tier/control/standing.go
@@ -9,6 +9,7 @@
 	"otterseam/tier/periodic"
 	"otterseam/tier/register"
 	"otterseam/tier/replica"
+	"otterseam/tier/timeline"
 )
 
 const checkEvery = authority.CheckEvery * time.Millisecond
@@ -44,7 +45,9 @@
 // watchStanding ends the subscriptions once this process may not serve its copy any longer.
 func (s *Server) watchStanding(ctx context.Context) {
 	periodic.Run(ctx, checkEvery, func() {
-		if !s.mayServe() {
+		if s.mayServe() {
+			s.timeline.Reach(timeline.MajorityContacted)
+		} else {
 			s.publisher.Expire()
 		}
 	})
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -11,6 +11,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/exchange"
 	"otterseam/tier/opconfig"
+	"otterseam/tier/timeline"
 	"otterseam/tier/upstream"
 )
 
@@ -40,6 +41,7 @@
 	if err != nil {
 		return nil, exchange.Unsent
 	}
+	p.timeline.Reach(timeline.FirstRequestSent)
 	defer p.hosts.watchStall(host)()
 	response, err := lease.RoundTrip(upstream.Request{
 		ID:       r.id,
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"otterseam/tier/periodic"
 	"otterseam/tier/retryafter"
 	"otterseam/tier/settings"
+	"otterseam/tier/timeline"
 )
 
 const (
@@ -64,6 +65,7 @@
 	table    atomic.Pointer[opconfig.Table]
 	tabled   chan struct{} // closed once there is a table
 	outages  *outages
+	timeline *timeline.Timeline
 	guard    httpguard.Guard
 	stopping atomic.Bool // the platform is to send no more connections
 	refusing atomic.Bool // no more requests are taken
@@ -82,7 +84,7 @@
 	outages := newOutages()
 	p := &Proxy{
 		settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view, outages),
-		tabled: make(chan struct{}), outages: outages,
+		tabled: make(chan struct{}), outages: outages, timeline: timeline.New(log),
 	}
 	outages.failed(needsView)
 	p.lifetime, p.endAll = context.WithCancelCause(context.Background())
@@ -173,6 +175,7 @@
 		p.log.WithField("code", uint16(codes.ConfigInvalid)).WithError(err).Error("a distributed configuration cannot be read; the one before stays")
 		return
 	}
+	p.timeline.Reach(timeline.ViewReceived)
 	if p.table.Swap(opconfig.NewTable(config)) == nil {
 		close(p.tabled)
 		p.outages.worked(needsView)
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -11,6 +11,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/programs"
+	"otterseam/tier/timeline"
 )
 
 // turn is a request on a streaming route and what the stores know of it.
@@ -181,6 +182,7 @@
 			p.refuseTurn(w, t, err)
 			return
 		}
+		p.timeline.Reach(timeline.FirstBeginCommitted)
 	}
 	p.relay(ctx, w, t)
 }
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -27,6 +27,7 @@
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
 	"otterseam/tier/settings"
+	"otterseam/tier/timeline"
 )
 
 // KindProgram is a call with a shard number and a command of package programs.
@@ -49,6 +50,7 @@
 	view     *feed.View
 	seeds    *settings.Seeds
 	self     directory.Store
+	timeline *timeline.Timeline
 
 	mu      sync.Mutex
 	leaving bool
@@ -60,11 +62,13 @@
 	if err := settings.Require(map[string]string{"data_dir": s.DataDir, "seeds": strings.Join(s.Seeds, ",")}); err != nil {
 		return nil, err
 	}
+	line := timeline.New(log)
 	clients := rpc.NewClients(nil)
 	host, err := groups.Open(s.DataDir, clients, log, false)
 	if err != nil {
 		return nil, err
 	}
+	line.Reach(timeline.DiskRead)
 	server := &Server{
 		settings: s,
 		log:      log,
@@ -73,6 +77,7 @@
 		view:     feed.NewView(),
 		seeds:    settings.NewSeeds(s),
 		asking:   map[uint32]bool{},
+		timeline: line,
 		self: directory.Store{
 			Identity: host.Identity, Boot: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
 		},
@@ -118,6 +123,8 @@
 		s.host.HandleMessage(message.Payload, s.openShard)
 	case KindProgram:
 		go s.program(message)
+	case timeline.KindTimeline:
+		message.Answer(codes.OK, s.timeline.Encode())
 	default:
 		message.Answer(codes.Malformed, nil)
 	}
@@ -144,12 +151,14 @@
 		message.Answer(code, nil)
 		return
 	}
+	s.timeline.Reach(timeline.ShardLed)
 	result := got.(programs.Result)
 	message.Answer(result.Code, result.Encode())
 }
 
 // follow acts on the shard map: it opens and drops shards and tells the groups their views.
 func (s *Server) follow() {
+	s.timeline.Reach(timeline.ViewReceived)
 	if !s.host.Bind(s.view.Installation()) {
 		return
 	}
