--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -31,8 +31,11 @@
 
 // Dial opens a connection.
 func Dial(ctx context.Context, address string, handler Handler) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	call, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	socket, err := dialHedged(call, func(ctx context.Context) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	})
 	if err != nil {
 		return nil, codes.LinkBroken
 	}
@@ -52,6 +55,7 @@
 	mu       sync.Mutex
 	conn     *Conn
 	dialing  chan struct{} // closed when the dial under way has ended
+	held     heldMessages  // what was sent during that dial
 	failedAt time.Time
 	closed   bool
 }
@@ -73,17 +77,18 @@
 	return conn.Call(ctx, kind, payload)
 }
 
-// Send sends a one-way message if the connection is up, and otherwise begins to open it and drops the message.
+// Send sends a one-way message. Without a connection it begins to open one and holds the message until then, if there is room and
+// no dial failed a moment ago; a message that is not held is dropped.
 func (c *Client) Send(kind Kind, payload []byte) {
 	c.mu.Lock()
-	conn := c.conn
-	if conn != nil && conn.isOpen() {
-		c.mu.Unlock()
-		conn.Send(kind, payload)
+	defer c.mu.Unlock()
+	if c.conn != nil && c.conn.isOpen() {
+		c.conn.Send(kind, payload)
 		return
 	}
-	c.startDial()
-	c.mu.Unlock()
+	if c.startDial() != nil {
+		c.held.add(kind, payload)
+	}
 }
 
 // Close ends the connection, also one that is being opened.
@@ -154,7 +159,9 @@
 			conn.Close()
 		default:
 			c.conn = conn
+			c.held.sendOver(conn)
 		}
+		c.held.clear()
 		c.mu.Unlock()
 		close(done)
 	}()
