--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -26,6 +26,7 @@
 	host     *target
 	lease    *upstream.Lease
 	response *http.Response
+	sentAt   time.Time
 }
 
 // payload is what of a request differs from host to host.
@@ -43,6 +44,7 @@
 	}
 	p.timeline.Reach(timeline.FirstRequestSent)
 	defer p.hosts.watchStall(host)()
+	sentAt := time.Now()
 	response, err := lease.RoundTrip(upstream.Request{
 		ID:       r.id,
 		Method:   r.method,
@@ -51,12 +53,20 @@
 	})
 	if err != nil {
 		lease.Close()
+		p.noteGivenUp(r, sentAt, limit)
 		return nil, exchange.OutcomeOf(lease.Exchange())
 	}
 	if load := response.Header.Get(headerLoad); load != "" {
 		p.hosts.told(host, load)
 	}
-	return &attempt{host, lease, response}, exchange.Uncertain
+	return &attempt{host, lease, response, sentAt}, exchange.Uncertain
+}
+
+// noteGivenUp notes an attempt that failed because its limit has passed.
+func (p *Proxy) noteGivenUp(r *request, sentAt, limit time.Time) {
+	if now := time.Now(); !limit.IsZero() && !now.Before(limit) {
+		p.patience.givenUp(r.route.Name, now.Sub(sentAt))
+	}
 }
 
 // refused tells whether the host has proved that it did not run the request.
@@ -147,15 +157,21 @@
 		p.outOfTime(ctx, w)
 	case attempts.GiveUp() == exchange.Fail:
 		p.fail(w, http.StatusBadGateway, codes.HostFailed)
+	case failure == codes.HostFailed:
+		p.refuse(w, failure, r.left(), 0) // other hosts are there now
 	default:
 		p.refuse(w, failure, r.left(), p.outages.turnedAway(r.service))
 	}
 }
 
-// attemptPlain sends a request to one host. While another may run it, it is given up after part of the time.
+// attemptPlain sends a request to one host. One that may be repeated is given up when it takes out of the ordinary long, and while
+// another host may run it, after part of the time: the client, or the proxy, tries again.
 func (p *Proxy) attemptPlain(ctx context.Context, r *request, host *target, another bool) (plainAnswer, exchange.Outcome) {
 	var limit time.Time // none but that of the context
-	if another {
+	if kindOf(r.route) == exchange.Repeatable {
+		limit = p.patience.limit(r)
+	}
+	if another && limit.IsZero() {
 		limit = time.Now().Add(r.left() / 2)
 	}
 	sent, outcome := p.send(ctx, r, host, payload{body: r.body}, limit)
@@ -163,6 +179,7 @@
 		p.hosts.done(host, silentOutcome(ctx))
 		return plainAnswer{}, outcome
 	}
+	p.patience.answered(r.route.Name, time.Since(sent.sentAt))
 	head := sent.head()
 	body, err := sent.readAll()
 	if err != nil && !head.Refusal() {
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -65,6 +65,7 @@
 	table    atomic.Pointer[opconfig.Table]
 	tabled   chan struct{} // closed once there is a table
 	outages  *outages
+	patience *patiences
 	timeline *timeline.Timeline
 	guard    httpguard.Guard
 	stopping atomic.Bool // the platform is to send no more connections
@@ -84,7 +85,7 @@
 	outages := newOutages()
 	p := &Proxy{
 		settings: s, log: log, view: view, hosts: newHostTable(s.Zone), programs: newProgramClient(view, outages),
-		tabled: make(chan struct{}), outages: outages, timeline: timeline.New(log),
+		tabled: make(chan struct{}), outages: outages, patience: newPatiences(), timeline: timeline.New(log),
 	}
 	outages.failed(needsView)
 	p.lifetime, p.endAll = context.WithCancelCause(context.Background())
@@ -180,6 +181,7 @@
 		close(p.tabled)
 		p.outages.worked(needsView)
 	}
+	p.patience.follow(config)
 	p.guard.SetHeadTimeout(time.Duration(config.Limits.HeaderTimeoutMS * float64(time.Millisecond)))
 	p.log.WithField("version", version).Info("configuration in force")
 }
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -71,7 +71,8 @@
 	if state.started && state.lastID >= 0 {
 		lastEvent = strconv.FormatInt(state.lastID, 10)
 	}
-	sent, outcome := p.send(ctx, t.request, host, payload{lastEvent, t.prompt}, time.Time{})
+	limit := p.firstEventLimit(t, state)
+	sent, outcome := p.send(ctx, t.request, host, payload{lastEvent, t.prompt}, limit)
 	if sent == nil {
 		p.hosts.done(host, silentOutcome(ctx))
 		return outcome
@@ -84,10 +85,19 @@
 	case sent.response.StatusCode != http.StatusOK || !mayBeEvents(sent.response.Header):
 		return p.relayWhole(ctx, w, t, sent, state)
 	default:
-		return p.relayEvents(ctx, w, t, sent, state)
+		return p.relayEvents(ctx, w, t, sent, state, limit)
 	}
 }
 
+// firstEventLimit is until when the first event of a stream has to come, or zero if there is no such time. Only a stream that may be
+// taken up elsewhere, and has given its client nothing yet, is given up for its silence.
+func (p *Proxy) firstEventLimit(t *turn, state *relayState) time.Time {
+	if kindOf(t.route) != exchange.Resumable || state.started {
+		return time.Time{}
+	}
+	return p.patience.limit(t.request)
+}
+
 // mayBeEvents tells whether the body of an answer is a stream of events, as far as its head says.
 func mayBeEvents(header http.Header) bool {
 	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
@@ -118,13 +128,21 @@
 )
 
 // relayEvents passes events on, each as soon as it is whole.
-func (p *Proxy) relayEvents(ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt, state *relayState) exchange.Outcome {
+func (p *Proxy) relayEvents(
+	ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt, state *relayState, limit time.Time,
+) exchange.Outcome {
 	var splitter sse.Splitter
+	begun := false
 	buffer := make([]byte, streamReadBytes)
 	state.host = sent.host.ID
 	for {
 		n, err := sent.response.Body.Read(buffer)
 		for _, event := range splitter.Add(buffer[:n]) {
+			if !begun {
+				begun = true
+				sent.lease.Unhurried()
+				p.patience.answered(t.route.Name, time.Since(sent.sentAt))
+			}
 			if event.ID >= 0 && event.ID <= state.lastID {
 				continue
 			}
@@ -144,6 +162,9 @@
 			return exchange.Answered
 		}
 		sent.lease.Close()
+		if !begun {
+			p.noteGivenUp(t.request, sent.sentAt, limit)
+		}
 		p.hosts.done(sent.host, failedOutcome(ctx))
 		return exchange.Uncertain
 	}
--- a/tier/upstream/lease.go
+++ b/tier/upstream/lease.go
@@ -187,6 +187,9 @@
 	return err
 }
 
+// Unhurried takes the deadline of the request away, once its answer has begun to come.
+func (l *Lease) Unhurried() { _ = l.held().socket.SetDeadline(time.Time{}) }
+
 // Release gives the connection back, if it can carry another request, and ends it otherwise.
 func (l *Lease) Release() {
 	conn := l.held()
