--- a/tier/authority/bounds.go
+++ b/tier/authority/bounds.go
@@ -39,7 +39,7 @@
 	// PrimaryAttempt is how long a caller of the primary waits before it calls another control process.
 	PrimaryAttempt = 450
 	// PrimaryPause is how long it waits between two calls.
-	PrimaryPause = 40
+	PrimaryPause = 15
 	// StoreSilence is how long a store may be silent before its session ends.
 	StoreSilence = 650
 	// StoreFirstSilence is the same for a store that a new primary has not heard yet.
--- a/tier/authority/stores.go
+++ b/tier/authority/stores.go
@@ -59,6 +59,9 @@
 	return now-session.heardAt <= patience
 }
 
+// IsUnheard tells whether this primary has not heard the store yet.
+func (s *StoreSessions) IsUnheard(id uint64) bool { return s.stores[id].unheard }
+
 // IsAway tells whether a store was silent for so long that what it holds is placed elsewhere.
 func (s *StoreSessions) IsAway(id uint64, now int64) bool {
 	session, known := s.stores[id]
--- a/tier/control/beats.go
+++ b/tier/control/beats.go
@@ -61,6 +61,7 @@
 	if known && bytes.Equal(held, beat.Store.Encode()) {
 		return Result{}, s.standing().MayDecide(groups.Now())
 	}
+	defer s.wakeSupervisor() // shards may have waited for this store
 	return s.submitHere(ctx, Command{Kind: CommandPutStore, Store: beat.Store}.Encode())
 }
 
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -64,6 +64,7 @@
 
 	reachedSince int64 // start of the newest question that the primary answered
 
+	wake     chan struct{} // has Supervise look at once; holds one at the start
 	refusals atomic.Uint64 // heartbeats refused for want of a lease
 	timeline *timeline.Timeline
 }
@@ -95,6 +96,7 @@
 		founders:  map[string]register.Member{},
 		heard:     heardHosts{},
 		timeline:  line,
+		wake:      make(chan struct{}, 1),
 
 		beatHere:      []byte(`{"beat_target":"` + s.ListenControl + `"}`),
 		beatElsewhere: []byte(`{}`),
@@ -157,7 +159,8 @@
 
 // Supervise founds, takes over, repairs and places until the context ends.
 func (s *Server) Supervise(ctx context.Context) {
-	periodic.Run(ctx, superviseEvery, func() {
+	s.wakeSupervisor()
+	periodic.RunOrWhen(ctx, superviseEvery, s.wake, func() {
 		s.sessions.Tick(s.refusals.Load())
 		if !s.host.IsPrimary(controlGroup) {
 			s.endLeading()
@@ -176,6 +179,14 @@
 	})
 }
 
+// wakeSupervisor has Supervise look at once, since something has changed that it may have waited for.
+func (s *Server) wakeSupervisor() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // handle takes messages of other processes.
 func (s *Server) handle(message rpc.Message) {
 	switch message.Kind {
--- a/tier/control/sessions.go
+++ b/tier/control/sessions.go
@@ -154,6 +154,7 @@
 		machines[id] = placement.Machine{
 			Store:    store,
 			Alive:    s.stores.IsAlive(id, store.Boot, now),
+			Unheard:  s.stores.IsUnheard(id),
 			Away:     s.stores.IsAway(id, now),
 			Leaving:  s.stores.IsLeaving(id),
 			Retiring: retiring(store.Node),
--- a/tier/placement/copies_test.go
+++ b/tier/placement/copies_test.go
@@ -64,6 +64,14 @@
 	if c.DiskLost(1) {
 		t.Fatal("a store that is heard counts as lost")
 	}
+	change(c, 1, func(m *Machine) { m.Unheard = true })
+	if !c.DiskLost(1) {
+		t.Fatal("the benefit of the doubt, after all were without power, holds up the repair of a lost disk")
+	}
+	change(c, 9, func(m *Machine) { m.Unheard = true })
+	if c.DiskLost(1) || c.DiskLost(9) {
+		t.Fatal("one that was not heard proves something")
+	}
 }
 
 // Of replicas that all leave, none takes the lead from another.
--- a/tier/placement/placement.go
+++ b/tier/placement/placement.go
@@ -19,11 +19,15 @@
 type Machine struct {
 	Store    directory.Store
 	Alive    bool // its session holds
+	Unheard  bool // it counts as alive only because this primary is new: it has not been heard yet
 	Away     bool // silent for so long that its replicas are placed elsewhere
 	Leaving  bool // it is about to stop: it leads nothing
 	Retiring bool // it is to be emptied
 }
 
+// isHeard tells whether the machine's own heartbeats hold its session.
+func (m Machine) isHeard() bool { return m.Alive && !m.Unheard }
+
 // Cluster is what placement decides from.
 type Cluster struct {
 	Machines map[uint64]Machine
@@ -40,15 +44,16 @@
 	return max(view.MinCopies, min(c.Copies(), len(view.Replicas))-c.Tolerate)
 }
 
-// DiskLost tells whether a machine's disk is provably lost: the same machine is alive at the same address with another identity,
-// which is drawn only on an empty disk, and the former identity is not heard. Another machine at the address proves nothing.
+// DiskLost tells whether a machine's disk is provably lost: the same machine is heard at the same address with another identity,
+// which is drawn only on an empty disk, and the former identity is not heard. Another machine at the address proves nothing. That
+// a new primary gives the former identity the benefit of the doubt is no sign of it.
 func (c Cluster) DiskLost(id uint64) bool {
 	lost, known := c.Machines[id]
-	if !known || lost.Alive {
+	if !known || lost.isHeard() {
 		return false
 	}
 	for other, machine := range c.Machines {
-		if other != id && machine.Alive && machine.Store.Address == lost.Store.Address && machine.Store.Node == lost.Store.Node {
+		if other != id && machine.isHeard() && machine.Store.Address == lost.Store.Address && machine.Store.Node == lost.Store.Node {
 			return true
 		}
 	}
