--- a/tier/periodic/periodic.go
+++ b/tier/periodic/periodic.go
@@ -7,7 +7,9 @@
 )
 
 // Run calls work once in each interval until the context ends. Work that takes longer than the interval is not made up for.
-func Run(ctx context.Context, interval time.Duration, work func()) { RunOrWhen(ctx, interval, nil, work) }
+func Run(ctx context.Context, interval time.Duration, work func()) {
+	RunOrWhen(ctx, interval, nil, work)
+}
 
 // RunOrWhen calls work once in each interval and whenever it is woken, until the context ends.
 func RunOrWhen(ctx context.Context, interval time.Duration, wake <-chan struct{}, work func()) {
--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -57,6 +57,7 @@
 	dialing  chan struct{} // closed when the dial under way has ended
 	held     heldMessages  // what was sent during that dial
 	failedAt time.Time
+	redial   bool // a dial is due once the pause after a failed one has passed
 	closed   bool
 }
 
@@ -77,8 +78,8 @@
 	return conn.Call(ctx, kind, payload)
 }
 
-// Send sends a one-way message. Without a connection it begins to open one and holds the message until then, if there is room and
-// no dial failed a moment ago; a message that is not held is dropped.
+// Send sends a one-way message. Without a connection it begins to open one, after a pause if a dial failed a moment ago, and holds
+// the message until then if there is room. What is held when the dial fails is dropped.
 func (c *Client) Send(kind Kind, payload []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,11 +87,31 @@
 		c.conn.Send(kind, payload)
 		return
 	}
-	if c.startDial() != nil {
-		c.held.add(kind, payload)
+	if c.closed {
+		return
+	}
+	c.held.add(kind, payload)
+	if c.startDial() == nil {
+		c.dialAfterPause()
 	}
 }
 
+// dialAfterPause begins to open the connection once the pause after a failed dial has passed; the lock is held.
+func (c *Client) dialAfterPause() {
+	if c.redial {
+		return
+	}
+	c.redial = true
+	time.AfterFunc(redialPause-time.Since(c.failedAt), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.redial = false
+		if c.conn == nil || !c.conn.isOpen() {
+			c.startDial()
+		}
+	})
+}
+
 // Close ends the connection, also one that is being opened.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/tier/rpc/dial_test.go
+++ b/tier/rpc/dial_test.go
@@ -82,3 +82,27 @@
 		t.Fatal("a message longer than the bound is held")
 	}
 }
+
+// A process that comes up a moment after it was dialled gets what was sent to it meanwhile.
+func TestAMessageOutlivesADialThatFailedAMomentAgo(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	client := NewClient(address, nil)
+	defer client.Close()
+	if _, err := client.Call(t.Context(), 7, nil); !errors.Is(err, codes.LinkBroken) {
+		t.Fatal(err)
+	}
+	again, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	arrived := make(chan struct{}, 1)
+	go Serve(again, func(Message) { arrived <- struct{}{} })
+	client.Send(7, nil)
+	<-arrived
+}
