--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -30,27 +30,33 @@
 	mu     sync.Mutex
 	shards map[uint32]directory.Shard
 	stores map[uint64]directory.Store
+	moved  chan struct{} // closed when the shard map changes
 }
 
 func newProgramClient(view *feed.View, outages *outages) *programClient {
-	return &programClient{clients: rpc.NewClients(nil), view: view, tickets: newTickets(), outages: outages}
+	return &programClient{clients: rpc.NewClients(nil), view: view, tickets: newTickets(), outages: outages, moved: make(chan struct{})}
 }
 
 // update follows the shard map.
 func (p *programClient) update(items []feed.Item) {
 	for _, item := range items {
 		if item.Section == feed.SectionShard || item.Section == feed.SectionStore {
-			shards := directory.Shards(p.view)
-			stores := directory.Stores(p.view)
-			p.mu.Lock()
-			p.shards = shards
-			p.stores = stores
-			p.mu.Unlock()
+			p.setMap(directory.Shards(p.view), directory.Stores(p.view))
 			return
 		}
 	}
 }
 
+// setMap takes a shard map.
+func (p *programClient) setMap(shards map[uint32]directory.Shard, stores map[uint64]directory.Store) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shards = shards
+	p.stores = stores
+	close(p.moved)
+	p.moved = make(chan struct{})
+}
+
 // shardOf returns the shard of a program.
 func (p *programClient) shardOf(program string) (uint32, bool) {
 	p.mu.Lock()
@@ -168,6 +174,26 @@
 	return false
 }
 
+// endWhenMoved ends an attempt once another store leads the shard: the one that was asked may be silent for good.
+func (p *programClient) endWhenMoved(attempt context.Context, end context.CancelFunc, shard uint32, address string) {
+	for {
+		p.mu.Lock()
+		moved := p.moved
+		leads := p.stores[p.shards[shard].View.Primary].Address
+		p.mu.Unlock()
+		if leads != address {
+			end()
+			return
+		}
+		select {
+		case <-attempt.Done():
+			return
+		case <-moved:
+		}
+	}
+}
+
+// attempt has the store that leads a shard carry out a command.
 func (p *programClient) attempt(ctx context.Context, shard uint32, command []byte) (programs.Result, error) {
 	address := p.primaryOf(shard)
 	if address == "" {
@@ -175,6 +201,7 @@
 	}
 	attempt, cancel := context.WithTimeout(ctx, storeAttempt)
 	defer cancel()
+	go p.endWhenMoved(attempt, cancel, shard, address)
 	var e codec.Encoder
 	e.Uint32(shard)
 	e.Bytes = append(e.Bytes, command...)
--- a/tier/proxy/turn_test.go
+++ b/tier/proxy/turn_test.go
@@ -119,3 +119,22 @@
 		t.Fatalf("%d connections to the host that leaves, %d to the other", counted[0].total(), counted[1].total())
 	}
 }
+
+// A store that falls silent holds a turn only until another leads its shard.
+func TestATurnFollowsItsShard(t *testing.T) {
+	g := newGateway(t)
+	g.addHost(func(a asked) { a.answer(streamOK + event(1) + lastChunk) })
+	g.addStore(func(_ programs.CommandKind, m rpc.Message) { taken(m) })
+	client := g.proxy.programs
+	successor := client.stores[1].Address
+	asked := make(chan struct{}, 8)
+	g.addStore(func(programs.CommandKind, rpc.Message) { asked <- struct{}{} })
+	c := g.dial()
+	// half of the time is there for the begin, which is less than an attempt lasts
+	c.send("/turn/1", "r", turnHeaders+"X-Deadline-Ms: 700\r\n", "x")
+	<-asked
+	client.setMap(client.shards, map[uint64]directory.Store{1: {Identity: 1, Address: successor}})
+	if got := c.receive(); got.StatusCode != http.StatusOK || got.text != events(1, 1) {
+		t.Fatalf("%d %q", got.StatusCode, got.text)
+	}
+}
--- a/tier/rpc/conn.go
+++ b/tier/rpc/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,6 +19,10 @@
 	userTimeoutMS  = 1500 // unacknowledged bytes end a connection after this long
 	keepAliveEvery = time.Second
 	keepAliveCount = 2
+	// deadAfter is how long a connection on which an answer is due may bring nothing at all before it is given up. A machine that
+	// lost power says nothing, and what is sent to it meanwhile is sent again ever more rarely, so that the connection would be
+	// useless for a while also after the machine is back.
+	deadAfter = 400 * time.Millisecond
 )
 
 // Message is a call or a one-way message that arrived.
@@ -55,6 +60,9 @@
 	handler Handler
 	closed  chan struct{}
 
+	heardAt atomic.Int64 // when a frame was read last, in nanoseconds since the connection began
+	begunAt time.Time
+
 	mu      sync.Mutex
 	waiting map[uint64]chan answer
 	nextID  uint64
@@ -71,6 +79,7 @@
 		closed:  make(chan struct{}),
 		waiting: map[uint64]chan answer{},
 		wake:    make(chan struct{}, 1),
+		begunAt: time.Now(),
 	}
 	go c.writeLoop()
 	return c
@@ -155,6 +164,7 @@
 	id := c.nextID
 	c.waiting[id] = channel
 	c.mu.Unlock()
+	sentAt := time.Since(c.begunAt)
 	c.send(header{Kind: kind, ID: id}, payload)
 	select {
 	case got := <-channel:
@@ -166,10 +176,19 @@
 		c.mu.Lock()
 		delete(c.waiting, id)
 		c.mu.Unlock()
+		if seemsDead(sentAt, time.Since(c.begunAt), time.Duration(c.heardAt.Load())) {
+			c.Close()
+		}
 		return nil, codes.Timeout
 	}
 }
 
+// seemsDead tells whether a connection has brought nothing since a call was sent that has waited for long. Times count from the
+// beginning of the connection.
+func seemsDead(sentAt, now, heardAt time.Duration) bool {
+	return heardAt < sentAt && now-sentAt >= deadAfter
+}
+
 func (c *Conn) writeLoop() {
 	var spare []byte
 	for {
@@ -206,6 +225,7 @@
 		if err != nil {
 			return
 		}
+		c.heardAt.Store(int64(time.Since(c.begunAt)))
 		if h.Kind == kindAnswer {
 			c.deliver(h, payload)
 			continue
--- a/tier/rpc/dial_test.go
+++ b/tier/rpc/dial_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"otterseam/tier/codec"
 	"otterseam/tier/codes"
@@ -106,3 +107,35 @@
 	client.Send(7, nil)
 	<-arrived
 }
+
+// A connection on which nothing comes while an answer is due is given up; one that brings anything at all is not.
+func TestASilentConnectionIsGivenUp(t *testing.T) {
+	for _, step := range []struct {
+		sentAt, now, heardAt time.Duration
+		dead                 bool
+	}{
+		{time.Second, time.Second + deadAfter, 900 * time.Millisecond, true},
+		{time.Second, time.Second + deadAfter, 1100 * time.Millisecond, false},
+		{time.Second, time.Second + deadAfter - 1, 0, false},
+	} {
+		if got := seemsDead(step.sentAt, step.now, step.heardAt); got != step.dead {
+			t.Errorf("%+v: %v", step, got)
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go Serve(listener, func(Message) {}) // never answers
+	conn, err := Dial(t.Context(), listener.Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	call, cancel := context.WithTimeout(t.Context(), deadAfter+50*time.Millisecond)
+	defer cancel()
+	if _, err := conn.Call(call, 7, nil); !errors.Is(err, codes.Timeout) {
+		t.Fatal(err)
+	}
+	<-conn.Done()
+}
