--- a/lab/tierhost/host.go
+++ b/lab/tierhost/host.go
@@ -38,6 +38,7 @@
 	runs       []Run
 	breakAfter int  // events after which one stream is broken off; 0 for never
 	mute       bool // one request is read and its connection closed
+	muteAll    bool // all requests are
 	refuse     bool // requests are answered with X-Not-Executed
 	draining   bool
 	sequence   uint64
@@ -93,6 +94,13 @@
 	h.mute = true
 }
 
+// Mute has all requests run and their connections closed without an answer, or no longer.
+func (h *Host) Mute(mute bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.muteAll = mute
+}
+
 // Refuse has all requests turned away.
 func (h *Host) Refuse(refuse bool) {
 	h.mu.Lock()
@@ -160,7 +168,7 @@
 	h.runs = append(h.runs, Run{
 		ID: r.Header.Get("X-Request-Id"), Path: r.RequestURI, Body: string(body), LastEventID: r.Header.Get("Last-Event-Id"),
 	})
-	mute, breakAfter := h.mute, h.breakAfter
+	mute, breakAfter := h.mute || h.muteAll, h.breakAfter
 	h.mute, h.breakAfter = false, 0
 	h.mu.Unlock()
 	if mute {
--- a/lab/tierrig/rig_test.go
+++ b/lab/tierrig/rig_test.go
@@ -63,7 +63,7 @@
 func startWorld(t *testing.T, options Options) *world {
 	t.Helper()
 	rig, err := Start(Options{
-		Program: program, Dir: t.TempDir(), Network: int(network.Add(1)), Process: os.Getpid(), Fronts: 2, Controls: options.Controls,
+		Program: program, Dir: t.TempDir(), Network: int(network.Add(1)), Process: os.Getpid(), Fronts: max(options.Fronts, 2), Controls: options.Controls,
 		Stores: options.Stores, Tolerate: options.Tolerate, Late: options.Late,
 	})
 	if err != nil {
--- a/tier/status/status.go
+++ b/tier/status/status.go
@@ -24,6 +24,7 @@
 	Stores   []directory.Store `json:"stores"`
 	Shards   []directory.Shard `json:"shards"`
 	Hosts    []directory.Host  `json:"hosts"`
+	Aside    map[string]int64  `json:"hosts_set_aside"` // by host, the term in milliseconds
 
 	ControlBears Protection            `json:"control_bears"`
 	ShardsBear   map[uint32]Protection `json:"shards_bear"`
@@ -50,6 +51,12 @@
 			s.Hosts = append(s.Hosts, host)
 		}
 	}
+	s.Aside = map[string]int64{}
+	for _, item := range view.All(feed.SectionVerdict) {
+		if term, err := directory.DecodeTerm(item.Data); err == nil {
+			s.Aside[item.Key] = term
+		}
+	}
 	sort.Slice(s.Stores, func(i, j int) bool { return s.Stores[i].Node < s.Stores[j].Node })
 	sort.Slice(s.Shards, func(i, j int) bool { return s.Shards[i].ID < s.Shards[j].ID })
 	s.protect()
