--- a/tier/control/verdicts.go
+++ b/tier/control/verdicts.go
@@ -90,13 +90,10 @@
 
 // fleet is what the judge has to know of the hosts.
 func (s *Server) fleet() outlier.Fleet {
-	fleet := outlier.Fleet{Services: map[string][]string{}}
-	zones := map[string]bool{}
+	fleet := outlier.Fleet{}
 	for id, host := range s.state.Hosts() {
-		fleet.Services[host.Service] = append(fleet.Services[host.Service], id)
-		zones[host.Zone] = true
+		fleet[host.Service] = append(fleet[host.Service], outlier.Host{ID: id, Zone: host.Zone})
 	}
-	fleet.Zones = len(zones)
 	return fleet
 }
 
