--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -35,6 +35,7 @@
 	Outage   outageCmd   `cmd:"" help:"Play days with an outage of all hosts and say what all api gateways together did in it, and how soon they came back."`
 	Load     loadCmd     `cmd:"" help:"Let a day's customers ask api gateways on loopback, in open loop."`
 	Owndays  owndaysCmd  `cmd:"" help:"Generate days of the serving tier, play them and shrink those that broke a rule."`
+	Causes   causesCmd   `cmd:"" help:"Where the programs of played days of the serving tier were lost, from the reports of the plays."`
 	Days     daysCmd     `cmd:"" help:"List the days there are, or the form of a day's file."`
 }
 
--- /dev/null
+++ b/lab/ablation/ablate.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Switches mechanisms of the serving tier's decisions off, one at a time, each on a scratch copy of the sources, and plays the same
+# days with each copy. Nothing of it is in the product: a mechanism is switched off by a change of its source that is named here.
+#
+#   ablate.sh BENCH SITE DAY DIR [MECHANISM...]
+#
+# BENCH is the program that plays days, SITE a site file, DAY a day of it (a name, "quick", or a file), DIR a folder for the
+# copies. SEED, JOBS (copies played at once) and OPTIONS (of the bench's run) may be given as variables. It prints a line for each mechanism: its
+# name, worth, share served, share failed.
+set -euo pipefail
+bench=$(realpath "$1") site=$(realpath "$2") day=$3 dir=$4
+shift 4
+root=$(git rev-parse --show-toplevel)
+[ ! -f "$day" ] || day=$(realpath "$day")
+
+# name | file | sed expression
+mechanisms='
+none|tier/balance/balance.go|
+near-bonus|tier/balance/balance.go|s/nearBonus   = 0.10/nearBonus   = 0.0/
+warm-bonus|tier/balance/balance.go|s/warmBonus   = 0.05/warmBonus   = 0.0/
+sticky|tier/balance/balance.go|s/stickyBonus = 0.35/stickyBonus = 0.0/
+failure-rate|tier/balance/balance.go|s/ratePenalty  = 2.0/ratePenalty  = 0.0/
+pause|tier/balance/balance.go|s/longPause   = 5 \* time.Second/longPause   = 0/
+stall-share|tier/balance/balance.go|s/stallPenalty = 1.0/stallPenalty = 0.0/
+reported-load|tier/balance/balance.go|s/reportTrust = 400 \* time.Millisecond/reportTrust = 0/
+hung-given-up|tier/patience/patience.go|s/allowedShare = 0.1/allowedShare = 0.0/
+fleet-verdicts|tier/outlier/judge.go|s/evidence   = 2.5/evidence   = 1e9/
+retry-after|tier/proxy/proxy.go|s/advice := retryafter.Advice(left, expected, rand.Float64())/advice := retryafter.Advice(left, 200*time.Millisecond, 0*rand.Float64()*float64(expected))/
+first-view-wait|tier/proxy/outages.go|s/tablePatience = 800 \* time.Millisecond/tablePatience = 0/
+hedged-dials|tier/rpc/dial.go|s/dialHedge = 80 \* time.Millisecond/dialHedge = time.Hour/
+held-messages|tier/rpc/held.go|s/mostHeld      = 256/mostHeld      = 0/
+silent-connections|tier/rpc/conn.go|s/deadAfter = 400 \* time.Millisecond/deadAfter = time.Hour/
+follow-shard|tier/proxy/programs.go|s/^\tgo p.endWhenMoved(.*$//
+lost-disk-early|tier/placement/placement.go|s/return m.Alive \&\& !m.Unheard/return m.Alive/
+lean-end|tier/proxy/turn.go|s/if whole \&\& t.route.Retained {/end.Input = t.body\n\tif whole \&\& t.route.Retained {/
+connection-pool|tier/upstream/pool.go|s/standardIdle  = 4 \* time.Second/standardIdle  = 0/
+'
+
+play() { # NAME FILE EXPRESSION
+  local copy=$dir/$1 seed=()
+  rm -rf "$copy"
+  git -C "$root" worktree add -q --force --detach "$copy" HEAD
+  if [ -n "$3" ]; then
+    sed -i "$3" "$copy/$2"
+    ! git -C "$copy" diff --quiet || { echo "$1: its source has changed; mend lab/ablation/ablate.sh" >&2; return 1; }
+  fi
+  [ -z "${SEED:-}" ] || seed=(--seed "$SEED")
+  local why="ablation: $1 off, day $(basename "$day")"
+  if [ "$day" = quick ]; then
+    (cd "$copy" && "$bench" score "$site" --quick --jobs 1 --why "$why") >"$dir/$1.txt" 2>&1 || true
+    printf '%s\t%s\n' "$1" "$(grep -E '^[a-z]+-[0-9]+ ' "$dir/$1.txt" | awk '{printf "%s %s  ", $1, $4}')"
+  else
+    (cd "$copy" && "$bench" run "$site" "$day" "${seed[@]}" ${OPTIONS:-} --jobs 1 --why "$why") >"$dir/$1.txt" 2>&1 || true
+    printf '%s\t%s\n' "$1" "$(grep -E '^[a-z0-9-]+ +[0-9]+/[0-9]+' "$dir/$1.txt" | head -1 | awk '{print $4, $5, $7}')"
+  fi
+  git -C "$root" worktree remove --force "$copy"
+}
+
+mkdir -p "$dir"
+while IFS='|' read -r name file expression; do
+  [ -n "$name" ] || continue
+  [ $# -eq 0 ] || [[ " $* " == *" $name "* ]] || continue
+  while [ "$(jobs -rp | wc -l)" -ge "${JOBS:-4}" ]; do wait -n; done
+  play "$name" "$file" "$expression" &
+  sleep 0.5
+done <<<"$mechanisms"
+wait
--- /dev/null
+++ b/lab/causes/causes_test.go
@@ -0,0 +1,52 @@
+package causes
+
+import (
+	"strings"
+	"testing"
+)
+
+const report = `{"all":{"n":40,"late":7,"refused":1,"failed":11},
+"events":[{"at_s":4,"to_s":6,"kind":"srv_grey (hang)"},{"at_s":5,"to_s":7,"kind":"config_change (idle)"},{"at_s":30.5,"to_s":45,"kind":"closing (kill_all)"}],
+"windows":[{"name":"0","late":1},{"name":"4","failed":2,"refused":1},{"name":"14","late":1},{"name":"24","failed":3},{"name":"30","late":4,"failed":5},{"name":"32","late":1,"failed":1}]}`
+
+func TestSharesAddUp(t *testing.T) {
+	r, err := Parse("day", []byte(report))
+	if err != nil {
+		t.Fatal(err)
+	}
+	shares, err := r.Shares()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Share{{Outage, 5, 6}, {InFlight, 0, 3}, {"srv_grey (hang)", 1, 3}, {Unexplained, 1, 0}}
+	if len(shares) != len(want) {
+		t.Fatalf("%+v", shares)
+	}
+	for i, share := range shares {
+		if share.Lost != want[i].Lost || share.Late != want[i].Late {
+			t.Errorf("%+v, not %+v", share, want[i])
+		}
+	}
+}
+
+func TestCountsThatDoNotAddUpAreTold(t *testing.T) {
+	r, err := Parse("day", []byte(strings.Replace(report, `"failed":11`, `"failed":12`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Shares(); err == nil || !strings.Contains(err.Error(), "11") && !strings.Contains(err.Error(), "12") {
+		t.Fatal(err)
+	}
+}
+
+func TestWhatIsNoReportIsTold(t *testing.T) {
+	for _, content := range []string{"", "{}", `{"windows":[{"name":"x","failed":1}],"all":{"failed":1}}`} {
+		r, err := Parse("day", []byte(content))
+		if err == nil {
+			_, err = r.Shares()
+		}
+		if err == nil {
+			t.Errorf("%q is taken for a report", content)
+		}
+	}
+}
--- a/lab/tierrig/verdict_test.go
+++ b/lab/tierrig/verdict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"otterseam/lab/tierhost"
@@ -43,6 +44,7 @@
 	}
 	refuse(true)
 	w.lookups(met, func() bool { return w.setAside(bad.ID) })
+	w.waitForRoute(others)
 
 	sound[1].Refuse(false) // the first host that the others would take still refuses
 	before := len(bad.Runs())
@@ -64,6 +66,25 @@
 	})
 }
 
+// waitForRoute adds a route and waits until fronts know it: what was decided before is then known there as well.
+func (w *world) waitForRoute(fronts []int) {
+	w.Helper()
+	const route = `{"name":"late","host":"try.example","path_prefix":"/late/","route_type":"safe","timeout_ms":1200,"service":"engine"},`
+	config := strings.Replace(Config(2), `"routes":[`, `"routes":[`+route, 1)
+	if got := w.rig.Replace(1, config, limit); got.Err != nil || got.Status != http.StatusOK {
+		w.Fatalf("%+v", got)
+	}
+	for _, front := range fronts {
+		err := Until(limit, func() bool {
+			got, _ := w.call(front, http.MethodGet, "/late/x", nil, "")
+			return got.Status != http.StatusNotFound
+		})
+		if err != nil {
+			w.Fatal(err)
+		}
+	}
+}
+
 // primaryOfControl is the machine that leads control, or nil while none is known.
 func (w *world) primaryOfControl() *Machine {
 	status, err := w.rig.Status()
--- a/tier/outlier/judge.go
+++ b/tier/outlier/judge.go
@@ -162,7 +162,7 @@
 		if held == nil || now < held.outUntil || held.failures <= threshold || len(held.reports) < fewestReporters {
 			continue
 		}
-		if held.isSeenFromOneZone() && !j.standsOutInZone(host, hosts) {
+		if zone, one := held.onlyZone(); one && !j.standsOutInZone(host, zone, hosts) {
 			continue
 		}
 		found = append(found, host)
@@ -188,15 +188,19 @@
 	return counts
 }
 
-// standsOutInZone tells whether a host is an outlier among the hosts of its own zone, if there are enough to compare.
-func (j *Judge) standsOutInZone(host Host, hosts []Host) bool {
+// standsOutInZone tells whether a host that is reported from one zone alone is an outlier among the hosts of its own zone. With too few
+// to compare, it has to lie in the zone of those who report it: no link between zones is in question then.
+func (j *Judge) standsOutInZone(host Host, reportedFrom string, hosts []Host) bool {
 	var peers []Host
 	for _, each := range hosts {
 		if each.Zone == host.Zone {
 			peers = append(peers, each)
 		}
 	}
-	return len(peers) >= fewestPeers && j.hosts[host.ID].failures > thresholdOf(j.failures(peers))
+	if len(peers) < fewestPeers {
+		return host.Zone == reportedFrom
+	}
+	return j.hosts[host.ID].failures > thresholdOf(j.failures(peers))
 }
 
 // mayBeOut is how many of the hosts of a service may be set aside at once.
@@ -214,13 +218,17 @@
 	return peerFactor*usual + spread*math.Sqrt(usual) + evidence
 }
 
-// isSeenFromOneZone tells whether all that have reported the host lately lie in one zone.
-func (r *record) isSeenFromOneZone() bool {
-	zones := map[string]bool{}
+// onlyZone is the zone in which all lie that have reported the host lately, or false if there is no such zone.
+func (r *record) onlyZone() (zone string, one bool) {
+	first := true
 	for _, each := range r.reports {
-		zones[each.zone] = true
+		if !first && each.zone != zone {
+			return "", false
+		}
+		zone = each.zone
+		first = false
 	}
-	return len(zones) < 2
+	return zone, true
 }
 
 func (r *record) setAside(now int64) (term int64) {
