--- a/tier/agent/agent.go
+++ b/tier/agent/agent.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"strings"
-	"time"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -31,12 +30,8 @@
 	reports  chan []byte // what the proxy saw, on its way to control
 }
 
-const (
-	// mostReports bounds the reports that wait; more are dropped, as they tell of the same hosts.
-	mostReports = 4
-	// reportTimeout is how long a report is worth sending.
-	reportTimeout = time.Second
-)
+// mostReports bounds the reports that wait; more are dropped, as they tell of the same hosts.
+const mostReports = 4
 
 // New makes an agent.
 func New(s *settings.Settings, log *logrus.Entry) (*Agent, error) {
@@ -84,18 +79,16 @@
 	}
 }
 
-// report hands reports to the primary of control. One that comes twice is known by its number.
+// report hands reports to the primary of control. Each is tried once: while control has no primary, reports must not press upon it.
 func (a *Agent) report(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case report := <-a.reports:
-			call, cancel := context.WithTimeout(ctx, reportTimeout)
-			if _, err := a.control.Call(call, controlclient.KindObserved, report); err != nil {
+			if _, err := a.control.Try(ctx, controlclient.KindObserved, report); err != nil {
 				a.log.WithError(err).Debug("a report of hosts was not taken")
 			}
-			cancel()
 		}
 	}
 }
--- a/tier/controlclient/client.go
+++ b/tier/controlclient/client.go
@@ -35,20 +35,9 @@
 // no clear answer is made again, so it has to be idempotent.
 func (c *Client) Call(ctx context.Context, kind rpc.Kind, payload []byte) ([]byte, error) {
 	for {
-		address := c.target()
-		if address != "" {
-			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-			result, err := c.clients.To(address).Call(attempt, kind, payload)
-			cancel()
-			if err == nil {
-				c.remember(address)
-				return result, nil
-			}
-			if !tryElsewhere(err) {
-				c.remember(address)
-				return result, err
-			}
-			c.forget(address, err, result)
+		result, err := c.Try(ctx, kind, payload)
+		if err == nil || !tryElsewhere(err) {
+			return result, err
 		}
 		select {
 		case <-ctx.Done():
@@ -58,6 +47,24 @@
 	}
 }
 
+// Try asks one control process: the primary, if it is known. A call that got no clear answer is not made again; the next one goes
+// elsewhere.
+func (c *Client) Try(ctx context.Context, kind rpc.Kind, payload []byte) ([]byte, error) {
+	address := c.target()
+	if address == "" {
+		return nil, codes.Unavailable
+	}
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	result, err := c.clients.To(address).Call(attempt, kind, payload)
+	if err == nil || !tryElsewhere(err) {
+		c.remember(address)
+	} else {
+		c.forget(address, err, result)
+	}
+	return result, err
+}
+
 func tryElsewhere(err error) bool {
 	for _, code := range []codes.Code{codes.NotPrimary, codes.Timeout, codes.LinkBroken, codes.Unavailable} {
 		if errors.Is(err, code) {
--- a/tier/patience/patience.go
+++ b/tier/patience/patience.go
@@ -43,7 +43,7 @@
 // soon counts as usual.
 func (e *Estimator) GivenUp(waited time.Duration) {
 	e.learn(waited)
-	e.allowance--
+	e.allowance = max(e.allowance-1, 0)
 }
 
 func (e *Estimator) learn(waited time.Duration) {
