--- a/tier/control/stop.go
+++ b/tier/control/stop.go
@@ -10,6 +10,7 @@
 	"otterseam/tier/codes"
 	"otterseam/tier/groups"
 	"otterseam/tier/membership"
+	"otterseam/tier/periodic"
 	"otterseam/tier/register"
 	"otterseam/tier/rpc"
 )
@@ -42,15 +43,15 @@
 	s.mu.Unlock()
 	limit, cancel := context.WithTimeout(ctx, max(shortestStop, s.settings.Bounds.Grace-stopMargin))
 	defer cancel()
-	for limit.Err() == nil && s.needed() {
+	periodic.While(limit, handOverPause, func() bool {
+		if !s.needed() {
+			return false
+		}
 		if s.leadsControl() {
 			s.handOver(limit)
 		}
-		select {
-		case <-limit.Done():
-		case <-time.After(handOverPause):
-		}
-	}
+		return true
+	})
 }
 
 // needed tells whether others can't do without this process yet.
--- a/tier/periodic/periodic.go
+++ b/tier/periodic/periodic.go
@@ -11,6 +11,16 @@
 	RunOrWhen(ctx, interval, nil, work)
 }
 
+// While calls step again and again, with a pause between, until it returns false or the context ends.
+func While(ctx context.Context, pause time.Duration, step func() bool) {
+	for ctx.Err() == nil && step() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
 // RunOrWhen calls work once in each interval and whenever it is woken, until the context ends.
 func RunOrWhen(ctx context.Context, interval time.Duration, wake <-chan struct{}, work func()) {
 	ticker := time.NewTicker(interval)
--- a/tier/periodic/periodic_test.go
+++ b/tier/periodic/periodic_test.go
@@ -24,6 +24,28 @@
 	}
 }
 
+func TestWhileEndsWithItsStepOrItsContext(t *testing.T) {
+	steps := 0
+	While(t.Context(), time.Millisecond, func() bool {
+		steps++
+		return steps < 3
+	})
+	if steps != 3 {
+		t.Fatalf("%d steps", steps)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	While(ended, time.Hour, func() bool {
+		t.Error("a step after the end")
+		return true
+	})
+	beside, cancel := context.WithCancel(t.Context())
+	While(beside, time.Hour, func() bool {
+		cancel()
+		return true
+	})
+}
+
 func TestRunEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	calls := 0
--- a/tier/store/leave.go
+++ b/tier/store/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"otterseam/tier/directory"
+	"otterseam/tier/periodic"
 	"otterseam/tier/placement"
 	"otterseam/tier/replica"
 )
@@ -23,12 +24,7 @@
 	s.mu.Unlock()
 	limit, cancel := context.WithTimeout(ctx, max(shortestLeave, s.settings.Bounds.Grace-leaveMargin))
 	defer cancel()
-	for limit.Err() == nil && s.needed() {
-		select {
-		case <-limit.Done():
-		case <-time.After(watchEvery):
-		}
-	}
+	periodic.While(limit, watchEvery, s.needed)
 }
 
 // needed tells whether shards can't do without this process yet: by the map as far as it is known here, or because a replica here
