--- a/lab/ablation/ablate.sh
+++ b/lab/ablation/ablate.sh
@@ -53,8 +53,6 @@
     (cd "$copy" && "$bench" run "$site" "$day" "${seed[@]}" ${OPTIONS:-} --jobs 1 --why "$why") >"$dir/$1.txt" 2>&1 || true
     printf '%s\t%s\n' "$1" "$(grep -E '^[a-z0-9-]+ +[0-9]+/[0-9]+' "$dir/$1.txt" | head -1 | awk '{print $4, $5, $7}')"
   fi
-  # the journal of plays stays
-  (cd "$copy" && git ls-files --others journal | tar cf - -T -) | tar xf - -C "$root"
   git -C "$root" worktree remove --force "$copy"
 }
 
