--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -169,15 +169,15 @@
 	return err
 }
 
-// update follows the view.
+// update follows the view. Routes come last: requests that waited for the first ones find hosts and shards.
 func (p *Proxy) update(items []feed.Item) {
+	p.hosts.update(items)
+	p.programs.update(items)
 	for _, item := range items {
 		if item.Section == feed.SectionConfig && !item.Deleted {
 			p.takeConfig(item.Data)
 		}
 	}
-	p.hosts.update(items)
-	p.programs.update(items)
 }
 
 func (p *Proxy) takeConfig(data []byte) {
--- a/tier/proxy/turn_test.go
+++ b/tier/proxy/turn_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/http"
 	"strings"
@@ -95,6 +96,27 @@
 	}
 }
 
+// Whoever waited for the first view finds hosts as soon as there are routes.
+func TestRoutesComeBehindHosts(t *testing.T) {
+	g := newGateway(t)
+	g.proxy.table.Store(nil)
+	g.proxy.tabled = make(chan struct{})
+	known := make(chan bool, 1)
+	go func() {
+		<-g.proxy.tabled
+		host := g.proxy.hosts.choose("hosts", "", nil)
+		known <- host != nil
+	}()
+	host := directory.Host{ID: "h", Service: "hosts", Address: "127.0.0.1:1", Zone: "z", Slots: 8}
+	g.proxy.update([]feed.Item{
+		{Section: feed.SectionConfig, Key: directory.ConfigKey, Data: append(binary.BigEndian.AppendUint64(nil, 1), testConfig...)},
+		{Section: feed.SectionHost, Key: host.ID, Data: host.Encode()},
+	})
+	if !<-known {
+		t.Fatal("there are routes and no hosts")
+	}
+}
+
 // A host that leaves gets no further request, neither a new one nor the rest of a stream.
 func TestAHostThatLeavesGetsNoFurtherRequest(t *testing.T) {
 	g := newGateway(t)
--- a/tier/retryafter/retryafter.go
+++ b/tier/retryafter/retryafter.go
@@ -64,9 +64,6 @@
 	}
 }
 
-// Forget drops an outage of a thing that is gone for good.
-func (o *Outages) Forget(key string) { delete(o.out, key) }
-
 // learn follows mean and mean deviation of the outages, as estimates of round-trip times do.
 func (o *Outages) learn(lasted time.Duration) {
 	off := (lasted - o.mean).Abs()
