--- a/tier/outlier/outlier_test.go
+++ b/tier/outlier/outlier_test.go
@@ -179,8 +179,9 @@
 // A gateway whose own network fails, and a zone cut off from another, accuse nobody, or one host in a hundred.
 func TestTheReportersOwnTroubleAccusesNobody(t *testing.T) {
 	for name, fails := range map[string]func(gateway, host int) bool{
-		"one gateway": func(gateway, _ int) bool { return gateway == 3 },
-		"a zone cut":  func(gateway, host int) bool { return gateway%5 == 0 && host%5 == 1 },
+		"one gateway":  func(gateway, _ int) bool { return gateway == 3 },
+		"two gateways": func(gateway, _ int) bool { return gateway == 3 || gateway == 4 },
+		"a zone cut":   func(gateway, host int) bool { return gateway%5 == 0 && host%5 == 1 },
 	} {
 		accused, played := 0, 0
 		for seed := range seeds() {
@@ -267,3 +268,78 @@
 		t.Fatalf("%+v", next)
 	}
 }
+
+// seen is a window in which one host failed so often.
+func seen(reporter, number uint64, zone string, failures uint32) Window {
+	failed := Observation{Host: "h0"}
+	failed.Failed[BrokenOff] = failures
+	return Window{Reporter: reporter, Number: number, Zone: zone, Contacted: 20, Hosts: []Observation{failed}}
+}
+
+func someHosts() Fleet {
+	var hosts []Host
+	for i := range 10 {
+		hosts = append(hosts, Host{ID: fmt.Sprint("h", i), Zone: "a"})
+	}
+	return Fleet{"s": hosts}
+}
+
+func TestTermsDoubleUntilTheHostIsWell(t *testing.T) {
+	r := &record{reports: map[uint64]report{}}
+	now := int64(1 << 20)
+	for _, want := range []int64{2000, 4000, 8000, 16000, 16000} {
+		if got := r.setAside(now); got != want {
+			t.Fatalf("a term of %d, not %d", got, want)
+		}
+		now = r.outUntil + 1000
+	}
+	if got := r.setAside(r.outUntil + forgetAfter + 1); got != firstTerm {
+		t.Fatalf("after a long time well: a term of %d", got)
+	}
+}
+
+// A few failures in a minute are no evidence.
+func TestOldFailuresAreForgotten(t *testing.T) {
+	judge := NewJudge()
+	for i := range uint64(30) {
+		now := int64(1<<20) + int64(i)*2500
+		judge.Take(seen(1+i%3, i+1, "a", 1), now)
+		if verdicts := judge.Decide(someHosts(), now); len(verdicts) > 0 {
+			t.Fatalf("set aside after %d failures in %d s", i+1, i*5/2)
+		}
+	}
+}
+
+// What a host did before its term does not count against it afterwards.
+func TestATermBeginsAnew(t *testing.T) {
+	judge := NewJudge()
+	now := int64(1 << 20)
+	judge.Take(seen(1, 1, "a", 40), now)
+	judge.Take(seen(2, 1, "b", 40), now)
+	if verdicts := judge.Decide(someHosts(), now); len(verdicts) != 1 {
+		t.Fatal(verdicts)
+	}
+	judge.Take(seen(1, 2, "a", 1), now+firstTerm)
+	judge.Take(seen(2, 2, "b", 1), now+firstTerm)
+	if verdicts := judge.Decide(someHosts(), now+firstTerm); len(verdicts) != 0 {
+		t.Fatal(verdicts)
+	}
+}
+
+// A gateway that most of its hosts fail tells of its own trouble.
+func TestAReporterThatMostHostsFailIsNotBelieved(t *testing.T) {
+	for failed, believed := range map[int]bool{2: true, 4: true, 5: false, 8: false} {
+		c := NewCollector(1, "a")
+		for i := range 8 {
+			c.Sent(fmt.Sprint("h", i))
+			if i < failed {
+				c.Failed(fmt.Sprint("h", i), NoConnection)
+			}
+		}
+		judge := NewJudge()
+		judge.Take(c.Take(), 1<<20)
+		if got := len(judge.hosts) > 0; got != believed {
+			t.Errorf("%d of 8 hosts failed it: believed %v", failed, got)
+		}
+	}
+}
