--- a/cmd/otterctl/main.go
+++ b/cmd/otterctl/main.go
@@ -2,12 +2,16 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -167,9 +171,29 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", host.ID, host.Service, host.Zone, host.Address, condition)
 	}
+	fmt.Fprintf(w, "\nPROCESS\tRECOVERY: MILLISECONDS AFTER ITS START\n")
+	for _, process := range state.Recovery {
+		fmt.Fprintf(w, "%s\t%s\n", process.Address, steps(process))
+	}
 	return w.Flush()
 }
 
+// steps lists the steps of a recovery in the order in which they were reached.
+func steps(process status.Recovery) string {
+	names := slices.Collect(maps.Keys(process.AfterMS))
+	slices.SortFunc(names, func(a, b string) int {
+		if order := cmp.Compare(process.AfterMS[a], process.AfterMS[b]); order != 0 {
+			return order
+		}
+		return cmp.Compare(a, b)
+	})
+	texts := make([]string, 0, len(names))
+	for _, name := range names {
+		texts = append(texts, fmt.Sprintf("%s %d", name, process.AfterMS[name]))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // printProtection tells how many losses a group bears.
 func printProtection(w io.Writer, group string, p status.Protection) {
 	fmt.Fprintf(w, "%s bears the loss of %d more: %s\n", group, p.Bears, p.WhyNotMore)
--- a/cmd/otterctl/main_test.go
+++ b/cmd/otterctl/main_test.go
@@ -57,7 +57,10 @@
 		Stores:  []directory.Store{{Identity: 5, Node: "storage-1"}},
 		Shards:  []directory.Shard{{ID: 3, Total: 8, View: replica.View{Epoch: 6, Primary: 5, InSync: []uint64{5}, Replicas: []uint64{5}}}},
 		Hosts:   []directory.Host{{ID: "h", Service: "engine", Draining: true}},
-		Aside:   map[string]int64{"h": 4000},
+		Recovery: []status.Recovery{
+			{Address: "10.0.0.9:7381", AfterMS: map[string]int64{"shard-led": 310, "process-up": 0, "disk-read": 41}},
+		},
+		Aside: map[string]int64{"h": 4000},
 	}
 	var out bytes.Buffer
 	if err := printTables(state, &out); err != nil {
@@ -65,7 +68,7 @@
 	}
 	for _, want := range []string{
 		"version 4", "10.0.0.1:7380", "storage-1", "draining", "control bears the loss of 0 more", "BEARS", "all of 1 copy in sync",
-		"set aside for 4000 ms",
+		"set aside for 4000 ms", "10.0.0.9:7381", "process-up 0, disk-read 41, shard-led 310",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, out.String())
--- a/lab/tierrig/verdict_test.go
+++ b/lab/tierrig/verdict_test.go
@@ -94,3 +94,30 @@
 	member, _ := status.Control.Member(status.Control.Primary)
 	return w.rig.Machine(member.Node)
 }
+
+// Operators can ask control and the stores when they reached each step of their recovery.
+func TestStatusTellsTheRecoveryOfProcesses(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.turnOK(0, "p", "", "60", 3, "x")
+	status, err := w.rig.Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(status.Recovery) != 6 {
+		t.Fatalf("%+v", status.Recovery)
+	}
+	led := 0
+	for _, process := range status.Recovery {
+		if _, reached := process.AfterMS["disk-read"]; !reached {
+			t.Errorf("%+v", process)
+		}
+		for _, step := range []string{"primary-ready", "shard-led"} {
+			if _, reached := process.AfterMS[step]; reached {
+				led++
+			}
+		}
+	}
+	if led < 2 {
+		t.Errorf("nobody leads control or a shard: %+v", status.Recovery)
+	}
+}
--- a/tier/status/status.go
+++ b/tier/status/status.go
@@ -26,6 +26,8 @@
 	Hosts    []directory.Host  `json:"hosts"`
 	Aside    map[string]int64  `json:"hosts_set_aside"` // by host, the term in milliseconds
 
+	Recovery []Recovery `json:"recovery"` // of the processes of control and of the stores
+
 	ControlBears Protection            `json:"control_bears"`
 	ShardsBear   map[uint32]Protection `json:"shards_bear"`
 }
@@ -60,6 +62,11 @@
 	sort.Slice(s.Stores, func(i, j int) bool { return s.Stores[i].Node < s.Stores[j].Node })
 	sort.Slice(s.Shards, func(i, j int) bool { return s.Shards[i].ID < s.Shards[j].ID })
 	s.protect()
+	processes := addresses
+	for _, store := range s.Stores {
+		processes = append(processes[:len(processes):len(processes)], store.Address)
+	}
+	s.Recovery = readRecovery(ctx, processes)
 	return s, nil
 }
 
