Storage: a last segment of a newer format is refused instead of cut; a write without a read is the newest version

Cause: decodeCommit's "not a complete commit" stood for torn as well as for foreign bytes, and Values took version 0 for what it had not read. A segment whose end no tear can explain (another magic, a right checksum over fields or kinds not known here) is now a CorruptRecordError and stays as it is; what a tear leaves (prefix, zeros) is cut as before. Tests fail without it.

--- a/tier/storage/commit.go
+++ b/tier/storage/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"otterseam/tier/codec"
 )
@@ -68,18 +69,11 @@
 
 // decodeCommit reads the commit at the start of the data, if there is a complete one, and its length.
 func decodeCommit(data []byte) (c commit, length int, ok bool) {
-	if len(data) < commitHeaderBytes || binary.BigEndian.Uint32(data) != commitMagic {
+	content, ok := commitContent(data)
+	if !ok {
 		return c, 0, false
 	}
-	size := int(binary.BigEndian.Uint32(data[4:]))
 	c.sequence = binary.BigEndian.Uint64(data[12:])
-	if size > len(data)-commitHeaderBytes {
-		return c, 0, false
-	}
-	content := data[commitHeaderBytes : commitHeaderBytes+size]
-	if binary.BigEndian.Uint32(data[8:]) != commitChecksum(c.sequence, content) {
-		return c, 0, false
-	}
 	d := codec.NewDecoder(content)
 	c.checkpoint = d.Bool()
 	for range d.Count(minRecordBytes) {
@@ -87,7 +81,39 @@
 			Kind: RecordKind(d.Uint8()), Group: d.Uint32(), Index: d.Uint64(), Epoch: d.Uint64(), Data: d.Blob(),
 		})
 	}
-	return c, commitHeaderBytes + size, d.Err() == nil
+	isKnown := d.Err() == nil && len(d.Rest()) == 0 && !slices.ContainsFunc(c.records, hasUnknownKind)
+	return c, commitHeaderBytes + len(content), isKnown
+}
+
+func hasUnknownKind(r Record) bool { return r.Kind < RecordEntry || r.Kind > RecordDrop }
+
+// commitContent returns the content of the commit at the start of the data, if all of it is there and its checksum is right.
+func commitContent(data []byte) (content []byte, ok bool) {
+	if len(data) < commitHeaderBytes || binary.BigEndian.Uint32(data) != commitMagic {
+		return nil, false
+	}
+	size := int(binary.BigEndian.Uint32(data[4:]))
+	if size > len(data)-commitHeaderBytes {
+		return nil, false
+	}
+	content = data[commitHeaderBytes : commitHeaderBytes+size]
+	sequence := binary.BigEndian.Uint64(data[12:])
+	return content, binary.BigEndian.Uint32(data[8:]) == commitChecksum(sequence, content)
+}
+
+// isOfUnknownFormat tells whether the data, which does not start with a commit that can be decoded, can't be the torn end of one
+// either. What a loss of power tears holds bytes of the commit and zeros; a commit whose checksum is right is not torn.
+func isOfUnknownFormat(data []byte) bool {
+	if _, isComplete := commitContent(data); isComplete {
+		return true
+	}
+	magic := binary.BigEndian.AppendUint32(nil, commitMagic)
+	for i, b := range data[:min(len(magic), len(data))] {
+		if b != 0 && b != magic[i] {
+			return true
+		}
+	}
+	return false
 }
 
 // containsCommit tells whether a complete commit starts anywhere in the data.
--- a/tier/storage/errors_test.go
+++ b/tier/storage/errors_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"encoding/binary"
 	"errors"
 	"maps"
 	"os"
@@ -107,6 +108,56 @@
 	}
 }
 
+// A last segment that a newer version of the program wrote is refused and stays as it is; it is not taken for a torn one.
+func TestALastSegmentOfANewerFormatStaysAsItIs(t *testing.T) {
+	const last = "segment-0000000000000002"
+	newerRecord := entry(1, 3, 1, "c")
+	newerRecord.Kind = RecordDrop + 1
+	withNewField := encodeCommit(commit{sequence: 3, records: []Record{entry(1, 3, 1, "c")}})
+	content := append(withNewField[commitHeaderBytes:len(withNewField):len(withNewField)], "new field"...)
+	header := binary.BigEndian.AppendUint32(nil, commitMagic)
+	header = binary.BigEndian.AppendUint32(header, uint32(len(content)))
+	header = binary.BigEndian.AppendUint32(header, commitChecksum(3, content))
+	header = binary.BigEndian.AppendUint64(header, 3)
+	for name, written := range map[string][]byte{
+		"another magic":           []byte("OCM2 all else may differ"),
+		"another kind of record":  encodeCommit(commit{sequence: 3, records: []Record{newerRecord}}),
+		"a field behind the last": append(header, content...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			j, _ := openJournal(t, dir)
+			appendAll(t, j, entry(1, 1, 1, "a"), entry(1, 2, 1, "b"))
+			if err := os.WriteFile(filepath.Join(dir, last), written, 0o644); err != nil {
+				t.Fatal(err)
+			}
+			before := readFolder(t, dir)
+			_, _, err := OpenJournal(dir)
+			checkCorrupt(t, err, CorruptRecordError{File: last, Reason: "damaged commit: of a newer format, or not a journal"}, dir, before)
+		})
+	}
+}
+
+// What a loss of power may leave of a commit is cut off: any prefix of it, with zeros in place of what was not written.
+func TestATornCommitWithZerosIsCutOff(t *testing.T) {
+	torn := encodeCommit(commit{sequence: 2, records: []Record{entry(1, 2, 1, "b")}})
+	for written := range torn {
+		for _, end := range []int{written, len(torn)} {
+			dir := t.TempDir()
+			j, _ := openJournal(t, dir)
+			appendAll(t, j, entry(1, 1, 1, "a"))
+			rewriteFile(t, filepath.Join(dir, "segment-0000000000000001"), func(content []byte) []byte {
+				left := append([]byte(nil), torn[:end]...)
+				clear(left[written:])
+				return append(content, left...)
+			})
+			if _, records := openJournal(t, dir); len(records) != 1 {
+				t.Fatalf("%d of %d bytes written: %d records", written, end, len(records))
+			}
+		}
+	}
+}
+
 // A value that is cut, altered, misplaced or of a newer format is refused, and no older version is taken in its place.
 func TestACorruptValueIsReportedAndStaysAsItIs(t *testing.T) {
 	const newest = "identity-0000000000000002"
--- a/tier/storage/segment.go
+++ b/tier/storage/segment.go
@@ -15,6 +15,8 @@
 	commits    []commit
 	validBytes int64 // of complete commits from the start
 	fileBytes  int64
+	// hasUnknownEnd says that what stands behind the complete commits is no torn commit of this format.
+	hasUnknownEnd bool
 }
 
 // readSegment takes complete commits from the start of a segment. Complete commits behind a damaged one say that it was not torn
@@ -38,6 +40,7 @@
 	if len(rest) > 0 && containsCommit(rest[1:]) {
 		return segment{}, s.damaged("complete commits follow")
 	}
+	s.hasUnknownEnd = isOfUnknownFormat(rest)
 	return s, nil
 }
 
@@ -76,6 +79,9 @@
 			}
 			next = c.sequence + 1
 		}
+		if s.hasUnknownEnd {
+			return 0, s.damaged("of a newer format, or not a journal")
+		}
 	}
 	return next, nil
 }
--- a/tier/storage/storage_test.go
+++ b/tier/storage/storage_test.go
@@ -232,6 +232,27 @@
 	}
 }
 
+// A value that is written without having been read gets the version behind those on disk.
+func TestAWriteWithoutAReadIsTheNewestVersion(t *testing.T) {
+	dir := t.TempDir()
+	for _, content := range []string{"one", "two", "three"} {
+		values, err := OpenValues(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := values.Write("identity", []byte(content)); err != nil {
+			t.Fatal(err)
+		}
+		reopened, err := OpenValues(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := reopened.Read("identity"); err != nil || string(got) != content {
+			t.Fatalf("%q, not %q: %v", got, content, err)
+		}
+	}
+}
+
 func TestValuesReportADamagedFile(t *testing.T) {
 	for name, damage := range map[string]func([]byte) []byte{
 		"cut":     func(b []byte) []byte { return b[:len(b)-1] },
--- a/tier/storage/values.go
+++ b/tier/storage/values.go
@@ -36,20 +36,36 @@
 func (v *Values) Read(name string) ([]byte, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	newest, err := v.newestVersion(name)
+	if err != nil || newest == 0 {
+		return nil, err
+	}
+	return readVersion(v.fs, v.dir, versionName(name, newest))
+}
+
+// newestVersion finds the newest version on disk, 0 if there is none. The caller holds the lock.
+func (v *Values) newestVersion(name string) (uint64, error) {
 	versions, err := listVersions(v.fs, v.dir, name)
 	if err != nil || len(versions) == 0 {
-		return nil, err
+		return 0, err
 	}
 	newest := versions[len(versions)-1]
 	v.versions[name] = newest
-	return readVersion(v.fs, v.dir, versionName(name, newest))
+	return newest, nil
 }
 
 // Write makes a new version durable and removes old ones. An error is a WriteError.
 func (v *Values) Write(name string, content []byte) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	version := v.versions[name] + 1
+	newest, known := v.versions[name]
+	if !known { // a value that was never read may be on disk all the same
+		var err error
+		if newest, err = v.newestVersion(name); err != nil {
+			return &WriteError{Err: err}
+		}
+	}
+	version := newest + 1
 	file := versionName(name, version)
 	if err := writeAtomically(v.fs, v.dir, file, encodeVersion(file, content)); err != nil {
 		return err
