Quota store: a leader beyond the list is none, malformed calls get their 400, a lost first record is uncertain, SIGHUP before Run waits

Causes: redirect took any number a peer named and the next tick indexed the status by it (panic); the reader of a counter connection closed it before the writer had written, and unread bytes reset it; recordLost kept "nothing recorded" for a first record whose response was lost, so a later lower amount was never sent; Reconfigure read a context that Run sets, and SIGHUP before it ended the process. Each has a test that fails without it.

--- a/cmd/otterseam-quotastore/run.go
+++ b/cmd/otterseam-quotastore/run.go
@@ -31,6 +31,8 @@
 
 // Run runs a server until a signal ends it, or it can't go on.
 func (c *runCommand) Run() error {
+	reload := make(chan os.Signal, 4)
+	signal.Notify(reload, syscall.SIGHUP) // from the start: one that comes before the server runs is taken up once it does
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	zerolog.TimeFieldFormat = logTimeFormat
 	debug.SetGCPercent(gcPercent)
@@ -45,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.serve(s, log); err != nil {
+	if err := c.serve(s, reload, log); err != nil {
 		log.Error().Err(err).Msg("ended")
 		return err
 	}
@@ -53,11 +55,9 @@
 	return nil
 }
 
-func (c *runCommand) serve(s *server.Server, log zerolog.Logger) error {
+func (c *runCommand) serve(s *server.Server, reload <-chan os.Signal, log zerolog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reload := make(chan os.Signal, 4)
-	signal.Notify(reload, syscall.SIGHUP)
 	var group errgroup.Group
 	group.Go(func() error {
 		defer stop()
--- a/quotastore/client/account.go
+++ b/quotastore/client/account.go
@@ -149,14 +149,12 @@
 	}
 }
 
-// recordLost says that the result of a record will not be known.
+// recordLost says that the result of a record will not be known: also the first one may have been stored.
 func (c *Client) recordLost(pending *pendingRequest, id uint64) {
 	a := c.accounts[pending.key]
 	if a == nil || a.record.requestID != id {
 		return
 	}
 	a.record.requestID = 0
-	if a.record.state == recordStored {
-		a.record.state = recordUncertain
-	}
+	a.record.state = recordUncertain
 }
--- a/quotastore/client/client_test.go
+++ b/quotastore/client/client_test.go
@@ -108,6 +108,22 @@
 	f.checkTotal(9, "after the holder's end")
 }
 
+// The first record of unreported usage is stored, but the stream ends before its response: when the usage turns out to be less, a
+// lower record has to follow, else the store would add what was never used.
+func TestAFirstRecordWhoseResponseIsLostMayBeStored(t *testing.T) {
+	f := newStoreFixture(t)
+	f.client.SetUnreported(f.now, testCounter, 5, testTTL)
+	f.responsesLost = true
+	f.turn()
+	f.client.StreamLost()
+	f.responsesLost = false
+	f.client.ClearUnreported()
+	f.turn()
+	f.passTime(leaseAway)
+	f.recoverUsage()
+	f.checkTotal(0, "after the holder's end")
+}
+
 // The gateway is cut off for so long that its lease expires and the store adds what it had recorded; it lives, and goes on
 // under another holder name: nothing counts twice, nothing is missing.
 func TestClientThatOutlivesItsLeaseCountsOnce(t *testing.T) {
--- a/quotastore/replication/node_test.go
+++ b/quotastore/replication/node_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// A server whose list is newer names a leader that is not in the list here: requests wait for one that is.
+func TestALeaderBeyondTheListIsNoLeader(t *testing.T) {
+	n := newNode(t, 5)
+	n.Receive(1, 1, &protocol.Frame{Kind: protocol.KindLeaders, Incarnation: testIncarnation, Leaders: []protocol.LeaderAnnouncement{{Term: 1}}})
+	n.Submit(0, statemachine.Command{Kind: statemachine.ReportUsage, Key: "n", Holder: "h"}, func(Outcome, statemachine.Reply) {})
+	n.Receive(1, 1, &protocol.Frame{Kind: protocol.KindResponses, Incarnation: testIncarnation, Responses: []protocol.Response{
+		{RequestID: n.submitted, NotLeader: true, Leader: 3},
+	}})
+	n.Tick(1 + tickInterval)
+	if c := n.clients[0]; c.hasLeader() {
+		t.Fatalf("server %d of %d is taken for the leader", c.leader, len(n.peers))
+	}
+}
+
 // The list is changed while servers run: ones at the end are new, none may change its place.
 func TestListOnlyGrows(t *testing.T) {
 	renamed := peers(4, 3)
--- a/quotastore/replication/requests.go
+++ b/quotastore/replication/requests.go
@@ -123,7 +123,7 @@
 	}
 	l := &r.leadership
 	if l.leader != 0 && l.term >= c.term {
-		if number := l.number(); number != c.leader || l.term != c.term {
+		if number := c.node.knownServer(l.number()); number != c.leader || l.term != c.term {
 			c.leaderChanged(number, l.term)
 		}
 	} else if c.leader == c.node.self && !l.leads {
@@ -277,12 +277,20 @@
 			q.attempts = 0
 		}
 	}
-	if c.hasLeader() && leader != c.leader {
+	if leader = c.node.knownServer(leader); c.hasLeader() && leader != c.leader {
 		c.leader = leader
 		c.sendDue(c.node.now)
 	}
 }
 
+// knownServer returns a server's number, or noLeader if the list here has no such server: that of another server may be newer.
+func (n *Node) knownServer(number int) int {
+	if number < 0 || number >= len(n.peers) {
+		return noLeader
+	}
+	return number
+}
+
 // finish ends a request with its reply, unless it has to be sent again.
 func (c *groupClient) finish(i int, reply statemachine.Reply) {
 	q := c.pending[i]
--- a/quotastore/server/counter.go
+++ b/quotastore/server/counter.go
@@ -15,6 +15,7 @@
 	callReadBuffer     = 16 << 10
 	callReadTimeout    = 30 * time.Second // a connection without a call for so long is closed
 	answerWriteTimeout = 5 * time.Second
+	lingerTimeout      = time.Second // for which a connection with a malformed call is read on after its last answer
 )
 
 // counterListener owns the listener for callers of the counter's published protocol (HTTP/1.1), and their connections.
--- a/quotastore/server/counterconn.go
+++ b/quotastore/server/counterconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -32,6 +33,7 @@
 	conn     net.Conn
 	wake     chan struct{} // there is something to write
 	slots    chan struct{} // one is taken for each call without an answer
+	written  chan struct{} // closed when the writer has ended
 
 	// Of the event loop alone.
 	answers []*counterAnswer // of all calls without an answer written, in their order
@@ -55,6 +57,7 @@
 		conn:     conn,
 		wake:     make(chan struct{}, 1),
 		slots:    make(chan struct{}, maxCallsPerConn),
+		written:  make(chan struct{}),
 	}
 }
 
@@ -62,6 +65,7 @@
 func (c *counterConn) serve(group *errgroup.Group) {
 	ended := make(chan struct{})
 	group.Go(func() error {
+		defer close(c.written)
 		c.write(ended)
 		return nil
 	})
@@ -77,8 +81,9 @@
 	message.Reset(make([]byte, callReadBuffer), false)
 	for {
 		_ = c.conn.SetReadDeadline(time.Now().Add(callReadTimeout))
-		if len(message.Space()) == 0 {
-			return // no call is that long
+		if len(message.Space()) == 0 { // no call is that long
+			c.rejectMalformed()
+			return
 		}
 		n, readErr := c.conn.Read(message.Space())
 		calls, parseErr := parseCalls(&message, n)
@@ -86,7 +91,7 @@
 			return
 		}
 		if parseErr != nil {
-			c.listener.server.enqueue(func() { c.answer(c.reserve(), statusBadRequest, "", true) })
+			c.rejectMalformed()
 			return
 		}
 		if readErr != nil {
@@ -95,6 +100,23 @@
 	}
 }
 
+// rejectMalformed answers what is no call, behind the answers to the calls before it, and returns when all of them are written or
+// can't be. What the caller still sends is discarded: closing a connection with unread bytes resets it, and the caller may lose
+// the answers.
+func (c *counterConn) rejectMalformed() {
+	if !c.listener.server.enqueue(func() { c.answer(c.reserve(), statusBadRequest, "", true) }) {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.conn) // until the writer lets the read deadline pass, or the caller has closed its side
+	select {
+	case <-c.written:
+	case <-c.listener.ctx.Done():
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.conn)
+}
+
 // submit brings calls to the event loop, once there are slots for them; false: the server is shutting down.
 func (c *counterConn) submit(calls []counterCall) bool {
 	for range calls {
--- a/quotastore/server/eventloop.go
+++ b/quotastore/server/eventloop.go
@@ -21,7 +21,7 @@
 	select {
 	case s.events <- event:
 		return true
-	case <-s.ctx.Done():
+	case <-s.ended:
 		return false
 	}
 }
--- a/quotastore/server/server.go
+++ b/quotastore/server/server.go
@@ -31,10 +31,8 @@
 	started   time.Time // the zero of the time that the node is told
 	seed      uint64    // another one in each process
 
-	// Of Run, and set before any goroutine starts.
-	ctx context.Context
-
-	events      chan func()             // for the event loop
+	ended       chan struct{}           // closed when Run's context has ended
+	events      chan func()             // for the event loop; what comes before Run waits for it
 	writeOrders chan *replication.Ready // for the writer; one at most is under way
 
 	// Of the event loop alone.
@@ -63,6 +61,7 @@
 		config:      config,
 		started:     time.Now(),
 		seed:        seed,
+		ended:       make(chan struct{}),
 		events:      make(chan func(), eventBacklog),
 		writeOrders: make(chan *replication.Ready, 1),
 	}
@@ -124,7 +123,7 @@
 // connections are closed when it returns. It returns nil if the context ended it. It may be called once.
 func (s *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	s.ctx = ctx
+	context.AfterFunc(ctx, func() { close(s.ended) })
 	s.transport.start(ctx, group)
 	s.counter.start(ctx, group)
 	group.Go(func() error { return s.runEventLoop(ctx) })
@@ -138,7 +137,7 @@
 }
 
 // Reconfigure takes up a configuration to which servers were added, or in which some are to leave. One that can't be taken up
-// is logged, and the server goes on with the one it has. It is called while Run runs.
+// is logged, and the server goes on with the one it has. Before Run it waits for it.
 func (s *Server) Reconfigure(config *ClusterConfig) {
 	s.enqueue(func() {
 		if config.Groups != s.config.Groups || config.Replicas != s.config.Replicas {
--- a/quotastore/server/server_test.go
+++ b/quotastore/server/server_test.go
@@ -115,6 +115,57 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
+// A malformed call gets its 400 behind the answers to the calls before it, also when the caller sends on or has closed its side.
+func TestAMalformedCallIsAnsweredBehindTheCallsBeforeIt(t *testing.T) {
+	leakcheck.Check(t)
+	address := startSingleServer(t).Members[0].CounterAddress
+	const call = "GET /_health HTTP/1.1\r\nHost: counter\r\n\r\n"
+	for name, test := range map[string]struct {
+		malformed string
+		closes    bool
+	}{
+		"malformed":               {"\x00\x01\r\n\r\n", false},
+		"and the side is closed":  {"\x00\x01\r\n\r\n", true},
+		"followed by more":        {"\x00\x01\r\n\r\n" + strings.Repeat("x", 1<<20), false},
+		"longer than any call is": {"GET /" + strings.Repeat("x", 2*callReadBuffer), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // the order of reader and writer is chance
+				conn := dial(t, address)
+				go func() {
+					_, _ = io.WriteString(conn, call+call+test.malformed)
+					if tcp, ok := conn.(*net.TCPConn); ok && test.closes {
+						_ = tcp.CloseWrite()
+					}
+				}()
+				text, err := io.ReadAll(conn)
+				if got := bytes.Count(text, []byte("HTTP/1.1 ")); err != nil || got != 3 || !bytes.Contains(text, []byte("400 Bad Request")) {
+					t.Fatalf("%d answers, %v:\n%s", got, err, text)
+				}
+				conn.Close()
+			}
+		})
+	}
+}
+
+// A configuration that comes before the server runs is taken up once it does.
+func TestReconfigureBeforeRunWaitsForIt(t *testing.T) {
+	s, err := New(singleServerConfig(), Options{Name: "alone"}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := singleServerConfig()
+	changed.Members = append(changed.Members, MemberConfig{Name: "second", PeerAddress: "127.0.0.1:0", CounterAddress: "127.0.0.1:0"})
+	s.Reconfigure(changed)
+	stop := run(t, s)
+	defer stop()
+	members := make(chan int, 1)
+	s.enqueue(func() { members <- len(s.config.Members) })
+	if got := <-members; got != len(changed.Members) {
+		t.Fatalf("%d members", got)
+	}
+}
+
 func TestNewRejectsAServerThatIsNotConfigured(t *testing.T) {
 	leakcheck.Check(t)
 	_, err := New(singleServerConfig(), Options{Name: "other"}, zerolog.Nop())
