--- a/sim/membershipsim/beliefs.go
+++ b/sim/membershipsim/beliefs.go
@@ -179,15 +179,15 @@
 		DroppedShare:      m.dropped / max(1, m.dropped+m.arrived),
 		WrongBeliefs:      s.wrongBeliefs(),
 		MaxShares:         m.maxShares,
-		MassDetect90:      m.massDetect90,
+		MassDetect90:      Quantile(m.massDetect90),
 	}
 }
 
 // quantile sorts the values, and gives NaN for none.
-func quantile(values []float64, q float64) float64 {
+func quantile(values []float64, q float64) Quantile {
 	if len(values) == 0 {
-		return math.NaN()
+		return Quantile(math.NaN())
 	}
 	slices.Sort(values)
-	return values[min(len(values)-1, int(q*float64(len(values))))]
+	return Quantile(values[min(len(values)-1, int(q*float64(len(values))))])
 }
--- a/sim/membershipsim/scenario.go
+++ b/sim/membershipsim/scenario.go
@@ -1,5 +1,10 @@
 package membershipsim
 
+import (
+	"encoding/json"
+	"math"
+)
+
 // Scenario is what is simulated.
 type Scenario struct {
 	Members         int     `json:"members"`
@@ -24,13 +29,13 @@
 	Scenario
 	Deaths int `json:"deaths"`
 	// DetectP50 and DetectP99 are quantiles of the time until another member knew of a death.
-	DetectP50 float64 `json:"p50"`
-	DetectP99 float64 `json:"p99"`
+	DetectP50 Quantile `json:"p50"`
+	DetectP99 Quantile `json:"p99"`
 	// DetectedShare is the part of the others that knew of a death within detectLimit.
 	DetectedShare float64 `json:"reached"`
 	// ReturnP50 and ReturnP99 are quantiles of the time until another member knew of a return.
-	ReturnP50 float64 `json:"back_p50"`
-	ReturnP99 float64 `json:"back_p99"`
+	ReturnP50 Quantile `json:"back_p50"`
+	ReturnP99 Quantile `json:"back_p99"`
 	// FalseDeaths is how many beliefs an hour that a live member is dead there were, over all pairs; FalseAccusations how many
 	// of them were the first of that member.
 	FalseDeaths      float64 `json:"false"`
@@ -45,5 +50,16 @@
 	// MaxShares is the largest sum of shares, 1 being the whole.
 	MaxShares float64 `json:"share"`
 	// MassDetect90 is the time after the mass death until nine in ten beliefs about the dead were right.
-	MassDetect90 float64 `json:"mass_90"`
+	MassDetect90 Quantile `json:"mass_90"`
+}
+
+// Quantile is a quantile of times in seconds, NaN where nothing was measured, which JSON has as null.
+type Quantile float64
+
+// MarshalJSON encodes the quantile.
+func (q Quantile) MarshalJSON() ([]byte, error) {
+	if math.IsNaN(float64(q)) {
+		return []byte("null"), nil
+	}
+	return json.Marshal(float64(q))
 }
--- a/sim/membershipsim/simulation_test.go
+++ b/sim/membershipsim/simulation_test.go
@@ -1,6 +1,10 @@
 package membershipsim
 
-import "testing"
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
 
 // Deaths are known to nearly all within two seconds and nobody alive is accused; the same scenario gives the same result.
 func TestDeathsAreDetectedAndNobodyIsAccused(t *testing.T) {
@@ -18,6 +22,18 @@
 	}
 }
 
+// Where nothing was measured the JSON has null.
+func TestResultsWithoutACrashAreJSON(t *testing.T) {
+	got := Run(Scenario{Members: 3, Duration: 20, MessageRate: 60, MembershipShare: 0.1, MeanDelay: 0.005, Seed: 3})
+	text, err := json.Marshal(got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text), `"p50":null`) || !strings.Contains(string(text), `"mass_90":null`) {
+		t.Fatalf("%s", text)
+	}
+}
+
 // Two sides of a partition use at most the root of two together, and agree after it.
 func TestPartitionBoundsShares(t *testing.T) {
 	got := Run(Scenario{
--- a/sim/scenario/scenario_test.go
+++ b/sim/scenario/scenario_test.go
@@ -26,6 +26,8 @@
 		{`gateways = 300`, `gateways = 3.5`, `d.toml:7: fleet.gateways: 3.5 is not a whole number`},
 		{`gateways = 300`, `gateways = [9, 3]`, `the range goes from 9 down to 3`},
 		{`rate = "2/s"`, `rate = "2"`, `plan[0].rate: 2 is not a rate with its unit`},
+		{`rate = "2/s"`, `rate = "NaN/s"`, `plan[0].rate: NaN/s is not a rate with its unit`},
+		{`rate = "2/s"`, `rate = "-Inf/s"`, `plan[0].rate: -Inf/s is not a rate with its unit`},
 		{`effect = "tokened"`, `effect = "maybe"`, `operation[1].effect: "maybe"; one of idempotent, tokened, non-idempotent is wanted`},
 		{`effect = "tokened"`, ``, `operation[1].effect: is missing`},
 		{`name = "charge"`, `name = "search"`, `operation[2].name: "search" is there already`},
@@ -94,7 +96,7 @@
 	if err := changed.Set("plan[0].rate", "5/s"); err != nil || changed.Plans[0].Rate.Float() != 5 {
 		t.Fatal(err)
 	}
-	for _, wrong := range [][2]string{{"plan[9].rate", "5/s"}, {"plan[0].rate", "5"}, {"plan.rate", "5/s"}, {"rain", "1"}, {"fleet", "1"}} {
+	for _, wrong := range [][2]string{{"plan[9].rate", "5/s"}, {"plan[0].rate", "5"}, {"plan[0].rate", "NaN/s"}, {"plan.rate", "5/s"}, {"rain", "1"}, {"fleet", "1"}} {
 		if changed.Set(wrong[0], wrong[1]) == nil {
 			t.Errorf("%s=%s was taken", wrong[0], wrong[1])
 		}
--- a/sim/scenario/span.go
+++ b/sim/scenario/span.go
@@ -122,7 +122,7 @@
 	case unitRate:
 		number, isRate := strings.CutSuffix(text, "/s")
 		figure, err := strconv.ParseFloat(number, 64)
-		return figure, isRate && err == nil
+		return figure, isRate && err == nil && isFinite(figure)
 	}
 	figure, err := strconv.ParseFloat(text, 64)
 	if err != nil {
@@ -139,9 +139,11 @@
 	case unit == unitCount && x != math.Round(x):
 		return 0, false
 	}
-	return x, !math.IsNaN(x) && !math.IsInf(x, 0)
+	return x, isFinite(x)
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
 // formatFigure writes a figure as a file would hold it, without quotes.
 func formatFigure(unit string, x float64) string {
 	switch unit {
--- a/tier/feed/subscriber.go
+++ b/tier/feed/subscriber.go
@@ -32,7 +32,8 @@
 	// OnChange is called with the items that an update changed, by the reader of the connection; nil if not wanted.
 	OnChange func(items []Item)
 
-	loggedForeign bool // owned by the goroutine of Run
+	loggedForeign   bool            // owned by the goroutine of Run
+	loggedMalformed map[string]bool // by publisher; owned by the goroutine of Run
 }
 
 // Run subscribes until the context ends.
@@ -53,17 +54,8 @@
 
 // follow serves one subscription until it ends or times out.
 func (s *Subscriber) follow(ctx context.Context, address string) {
-	received := make(chan struct{}, 1)
-	conn, err := rpc.Dial(ctx, address, func(message rpc.Message) {
-		if message.Kind != KindUpdate {
-			return
-		}
-		s.apply(message.Payload)
-		select {
-		case received <- struct{}{}:
-		default:
-		}
-	})
+	updates := updateReader{subscriber: s, received: make(chan struct{}, 1), malformed: make(chan error, 1)}
+	conn, err := rpc.Dial(ctx, address, updates.handle)
 	if err != nil {
 		return
 	}
@@ -74,7 +66,35 @@
 		}
 		return
 	}
-	awaitEnd(ctx, conn, received)
+	if err := updates.awaitEnd(ctx, conn); err != nil {
+		s.logMalformedUpdate(address, err)
+	}
+}
+
+// updateReader takes the updates of one subscription.
+type updateReader struct {
+	subscriber *Subscriber
+	received   chan struct{} // tells that an update came
+	malformed  chan error    // has the error of an update that can't be decoded
+
+	hasFailed bool // owned by the reader of the connection
+}
+
+// handle merges an update. Behind one that can't be decoded nothing is merged: a later update would raise the view's revision, and
+// what the lost one carried would not be asked for again.
+func (r *updateReader) handle(message rpc.Message) {
+	if message.Kind != KindUpdate || r.hasFailed {
+		return
+	}
+	if err := r.subscriber.apply(message.Payload); err != nil {
+		r.hasFailed = true
+		r.malformed <- err
+		return
+	}
+	select {
+	case r.received <- struct{}{}:
+	default:
+	}
 }
 
 // subscribe asks a publisher for what the view lacks.
@@ -86,34 +106,51 @@
 	return err
 }
 
-// awaitEnd waits until a subscription ends or brings nothing for too long.
-func awaitEnd(ctx context.Context, conn *rpc.Conn, received <-chan struct{}) {
+// awaitEnd waits until a subscription ends or brings nothing for too long. An error is that of an update that can't be decoded.
+func (r *updateReader) awaitEnd(ctx context.Context, conn *rpc.Conn) error {
 	timeout := time.NewTimer(subscriptionTimeout)
 	defer timeout.Stop()
 	for {
 		select {
-		case <-received:
+		case <-r.received:
 			timeout.Reset(subscriptionTimeout)
+		case err := <-r.malformed:
+			return err
 		case <-timeout.C:
-			return
+			return nil
 		case <-conn.Done():
-			return
+			return nil
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
 }
 
-// apply merges an encoded update and tells OnChange what it changed. One that cannot be read is skipped.
-func (s *Subscriber) apply(payload []byte) {
+// apply merges an encoded update and tells OnChange what it changed. One that can't be decoded changes nothing.
+func (s *Subscriber) apply(payload []byte) error {
 	update, err := DecodeUpdate(payload)
 	if err != nil {
-		return
+		return err
 	}
 	changed := s.View.Merge(update)
 	if len(changed) > 0 && s.OnChange != nil {
 		s.OnChange(changed)
 	}
+	return nil
+}
+
+// logMalformedUpdate writes into the log, once for each publisher, that it sent an update that can't be decoded. The next
+// subscription asks for what it carried.
+func (s *Subscriber) logMalformedUpdate(address string, err error) {
+	if s.loggedMalformed[address] {
+		return
+	}
+	if s.loggedMalformed == nil {
+		s.loggedMalformed = map[string]bool{}
+	}
+	s.loggedMalformed[address] = true
+	logrus.WithError(err).WithFields(logrus.Fields{"code": uint16(codes.Malformed), "publisher": address}).
+		Error("a publisher sent an update that can't be decoded; the subscription begins anew")
 }
 
 // logForeignPublisher writes into the log, once, that a publisher serves another cluster.
--- a/tier/feed/subscriber_test.go
+++ b/tier/feed/subscriber_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +77,39 @@
 	awaitHost(t, copied, "h", "two")
 }
 
+// An update that can't be decoded ends its subscription, and the next one brings what it carried; nothing behind it is merged before.
+func TestAnUpdateThatCannotBeDecodedIsAskedForAgain(t *testing.T) {
+	lost := Update{Revision: 2, Items: []Item{{Section: SectionHost, Key: "lost", Revision: 2, Data: []byte("two")}}}
+	later := Update{Revision: 3, Items: []Item{{Section: SectionHost, Key: "later", Revision: 3, Data: []byte("three")}}}
+	var subscriptions atomic.Int32
+	address := listen(t, func(message rpc.Message) {
+		request, err := DecodeSubscribeRequest(message.Payload)
+		if err != nil {
+			t.Error(err)
+		}
+		isFirst := subscriptions.Add(1) == 1
+		message.Answer(codes.OK, nil)
+		if isFirst {
+			message.Conn.Send(KindUpdate, lost.Encode()[:len(lost.Encode())-1])
+			message.Conn.Send(KindUpdate, later.Encode())
+			return
+		}
+		if request.Revision >= lost.Revision {
+			t.Errorf("subscribed from revision %d on", request.Revision)
+		}
+		message.Conn.Send(KindUpdate, lost.Encode())
+		message.Conn.Send(KindUpdate, later.Encode())
+	})
+	view := NewView()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { (&Subscriber{View: view, Addresses: func() []string { return []string{address} }}).Run(ctx) })
+	awaitHost(t, view, "later", "three")
+	awaitHost(t, view, "lost", "two")
+	cancel()
+	running.Wait()
+}
+
 // A publisher that may serve no longer ends its subscriptions at once, though nothing changes and no update is due.
 func TestExpireEndsSubscriptionsAtOnce(t *testing.T) {
 	view := NewView()
--- a/tier/multigroup/node.go
+++ b/tier/multigroup/node.go
@@ -254,6 +254,10 @@
 		n.log.WithFields(logrus.Fields{"code": uint16(codes.DiskRegressed), "group": group.id, "member": id}).Error(
 			"a member's log ends before what it acknowledged: an older copy of its disk was put back")
 	}
+	for _, err := range output.Unrestorable {
+		n.log.WithError(err).WithFields(logrus.Fields{"code": uint16(codes.Malformed), "group": group.id, "index": err.Index}).Error(
+			"a snapshot was rejected; this member cannot catch up")
+	}
 	for _, out := range output.Messages {
 		n.sendMessage(group.id, out)
 	}
--- a/tier/programs/programs_test.go
+++ b/tier/programs/programs_test.go
@@ -138,6 +138,32 @@
 	}
 }
 
+// A turn that would go on from itself, at once or by way of others, is not stored; the chain stays as it was.
+func TestAChainNeverComesBackToItsOwnTurn(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 1, "", "in-a", "out-a")
+	s.end("b", "p", 1, "a", "in-b", "out-b")
+	s.end("a", "p", 1, "b", "again", "again")
+	s.end("c", "p", 1, "c", "in-c", "out-c")
+	if got := s.begin("d", "p", 1000, 1, "b"); got.Code != codes.OK || string(bytes.Join(got.Chain, nil)) != "in-aout-ain-bout-b" {
+		t.Fatalf("%v: %s", got.Code, bytes.Join(got.Chain, nil))
+	}
+	if got := s.begin("e", "p", 1000, 1, "c"); got.Code != codes.TurnUnknown {
+		t.Fatalf("a turn that goes on from itself: %v", got.Code)
+	}
+}
+
+// A cycle in a state that an older version stored ends in an unknown turn.
+func TestACycleInStoredTurnsEnds(t *testing.T) {
+	p := newProgram()
+	p.turns["a"] = turn{previous: "b", expiresAt: 10}
+	p.turns["b"] = turn{previous: "a", expiresAt: 10}
+	if _, _, found := p.chain("a", 1); found {
+		t.Fatal("a cycle has no beginning")
+	}
+	p.retain(End{Now: 1, Request: "c", Previous: "a"})
+}
+
 func TestCountOutlivesTheTurns(t *testing.T) {
 	s := newShard()
 	s.end("a", "p", 90, "", "A", "a\n")
--- a/tier/replica/backup.go
+++ b/tier/replica/backup.go
@@ -8,6 +8,7 @@
 	lastHeartbeat int64             // when a message of the primary last came
 	matched       uint64            // up to where the log is known to be the primary's, in this epoch
 	incoming      *incomingSnapshot // nil while none is received
+	unrestorable  *incomingSnapshot // the last one that the state machine could not restore, without its bytes; nil: none
 	contact       backupContact
 }
 
--- a/tier/replica/group.go
+++ b/tier/replica/group.go
@@ -40,6 +40,8 @@
 	// Regressed lists replicas whose log ends before what they acknowledged in this epoch, as after an older copy of a disk was
 	// put back.
 	Regressed []uint64
+	// Unrestorable lists snapshots that arrived whole and that the state machine could not restore.
+	Unrestorable []*RestoreError
 }
 
 // Group is one replica of a group.
--- a/tier/replica/incoming.go
+++ b/tier/replica/incoming.go
@@ -11,9 +11,9 @@
 	state       []byte
 }
 
-// isOf tells whether a chunk belongs to the snapshot.
+// isOf tells whether a chunk belongs to the snapshot; none belongs to nil.
 func (s *incomingSnapshot) isOf(chunk Message) bool {
-	return s.position == snapshotPosition(chunk) && s.checksum == chunk.Checksum && s.total == chunk.Total
+	return s != nil && s.position == snapshotPosition(chunk) && s.checksum == chunk.Checksum && s.total == chunk.Total
 }
 
 // isValid tells whether all bytes are there and are those that were sent.
@@ -32,7 +32,7 @@
 		g.follow(chunk.Index, chunk.Index)
 		return
 	}
-	if !g.expectChunksOf(chunk) {
+	if g.backup.unrestorable.isOf(chunk) || !g.expectChunksOf(chunk) {
 		return
 	}
 	incoming := g.backup.incoming
@@ -63,7 +63,7 @@
 // not wanted.
 func (g *Group) expectChunksOf(chunk Message) bool {
 	incoming := g.backup.incoming
-	if incoming != nil && incoming.isOf(chunk) {
+	if incoming.isOf(chunk) {
 		return true
 	}
 	if incoming != nil && chunk.Epoch == incoming.senderEpoch && chunk.Index < incoming.position.index {
@@ -82,10 +82,13 @@
 	})
 }
 
-// install replaces the state and the log by a complete snapshot. One that the state machine can't restore is not acknowledged, so
-// that the primary sends it again.
+// install replaces the state and the log by a complete snapshot. One that the state machine can't restore is not acknowledged: its
+// chunks are ignored from now on, and the primary gives the transfer up.
 func (g *Group) install(incoming *incomingSnapshot) bool {
 	if err := g.machine.Restore(incoming.state); err != nil {
+		g.output.Unrestorable = append(g.output.Unrestorable, &RestoreError{Index: incoming.position.index, Bytes: len(incoming.state), Err: err})
+		incoming.state = nil
+		g.backup.unrestorable = incoming
 		return false
 	}
 	index := incoming.position.index
--- a/tier/replica/transfer.go
+++ b/tier/replica/transfer.go
@@ -10,12 +10,15 @@
 	chunkResendAfter        = 1000
 	chunkResendLimit        = 8000
 	maxChunkResendDoublings = 3
+	// maxChunkResends is how often a chunk is sent again before the transfer is given up: the replica is heard but does not take
+	// the snapshot.
+	maxChunkResends = 5
 	// slotReleaseAfter is how long a replica may be silent before its transfer makes way for those of others, in milliseconds.
 	slotReleaseAfter = 1000
 	// transferAbandonAfter is how long a replica may be silent before its transfer is given up and the snapshot forgotten, in
 	// milliseconds.
 	transferAbandonAfter = 10000
-	// transferBackoffFirst is the pause after a transfer that the log outgrew, in milliseconds; each time twice as long, up to
+	// transferBackoffFirst is the pause after a transfer that was cancelled, in milliseconds; each time twice as long, up to
 	// the limit.
 	transferBackoffFirst        = 500
 	transferBackoffLimit        = 16000
@@ -45,7 +48,7 @@
 
 // transferBackoff is the pause before the next transfer to a replica.
 type transferBackoff struct {
-	cancelled int // transfers that the log outgrew, since the replica last held a snapshot
+	cancelled int // transfers, since the replica last held a snapshot
 	retryAt   int64
 }
 
@@ -181,6 +184,10 @@
 		g.sendChunks(peer, now)
 	}
 	if t.holdsSlot && now-max(t.progressAt, peer.lastSent) > t.resendDelay() {
+		if t.resends == maxChunkResends {
+			g.cancelTransfer(peer)
+			return
+		}
 		t.resends++
 		t.sent = t.received
 		g.sendChunk(peer, now)
@@ -210,7 +217,7 @@
 	g.sendChunks(peer, now)
 }
 
-// cancelTransfer ends a transfer that the log has outgrown; the next one waits longer.
+// cancelTransfer ends a transfer that the log has outgrown or that the replica does not take; the next one waits longer.
 func (g *Group) cancelTransfer(peer *progress) {
 	peer.transferBackoff.cancel(g.clock)
 	g.endTransfer(peer)
--- a/tier/replica/transfer_test.go
+++ b/tier/replica/transfer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"testing"
+
+	"otterseam/tier/codes"
 )
 
 // transferPair is a primary with a state of several chunks and an empty backup, which the primary's log cannot reach.
@@ -169,6 +172,42 @@
 	}
 }
 
+// pickyMachine can't restore any snapshot.
+type pickyMachine struct{ blobMachine }
+
+var errPicky = errors.New("of a newer format")
+
+func (*pickyMachine) Restore([]byte) error { return errPicky }
+
+// A snapshot that the backup can't restore is reported once, and is not sent over and over.
+func TestASnapshotThatCannotBeRestoredIsReportedOnce(t *testing.T) {
+	p := newTransferPair(t)
+	p.backup.machine = &pickyMachine{}
+	var reported []*RestoreError
+	sentBytes := 0
+	toBackup := p.begin()
+	for range 600 { // a minute
+		p.now += 100
+		for _, out := range toBackup {
+			sentBytes += len(out.Message.Chunk)
+			p.backup.Step(1, out.Message, p.now)
+		}
+		output := p.backup.TakeOutput()
+		reported = append(reported, output.Unrestorable...)
+		for _, out := range output.Messages {
+			p.primary.Step(2, out.Message, p.now)
+		}
+		p.primary.Tick(p.now, true)
+		toBackup = p.primary.TakeOutput().Messages
+	}
+	if len(reported) != 1 || !errors.Is(reported[0], errPicky) || !errors.Is(reported[0], codes.Malformed) {
+		t.Fatalf("reported %v", reported)
+	}
+	if most := 4 * len(p.state); sentBytes > most {
+		t.Fatalf("%d bytes were sent for a snapshot of %d", sentBytes, len(p.state))
+	}
+}
+
 // An altered chunk is found by the checksum; nothing is installed.
 func TestAnAlteredSnapshotIsNotInstalled(t *testing.T) {
 	p := newTransferPair(t)
--- a/tier/settings/addresses.go
+++ b/tier/settings/addresses.go
@@ -24,8 +24,14 @@
 // StoreAddress is this machine's address for the store process.
 func (s *Settings) StoreAddress() string { return joinHostPort(s.IP, s.FirstPort+storeOffset) }
 
-// AgentAddress is the loopback address on which the agent feeds the proxy of its machine.
-func (s *Settings) AgentAddress() string { return joinHostPort(loopback, s.FirstPort+agentOffset) }
+// AgentAddress is the loopback address on which the agent feeds the proxy of its machine. A machine whose own address is a loopback
+// one, as those of a tier that is tried on one computer, uses that, so that its agent and those of the others don't meet.
+func (s *Settings) AgentAddress() string {
+	if ip := net.ParseIP(s.IP); ip != nil && ip.IsLoopback() {
+		return joinHostPort(s.IP, s.FirstPort+agentOffset)
+	}
+	return joinHostPort(loopback, s.FirstPort+agentOffset)
+}
 
 // SeedAddresses are the internal addresses of the control processes on the seed machines. The ports that the seeds name are those
 // for operators; the internal ones are alike on all machines.
--- a/tier/settings/settings_test.go
+++ b/tier/settings/settings_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Several machines may be tried on one computer, each with a loopback address of its own: their agents don't meet.
+func TestAgentsOfLoopbackMachinesHaveAddressesOfTheirOwn(t *testing.T) {
+	s, err := Parse(strings.Replace(file, "ip=10.1.0.38", "ip=127.0.3.7", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.AgentAddress(); got != "127.0.3.7:7382" {
+		t.Fatal(got)
+	}
+}
+
 func TestParseNamesTheWrongField(t *testing.T) {
 	for _, test := range []struct{ from, to, key, problem string }{
 		{"node=front-a-1\n", "", "node", "is missing"},
