Control: hosts spread again over the members after a failover

Cause: a member's answer names itself as the target of later heartbeats, so hosts that a failover drove to one member stayed there. The answer without a move has the recorded bytes.

--- a/tier/control/api/api.go
+++ b/tier/control/api/api.go
@@ -40,6 +40,9 @@
 	Submit(ctx context.Context, command state.Command) (state.Result, error)
 	// KeepsSession tells whether a heartbeat was acknowledged by this process alone.
 	KeepsSession(heartbeat controlclient.HostHeartbeat) bool
+	// HeartbeatTarget is the IP address of the control process to which a host whose heartbeat is acknowledged now is to send the
+	// next one; "" for this process.
+	HeartbeatTarget() string
 	// RejectHeartbeat counts a heartbeat that is rejected for want of a lease.
 	RejectHeartbeat()
 	// Heartbeat has the primary take a host's heartbeat.
@@ -72,11 +75,14 @@
 	return &API{
 		config:     config,
 		backend:    backend,
-		targetSelf: []byte(`{"beat_target":"` + config.Address + `"}`),
+		targetSelf: targetBody(config.Address),
 		targetAny:  []byte(`{}`),
 	}
 }
 
+// targetBody is the answer to a heartbeat that names where the next one is to go.
+func targetBody(address string) []byte { return []byte(`{"beat_target":"` + address + `"}`) }
+
 // Serve listens and answers until the context ends.
 func (a *API) Serve(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.config.Address)
--- a/tier/control/api/api_test.go
+++ b/tier/control/api/api_test.go
@@ -17,6 +17,7 @@
 	mayForward error
 	mayServe   bool
 	keeps      bool
+	target     string
 	result     state.Result
 	err        error
 
@@ -27,6 +28,7 @@
 func (f *fakeBackend) MayForward() error                             { return f.mayForward }
 func (f *fakeBackend) MayServe() bool                                { return f.mayServe }
 func (f *fakeBackend) KeepsSession(controlclient.HostHeartbeat) bool { return f.keeps }
+func (f *fakeBackend) HeartbeatTarget() string                       { return f.target }
 func (f *fakeBackend) RejectHeartbeat()                              { f.rejected++ }
 func (f *fakeBackend) Deregister(context.Context, string) (state.Result, error) {
 	return f.result, f.err
@@ -69,6 +71,8 @@
 		rejected int
 	}{
 		"kept here":        {fakeBackend{keeps: true, mayServe: true}, validHeartbeat, http.StatusOK, `{"beat_target":"10.0.0.1:7000"}`, 0},
+		"to be moved":      {fakeBackend{keeps: true, mayServe: true, target: "10.0.0.2"}, validHeartbeat, http.StatusOK, `{"beat_target":"10.0.0.2:7000"}`, 0},
+		"no lease to move": {fakeBackend{keeps: true, target: "10.0.0.2"}, validHeartbeat, http.StatusOK, `{}`, 0},
 		"lease just ended": {fakeBackend{keeps: true}, validHeartbeat, http.StatusOK, `{}`, 0},
 		"no lease":         {fakeBackend{mayForward: codes.Unavailable}, validHeartbeat, http.StatusServiceUnavailable, "no contact", 1},
 		"by the primary":   {fakeBackend{mayServe: true}, validHeartbeat, http.StatusOK, `{"beat_target":"10.0.0.1:7000"}`, 0},
--- a/tier/control/api/hosts.go
+++ b/tier/control/api/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -52,13 +53,20 @@
 }
 
 // acknowledgeHeartbeat answers a heartbeat. A process that can keep the session asks the host to stay with it, so that hosts spread
-// over the control processes and none has to pass their heartbeats on.
+// over the control processes and none has to pass their heartbeats on. One that has many more hosts than others names another for some
+// of them, whose port is the same on all machines.
 func (a *API) acknowledgeHeartbeat(w http.ResponseWriter) {
-	if a.backend.MayServe() {
-		writeBody(w, http.StatusOK, a.targetSelf)
-	} else {
+	if !a.backend.MayServe() {
 		writeBody(w, http.StatusOK, a.targetAny)
+		return
+	}
+	targetIP := a.backend.HeartbeatTarget()
+	_, port, err := net.SplitHostPort(a.config.Address)
+	if targetIP == "" || err != nil {
+		writeBody(w, http.StatusOK, a.targetSelf)
+		return
 	}
+	writeBody(w, http.StatusOK, targetBody(net.JoinHostPort(targetIP, port)))
 }
 
 func (a *API) deregister(w http.ResponseWriter, r *http.Request) {
--- a/tier/control/backend.go
+++ b/tier/control/backend.go
@@ -26,6 +26,8 @@
 	return b.hosts.KeepsSession(heartbeat)
 }
 
+func (b *backend) HeartbeatTarget() string { return b.hosts.HeartbeatTarget() }
+
 func (b *backend) RejectHeartbeat() { b.hosts.Reject() }
 
 func (b *backend) Heartbeat(ctx context.Context, heartbeat controlclient.HostHeartbeat) (state.Result, error) {
--- a/tier/control/heartbeat/hosts.go
+++ b/tier/control/heartbeat/hosts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"otterseam/tier/codes"
+	"otterseam/tier/consensus"
 	"otterseam/tier/control/proposal"
 	"otterseam/tier/control/session"
 	"otterseam/tier/control/state"
@@ -40,6 +41,7 @@
 	Now      func() int64
 
 	unreported session.UnreportedHosts
+	moves      hostMoves
 	rejected   atomic.Uint64
 }
 
@@ -105,6 +107,9 @@
 // Report tells the primary at intervals which hosts this process heard, until the context ends.
 func (h *Hosts) Report(ctx context.Context) {
 	periodic.Run(ctx, reportInterval, func() {
+		if h.Node.IsPrimary(state.Group) {
+			h.moves.begin(h.Sessions.PlanMove(h.Node.Identity), h.Now())
+		}
 		heard := h.unreported.Take()
 		if len(heard) == 0 {
 			return
@@ -134,8 +139,12 @@
 	if err != nil {
 		return nil, false
 	}
-	missing, err = controlclient.DecodeUnregisteredHosts(answer)
-	return missing, err == nil
+	response, err := controlclient.DecodeHeartbeatReportResponse(answer)
+	if err != nil {
+		return nil, false
+	}
+	h.moves.begin(session.Move{Target: consensus.Member{Address: response.MoveTo}, Hosts: int(response.MoveHosts)}, h.Now())
+	return response.Unregistered, true
 }
 
 // register puts hosts back on the list whose heartbeats were acknowledged here while the primary removed them.
@@ -165,8 +174,12 @@
 	if !own {
 		return state.Result{}, codes.Unavailable
 	}
-	missing := h.renew(report, asked)
-	return state.Result{Body: controlclient.EncodeUnregisteredHosts(missing)}, h.Lease.MayDecide()
+	response := controlclient.HeartbeatReportResponse{Unregistered: h.renew(report, asked)}
+	if move := h.Sessions.PlanMove(report.From); move.Hosts > 0 {
+		response.MoveHosts = uint32(move.Hosts)
+		response.MoveTo = move.Target.Address
+	}
+	return state.Result{Body: response.Encode()}, h.Lease.MayDecide()
 }
 
 // renew keeps the sessions of hosts by a report written no earlier than a time. It returns those that are not on the list, or may be
--- a/tier/control/session/session_test.go
+++ b/tier/control/session/session_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"fmt"
 	"testing"
 
 	"otterseam/tier/consensus"
@@ -68,3 +69,57 @@
 		t.Fatalf("live: %+v", live)
 	}
 }
+
+// After a failover one control process has nearly all hosts: they move until none has more than a fifth beyond the mean, a few at a
+// time, and nothing moves before all hosts were heard or onto a process that is silent.
+func TestHostsSpreadAgainAfterAFailover(t *testing.T) {
+	const hosts, controls = 120, 5
+	c := &clock{at: 100_000}
+	sessions := New(1, c.now)
+	st := state.New()
+	var holders []uint64
+	for i := range hosts {
+		st.Apply(uint64(i+1), state.PutHost{Host: directory.Host{ID: fmt.Sprint(i), Service: "s"}, Seq: 1}.Encode())
+		holders = append(holders, uint64(1+i%2)) // of the two that were up
+	}
+	sessions.Begin(st)
+	if move := sessions.PlanMove(1); move.Hosts != 0 {
+		t.Fatalf("moved before the hosts were heard: %+v", move)
+	}
+	rounds := 0
+	for ; rounds < 40; rounds++ {
+		for id := range uint64(controls) {
+			sessions.RenewControl(consensus.Member{ID: id + 1, Address: fmt.Sprint("10.0.0.", id+1, ":7")}, false)
+		}
+		for i, holder := range holders {
+			sessions.RenewHost(fmt.Sprint(i), holder, c.at)
+		}
+		for holder := range uint64(controls) {
+			move := sessions.PlanMove(holder + 1)
+			if again := sessions.PlanMove(holder + 1); again.Hosts != 0 {
+				t.Fatalf("asked twice at once: %+v", again)
+			}
+			for i := 0; i < hosts && move.Hosts > 0; i++ {
+				if holders[i] == holder+1 {
+					holders[i] = move.Target.ID
+					move.Hosts--
+				}
+			}
+		}
+		c.at += movePause
+	}
+	counts := map[uint64]int{}
+	for _, holder := range holders {
+		counts[holder]++
+	}
+	for id := range uint64(controls) {
+		if count := counts[id+1]; float64(count) > 1.2*hosts/controls || count < hosts/controls/2 {
+			t.Errorf("control process %d has %d of %d hosts: %v", id+1, count, hosts, counts)
+		}
+	}
+	c.at += lease.ControlTimeout + 1 // all others are silent
+	sessions.RenewControl(consensus.Member{ID: 1, Address: "10.0.0.1:7"}, false)
+	if move := sessions.PlanMove(1); move.Hosts != 0 {
+		t.Fatalf("moved onto a silent process: %+v", move)
+	}
+}
--- a/tier/control/session/sessions.go
+++ b/tier/control/session/sessions.go
@@ -20,6 +20,7 @@
 	stores   *lease.StoreSessions
 	hosts    *lease.HostSessions
 	controls map[uint64]controlSession
+	movedAt  map[uint64]int64 // when a control process was last asked to move hosts
 	tickedAt int64
 }
 
@@ -31,6 +32,7 @@
 		stores:   lease.NewStoreSessions(),
 		hosts:    lease.NewHostSessions(),
 		controls: map[uint64]controlSession{},
+		movedAt:  map[uint64]int64{},
 	}
 }
 
@@ -46,6 +48,7 @@
 	now := s.now()
 	s.stores.Begin(boots, now)
 	s.hosts.Begin(hosts, now)
+	clear(s.movedAt)
 	s.tickedAt = now
 }
 
--- a/tier/controlclient/heartbeat_report.go
+++ b/tier/controlclient/heartbeat_report.go
@@ -47,22 +47,38 @@
 // minStringBytes is the encoded size of an empty string.
 const minStringBytes = 4
 
-// EncodeUnregisteredHosts is the answer to a HeartbeatReport: the hosts of the report that are not on the list.
-func EncodeUnregisteredHosts(ids []string) []byte {
+// HeartbeatReportResponse is the primary's answer to a HeartbeatReport.
+type HeartbeatReportResponse struct {
+	Unregistered []string // hosts of the report that are not on the list
+	// MoveHosts is how many hosts the backup is to ask to send their heartbeats to the control process at MoveTo.
+	MoveHosts uint32
+	MoveTo    string
+}
+
+// Encode is the message's form on the wire. Without hosts to move it ends behind the list, as in versions that moved none.
+func (r HeartbeatReportResponse) Encode() []byte {
 	var e codec.Encoder
-	e.Uint32(uint32(len(ids)))
-	for _, id := range ids {
+	e.Uint32(uint32(len(r.Unregistered)))
+	for _, id := range r.Unregistered {
 		e.String(id)
 	}
+	if r.MoveHosts > 0 {
+		e.Uint32(r.MoveHosts)
+		e.String(r.MoveTo)
+	}
 	return e.Bytes
 }
 
-// DecodeUnregisteredHosts reads the answer.
-func DecodeUnregisteredHosts(data []byte) ([]string, error) {
+// DecodeHeartbeatReportResponse reads the message.
+func DecodeHeartbeatReportResponse(data []byte) (HeartbeatReportResponse, error) {
 	d := codec.NewDecoder(data)
-	var ids []string
+	var r HeartbeatReportResponse
 	for range d.Count(minStringBytes) {
-		ids = append(ids, d.String())
+		r.Unregistered = append(r.Unregistered, d.String())
 	}
-	return ids, d.Err()
+	if d.Err() == nil && len(d.Rest()) > 0 {
+		r.MoveHosts = d.Uint32()
+		r.MoveTo = d.String()
+	}
+	return r, d.Err()
 }
--- a/tier/controlclient/recorded_test.go
+++ b/tier/controlclient/recorded_test.go
@@ -34,7 +34,10 @@
 	recorded.CheckBoth(t, "hosts-heard", HeartbeatReport{
 		From: 0x5152535455565758, Echoed: question, Hosts: []ReportedHost{{ID: "host-1", AgeMS: 0x01020304}, {ID: "host-22", AgeMS: 40}},
 	}, HeartbeatReport.Encode, DecodeHeartbeatReport)
-	recorded.CheckBoth(t, "missing", []string{"host-1", "host-22"}, EncodeUnregisteredHosts, DecodeUnregisteredHosts)
+	recorded.CheckBoth(t, "missing", HeartbeatReportResponse{Unregistered: []string{"host-1", "host-22"}},
+		HeartbeatReportResponse.Encode, DecodeHeartbeatReportResponse)
+	recorded.CheckBoth(t, "missing-move", HeartbeatReportResponse{Unregistered: []string{"host-1"}, MoveHosts: 7, MoveTo: "10.0.0.3:7402"},
+		HeartbeatReportResponse.Encode, DecodeHeartbeatReportResponse)
 }
 
 // The numbers of the calls are those recorded.
--- a/tier/lease/host_sessions.go
+++ b/tier/lease/host_sessions.go
@@ -85,6 +85,16 @@
 	s.holders[id] = observed
 }
 
+// CountByHolder counts the hosts by the control process that heard them last. It is not complete while some of them have not been
+// heard by this primary.
+func (s *HostSessions) CountByHolder() (counts map[uint64]int, complete bool) {
+	counts = map[uint64]int{}
+	for _, session := range s.hosts {
+		counts[session.holder]++
+	}
+	return counts, counts[0] == 0
+}
+
 // Forget ends a host's session.
 func (s *HostSessions) Forget(id string) { delete(s.hosts, id) }
 
