Feed: agents move between the members of control by themselves

Cause: after a failover nothing moved the subscriptions back, so that one member sent twice the bytes of the others. An agent now takes a subscription at another member after 5 to 15 s and ends the last one when the next stands; it stays where none accepts it.

--- a/tier/agent/agent.go
+++ b/tier/agent/agent.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,10 @@
 	"otterseam/tier/timeline"
 )
 
+// rotateAfter is how long the agent stays with one control process on average. Agents whose process ended are spread again over all
+// within about twice that; a move costs a connection and what changed meanwhile.
+const rotateAfter = 10 * time.Second
+
 // maxQueuedReports bounds the reports that wait for control; more are dropped, as they tell of the same hosts.
 const maxQueuedReports = 4
 
@@ -67,7 +72,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { rpc.Serve(listener, a.handle) })
 	running.Go(func() { a.sendReports(ctx) })
-	subscriber := &feed.Subscriber{View: a.view, Addresses: a.controlAddresses, OnChange: a.noteView}
+	subscriber := &feed.Subscriber{View: a.view, Addresses: a.controlAddresses, OnChange: a.noteView, RotateAfter: rotateAfter}
 	subscriber.Run(ctx)
 	_ = listener.Close() // it only ends Serve
 	running.Wait()
--- a/tier/feed/subscriber.go
+++ b/tier/feed/subscriber.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,8 +32,14 @@
 	View *View
 	// Addresses returns where publishers are.
 	Addresses func() []string
-	// OnChange is called with the items that an update changed, by the reader of the connection; nil if not wanted.
+	// OnChange is called with the items that an update changed, one call at a time, by the reader of a connection; nil if not
+	// wanted.
 	OnChange func(items []Item)
+	// RotateAfter is how long a subscription lasts on average before the subscriber moves to another publisher, so that the
+	// subscribers of one that ended don't stay with the others for ever once it is back. 0: it stays.
+	RotateAfter time.Duration
+
+	merging sync.Mutex // held while an update is merged: for a moment there are two subscriptions when the subscriber moves
 
 	loggedForeign   bool            // owned by the goroutine of Run
 	loggedMalformed map[string]bool // by publisher; owned by the goroutine of Run
@@ -52,28 +61,77 @@
 	}
 }
 
-// follow serves one subscription until it ends or times out.
+// follow serves subscriptions, from the one at an address on, until one ends or times out. A subscription that has lasted for long is
+// kept until the next one stands.
 func (s *Subscriber) follow(ctx context.Context, address string) {
-	updates := updateReader{subscriber: s, received: make(chan struct{}, 1), malformed: make(chan error, 1)}
-	conn, err := rpc.Dial(ctx, address, updates.handle)
-	if err != nil {
+	current := s.open(ctx, address)
+	if current == nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { current.conn.Close() }()
+	for {
+		isDue, err := current.awaitEnd(ctx, s.rotationDelay())
+		if err != nil {
+			s.logMalformedUpdate(current.address, err)
+		}
+		if !isDue {
+			return
+		}
+		if next := s.open(ctx, s.otherAddress(current.address)); next != nil {
+			current.conn.Close()
+			current = next
+		}
+	}
+}
+
+// rotationDelay spreads the moves of many subscribers, also of those that subscribed in one instant.
+func (s *Subscriber) rotationDelay() time.Duration {
+	if s.RotateAfter == 0 {
+		return math.MaxInt64
+	}
+	return s.RotateAfter/2 + rand.N(s.RotateAfter)
+}
+
+// otherAddress is that of a random publisher besides the present one; "" if there is none.
+func (s *Subscriber) otherAddress(current string) string {
+	var others []string
+	for _, address := range s.Addresses() {
+		if address != current && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
+// open subscribes at a publisher; nil if it doesn't accept.
+func (s *Subscriber) open(ctx context.Context, address string) *subscription {
+	if address == "" {
+		return nil
+	}
+	opened := &subscription{subscriber: s, address: address, received: make(chan struct{}, 1), malformed: make(chan error, 1)}
+	conn, err := rpc.Dial(ctx, address, opened.handle)
+	if err != nil {
+		return nil
+	}
 	if err := s.subscribe(ctx, conn); err != nil {
+		conn.Close()
 		if errors.Is(err, codes.DiskForeign) {
 			s.logForeignPublisher(address)
 		}
-		return
-	}
-	if err := updates.awaitEnd(ctx, conn); err != nil {
-		s.logMalformedUpdate(address, err)
+		return nil
 	}
+	opened.conn = conn
+	return opened
 }
 
-// updateReader takes the updates of one subscription.
-type updateReader struct {
+// subscription is one at a publisher.
+type subscription struct {
 	subscriber *Subscriber
+	address    string
+	conn       *rpc.Conn
 	received   chan struct{} // tells that an update came
 	malformed  chan error    // has the error of an update that can't be decoded
 
@@ -82,17 +140,17 @@
 
 // handle merges an update. Behind one that can't be decoded nothing is merged: a later update would raise the view's revision, and
 // what the lost one carried would not be asked for again.
-func (r *updateReader) handle(message rpc.Message) {
-	if message.Kind != KindUpdate || r.hasFailed {
+func (sub *subscription) handle(message rpc.Message) {
+	if message.Kind != KindUpdate || sub.hasFailed {
 		return
 	}
-	if err := r.subscriber.apply(message.Payload); err != nil {
-		r.hasFailed = true
-		r.malformed <- err
+	if err := sub.subscriber.apply(message.Payload); err != nil {
+		sub.hasFailed = true
+		sub.malformed <- err
 		return
 	}
 	select {
-	case r.received <- struct{}{}:
+	case sub.received <- struct{}{}:
 	default:
 	}
 }
@@ -106,22 +164,27 @@
 	return err
 }
 
-// awaitEnd waits until a subscription ends or brings nothing for too long. An error is that of an update that can't be decoded.
-func (r *updateReader) awaitEnd(ctx context.Context, conn *rpc.Conn) error {
+// awaitEnd waits until the subscription ends, brings nothing for too long, or has lasted for the time after which it is due to move.
+// An error is that of an update that can't be decoded.
+func (sub *subscription) awaitEnd(ctx context.Context, rotateAfter time.Duration) (isDue bool, err error) {
+	rotation := time.NewTimer(rotateAfter)
+	defer rotation.Stop()
 	timeout := time.NewTimer(subscriptionTimeout)
 	defer timeout.Stop()
 	for {
 		select {
-		case <-r.received:
+		case <-sub.received:
 			timeout.Reset(subscriptionTimeout)
-		case err := <-r.malformed:
-			return err
+		case err := <-sub.malformed:
+			return false, err
+		case <-rotation.C:
+			return true, nil
 		case <-timeout.C:
-			return nil
-		case <-conn.Done():
-			return nil
+			return false, nil
+		case <-sub.conn.Done():
+			return false, nil
 		case <-ctx.Done():
-			return nil
+			return false, nil
 		}
 	}
 }
@@ -132,6 +195,8 @@
 	if err != nil {
 		return err
 	}
+	s.merging.Lock()
+	defer s.merging.Unlock()
 	changed := s.View.Merge(update)
 	if len(changed) > 0 && s.OnChange != nil {
 		s.OnChange(changed)
--- a/tier/feed/subscriber_test.go
+++ b/tier/feed/subscriber_test.go
@@ -164,3 +164,52 @@
 		})
 	}
 }
+
+// A subscriber moves to another publisher while the one it has is up, and misses nothing: it has the next subscription before it ends
+// the last. One that can move nowhere stays.
+func TestASubscriberMovesOn(t *testing.T) {
+	first, second := NewView(), NewView()
+	firstAddress := listen(t, (&Publisher{View: first}).Handle)
+	var subscribed sync.Once
+	atSecond := make(chan struct{})
+	publisher := &Publisher{View: second}
+	secondAddress := listen(t, func(message rpc.Message) {
+		subscribed.Do(func() { close(atSecond) })
+		publisher.Handle(message)
+	})
+	refusing := listen(t, func(message rpc.Message) { message.Answer(codes.SubscriptionStale, nil) })
+	first.Put(SectionHost, "h", 1, []byte("one"))
+	second.Put(SectionHost, "h", 1, []byte("one"))
+
+	var addresses atomic.Pointer[[]string]
+	addresses.Store(&[]string{firstAddress, firstAddress, refusing})
+	copied := NewView()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	s := &Subscriber{View: copied, Addresses: func() []string { return *addresses.Load() }, RotateAfter: 20 * time.Millisecond}
+	running.Go(func() { s.Run(ctx) })
+	awaitHost(t, copied, "h", "one")
+	first.Put(SectionHost, "h", 2, []byte("two"))
+	awaitHost(t, copied, "h", "two")
+	second.Put(SectionHost, "h", 3, []byte("three"))
+	addresses.Store(&[]string{firstAddress, secondAddress})
+	<-atSecond
+	awaitHost(t, copied, "h", "three")
+	cancel()
+	running.Wait()
+}
+
+func TestMovesOfSubscribersAreSpread(t *testing.T) {
+	s := &Subscriber{RotateAfter: 10 * time.Second}
+	shortest, longest := time.Hour, time.Duration(0)
+	for range 1000 {
+		delay := s.rotationDelay()
+		shortest, longest = min(shortest, delay), max(longest, delay)
+	}
+	if shortest < 5*time.Second || shortest > 6*time.Second || longest > 15*time.Second || longest < 14*time.Second {
+		t.Fatalf("from %v to %v", shortest, longest)
+	}
+	if delay := (&Subscriber{}).rotationDelay(); delay < 24*time.Hour {
+		t.Fatalf("one that is to stay moves after %v", delay)
+	}
+}
