Control: Retry-After of commands that could not be committed is worked out; starts of other nodes outlive a restart

Causes: the constant 0.3 s said nothing of the outage; the starts heard of other nodes were in memory alone, so that an older copy of a disk passed once all that had heard of the later start were started again. They are written 5 s after a change at the latest, beside the work of a recovery; the new value has recorded bytes. Processes without contact still answer 0.3 s, as another may be able to answer.

--- a/tier/control/api/api.go
+++ b/tier/control/api/api.go
@@ -65,6 +65,7 @@
 type API struct {
 	config  Config
 	backend Backend
+	commits *commitOutages
 
 	targetSelf []byte // the answer to a heartbeat that asks the host to stay here
 	targetAny  []byte // the answer that leaves it the choice
@@ -75,6 +76,7 @@
 	return &API{
 		config:     config,
 		backend:    backend,
+		commits:    newCommitOutages(time.Now),
 		targetSelf: targetBody(config.Address),
 		targetAny:  []byte(`{}`),
 	}
--- a/tier/control/api/config.go
+++ b/tier/control/api/config.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.Submit(ctx, state.ReplaceConfig{Base: base, Version: config.Version, Body: body})
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		writeJSON(w, http.StatusOK, map[string]uint64{"version": config.Version})
 	}
 }
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.Submit(ctx, state.ReadConfig{})
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		writeBody(w, http.StatusOK, result.Body)
 	}
 }
--- a/tier/control/api/hosts.go
+++ b/tier/control/api/hosts.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.Heartbeat(ctx, heartbeat)
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		a.acknowledgeHeartbeat(w)
 	}
 }
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.Deregister(ctx, chi.URLParam(r, "id"))
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		writeJSON(w, http.StatusOK, struct{}{})
 	}
 }
--- a/tier/control/api/retirement.go
+++ b/tier/control/api/retirement.go
@@ -29,7 +29,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.Submit(ctx, state.RetireNode{Node: chi.URLParam(r, "node"), Needed: a.config.StoresNeeded})
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		writeJSON(w, http.StatusOK, struct{}{})
 	}
 }
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	result, err := a.backend.RetirementState(ctx, chi.URLParam(r, "node"))
-	if succeeded(w, result, err) {
+	if a.succeeded(w, result, err) {
 		writeJSON(w, http.StatusOK, map[string]string{"state": string(result.Body)})
 	}
 }
--- a/tier/control/api/status.go
+++ b/tier/control/api/status.go
@@ -9,8 +9,10 @@
 	"otterseam/tier/control/state"
 )
 
-// retryAfter is the pause in seconds that a caller is asked for when a process can't tell.
-const retryAfter = "0.3"
+const retryAfterHeader = "Retry-After"
+
+// callElsewhereAfter is the Retry-After, in seconds, of a process that has no contact with the primary: another one may have it.
+const callElsewhereAfter = "0.3"
 
 // statuses is the HTTP status of each result code that tells something of the call. A code that isn't here is a 503: nothing is known.
 var statuses = map[codes.Code]int{
@@ -41,8 +43,8 @@
 
 func writeProblem(w http.ResponseWriter, code codes.Code, text string) {
 	status := statusOf(code)
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter)
+	if status == http.StatusServiceUnavailable && w.Header().Get(retryAfterHeader) == "" {
+		w.Header().Set(retryAfterHeader, callElsewhereAfter)
 	}
 	writeJSON(w, status, problem{Code: uint16(code), Error: text})
 }
@@ -62,9 +64,12 @@
 	_, _ = w.Write(body) // a caller that has left needs no answer
 }
 
-// succeeded tells whether a command was carried out, and else writes what became of it.
-func succeeded(w http.ResponseWriter, result state.Result, err error) bool {
+// succeeded tells whether a command was carried out, and else writes what became of it. A caller whose command could not be committed is
+// told when the primary is expected to commit again.
+func (a *API) succeeded(w http.ResponseWriter, result state.Result, err error) bool {
+	a.commits.record(err == nil)
 	if err != nil {
+		w.Header().Set(retryAfterHeader, a.commits.retryAfter())
 		writeProblem(w, codes.Unavailable, err.Error())
 		return false
 	}
--- a/tier/control/api/status_test.go
+++ b/tier/control/api/status_test.go
@@ -20,13 +20,14 @@
 		codes.HostStale:     http.StatusOK,
 		codes.OK:            http.StatusOK,
 	}
+	a := New(Config{}, &fakeBackend{})
 	for _, row := range codes.Table {
 		want, isVerdict := refusals[row.Code]
 		if !isVerdict {
 			want = http.StatusServiceUnavailable
 		}
 		w := httptest.NewRecorder()
-		if result, err := state.Settled(state.Result{Code: row.Code}, nil); succeeded(w, result, err) {
+		if result, err := state.Settled(state.Result{Code: row.Code}, nil); a.succeeded(w, result, err) {
 			w.WriteHeader(http.StatusOK)
 		}
 		if w.Code != want {
@@ -36,7 +37,7 @@
 	for _, err := range []error{codes.Timeout, codes.NotPrimary, codes.Malformed, codes.ConfigBase} {
 		w := httptest.NewRecorder()
 		result, err := state.Settled(state.Result{Code: codes.ConfigBase}, err)
-		if succeeded(w, result, err); w.Code != http.StatusServiceUnavailable {
+		if a.succeeded(w, result, err); w.Code != http.StatusServiceUnavailable {
 			t.Errorf("a call that failed is answered with %d", w.Code)
 		}
 	}
--- a/tier/multigroup/identity.go
+++ b/tier/multigroup/identity.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"otterseam/tier/codec"
 	"otterseam/tier/codes"
 	"otterseam/tier/storage"
 )
@@ -17,8 +21,15 @@
 	identityValue  = "identity"
 	clusterIDValue = "installation" // older than the term
 	startsValue    = "starts"
+	// knownStartsValue holds the starts of other nodes, so that an older copy of a disk is found out also by a node that was
+	// started again since it heard of the later start.
+	knownStartsValue = "known-starts"
 )
 
+// saveKnownStartsEvery is how often the starts of other nodes are written if they have changed. It is long, so that after a restart of
+// all the disk is free for what others wait for.
+const saveKnownStartsEvery = 5 * time.Second
+
 // numberBytes is the size of a number on disk.
 const numberBytes = 8
 
@@ -36,6 +47,7 @@
 
 	mu          sync.Mutex
 	knownStarts map[uint64]uint64 // by node: the highest number of starts that came from it
+	unsaved     bool              // knownStarts has changed since it was written
 	reported    map[uint64]bool   // what was named in the log already: clusters, and nodes with an older disk
 }
 
@@ -50,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.readKnownStarts(); err != nil {
+		return nil, err
+	}
 	d.starts = starts + 1
 	if err := writeNumber(values, startsValue, d.starts); err != nil {
 		// the next start then has the same number, which is not taken for an older copy of the disk
@@ -141,6 +156,51 @@
 			"a member's disk tells of fewer starts than the member had: an older copy of it was put back; empty the disk")
 		return false
 	}
-	d.knownStarts[from.node] = from.starts
+	if from.starts > known {
+		d.knownStarts[from.node] = from.starts
+		d.unsaved = true
+	}
 	return true
 }
+
+// readKnownStarts reads the starts of other nodes. A value that can't be decoded is an error, as it is for other values.
+func (d *diskIdentity) readKnownStarts() error {
+	content, err := d.values.Read(knownStartsValue)
+	if err != nil || content == nil {
+		return err
+	}
+	decoder := codec.NewDecoder(content)
+	for range decoder.Count(2 * numberBytes) {
+		node := decoder.Uint64()
+		d.knownStarts[node] = decoder.Uint64()
+	}
+	return decoder.Err()
+}
+
+// saveKnownStarts writes the starts of other nodes if they have changed.
+func (d *diskIdentity) saveKnownStarts() {
+	d.mu.Lock()
+	if !d.unsaved {
+		d.mu.Unlock()
+		return
+	}
+	d.unsaved = false
+	content := encodeKnownStarts(d.knownStarts)
+	d.mu.Unlock()
+	if err := d.values.Write(knownStartsValue, content); err != nil {
+		d.log.WithField("code", uint16(codes.DiskWrite)).WithError(err).Warn("the starts of other nodes could not be written")
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.unsaved = true
+	}
+}
+
+func encodeKnownStarts(starts map[uint64]uint64) []byte {
+	var e codec.Encoder
+	e.Uint32(uint32(len(starts)))
+	for _, node := range slices.Sorted(maps.Keys(starts)) {
+		e.Uint64(node)
+		e.Uint64(starts[node])
+	}
+	return e.Bytes
+}
--- a/tier/multigroup/identity_test.go
+++ b/tier/multigroup/identity_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"otterseam/tier/codes"
+	"otterseam/tier/internal/recorded"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
 )
@@ -110,3 +111,28 @@
 		t.Fatalf("named: %v", got)
 	}
 }
+
+// A member that was itself started again still knows of the later start; what it keeps has the recorded bytes.
+func TestAnOlderCopyOfADiskIsDetectedAfterARestart(t *testing.T) {
+	memberDir, dir, saved := t.TempDir(), t.TempDir(), t.TempDir()
+	member, _ := openTestNode(t, memberDir)
+	openTestNode(t, dir)
+	if err := os.CopyFS(filepath.Join(saved, "copy"), os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	openTestNode(t, dir)
+	primary, _ := openTestNode(t, dir)
+	member.HandleMessage(appendTo(primary, member, 1), nil)
+	member.disk.saveKnownStarts()
+	recorded.Check(t, "known-starts", encodeKnownStarts(map[uint64]uint64{9: 3, 5: 1}))
+
+	again, hook := openTestNode(t, memberDir)
+	older, _ := openTestNode(t, filepath.Join(saved, "copy"))
+	again.HandleMessage(appendTo(older, again, 1), nil)
+	if lastIndex(again) != 0 {
+		t.Fatal("an older copy of the disk was heeded")
+	}
+	if got := namedCodes(hook); len(got) != 1 || got[0] != codes.DiskRegressed {
+		t.Fatalf("named: %v", got)
+	}
+}
--- a/tier/multigroup/node.go
+++ b/tier/multigroup/node.go
@@ -89,6 +89,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var writing sync.WaitGroup
 	writing.Go(func() { n.writeLoop(ctx) })
+	writing.Go(func() { periodic.Run(ctx, saveKnownStartsEvery, n.disk.saveKnownStarts) })
 	defer writing.Wait()
 	periodic.Run(ctx, tickEvery, n.tick)
 }
