Fleet load: gateways report what they have in flight to the home of their zone, which places their requests

Ways weighed in tier/fleetload's package comment: asking hosts, gossip, tickets, one home for all. Change: tier/fleetload (pure): reports in full, sums, placements, order of homes; store machines serve as homes of their zone and choose for each request by what all gateways have in flight; a gateway without a home that answers chooses of a random sample by the sums that it has, or, without those, as before. sim/placementsim and otterseam-sim placement compare the policies in virtual time.

--- a/cmd/otterseam-sim/main.go
+++ b/cmd/otterseam-sim/main.go
@@ -30,23 +30,24 @@
 
 // commandLine is the command line; each field is a subcommand.
 type commandLine struct {
-	Run      runCommand      `cmd:"" help:"Simulate one day and print what became of it."`
-	Compare  compareCommand  `cmd:"" help:"Simulate a day with several policies, or with an earlier build, on the same seeds."`
-	Sweep    sweepCommand    `cmd:"" help:"Simulate a day over values of its keys and several seeds, on all cores."`
-	Search   searchCommand   `cmd:"" help:"Look for the worst day within a day's ranges, then shrink it."`
-	Report   reportCommand   `cmd:"" help:"Write kept results as one HTML page or as text."`
-	Sockets  socketsCommand  `cmd:"" help:"Run a day in real time on loopback with api gateway processes, beside its simulation."`
-	Standin  standinCommand  `cmd:"" help:"Serve stand-ins for a day's hosts, counter and discovery on loopback."`
-	Fleet    fleetCommand    `cmd:"" help:"Run a script of faults between real processes on loopback, or list the scripts."`
-	Member   memberCommand   `cmd:"" help:"Simulate membership alone, at any size, and print how fast failures are detected and at what cost."`
-	Keepers  keepersCommand  `cmd:"" help:"Simulate replicas of the quota store over seeds and print which guarantees were broken."`
-	Adds     addsCommand     `cmd:"" help:"Load a counter, or the quota store in its place, in open loop and print how fast it answers."`
-	Takeover takeoverCommand `cmd:"" help:"Kill processes of the quota store and measure until others answer, or until a lost machine holds its replicas again."`
-	Outage   outageCommand   `cmd:"" help:"Simulate days with an outage of all hosts and print what all api gateways together sent into it, and how soon they recovered."`
-	Load     loadCommand     `cmd:"" help:"Send the requests of a day's customers to api gateways on loopback, in open loop."`
-	Owndays  owndaysCommand  `cmd:"" help:"Generate days of disruptions for the serving tier, play them and shrink those that broke a rule."`
-	Causes   causesCommand   `cmd:"" help:"Print where the programs of played days of the serving tier were lost, from the reports of the plays."`
-	Days     daysCommand     `cmd:"" help:"List the days there are, or the keys of a day's file."`
+	Run       runCommand       `cmd:"" help:"Simulate one day and print what became of it."`
+	Compare   compareCommand   `cmd:"" help:"Simulate a day with several policies, or with an earlier build, on the same seeds."`
+	Sweep     sweepCommand     `cmd:"" help:"Simulate a day over values of its keys and several seeds, on all cores."`
+	Search    searchCommand    `cmd:"" help:"Look for the worst day within a day's ranges, then shrink it."`
+	Report    reportCommand    `cmd:"" help:"Write kept results as one HTML page or as text."`
+	Sockets   socketsCommand   `cmd:"" help:"Run a day in real time on loopback with api gateway processes, beside its simulation."`
+	Standin   standinCommand   `cmd:"" help:"Serve stand-ins for a day's hosts, counter and discovery on loopback."`
+	Fleet     fleetCommand     `cmd:"" help:"Run a script of faults between real processes on loopback, or list the scripts."`
+	Member    memberCommand    `cmd:"" help:"Simulate membership alone, at any size, and print how fast failures are detected and at what cost."`
+	Keepers   keepersCommand   `cmd:"" help:"Simulate replicas of the quota store over seeds and print which guarantees were broken."`
+	Adds      addsCommand      `cmd:"" help:"Load a counter, or the quota store in its place, in open loop and print how fast it answers."`
+	Takeover  takeoverCommand  `cmd:"" help:"Kill processes of the quota store and measure until others answer, or until a lost machine holds its replicas again."`
+	Outage    outageCommand    `cmd:"" help:"Simulate days with an outage of all hosts and print what all api gateways together sent into it, and how soon they recovered."`
+	Load      loadCommand      `cmd:"" help:"Send the requests of a day's customers to api gateways on loopback, in open loop."`
+	Owndays   owndaysCommand   `cmd:"" help:"Generate days of disruptions for the serving tier, play them and shrink those that broke a rule."`
+	Causes    causesCommand    `cmd:"" help:"Print where the programs of played days of the serving tier were lost, from the reports of the plays."`
+	Placement placementCommand `cmd:"" help:"Simulate how gateways of the serving tier choose hosts, and print how long requests wait."`
+	Days      daysCommand      `cmd:"" help:"List the days there are, or the keys of a day's file."`
 }
 
 // errRuleBroken is returned where a rule was broken. What it was is printed before.
--- /dev/null
+++ b/cmd/otterseam-sim/placement.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	"otterseam/sim/placementsim"
+)
+
+type placementCommand struct {
+	Gateways []int     `default:"30,100,300,410" help:"Numbers of gateways; each makes rows."`
+	Load     []float64 `default:"0.7,0.85,0.95" help:"Requests as a share of what all slots can serve; each makes rows."`
+	Policy   []string  `default:"own,fleet,home,omniscient" help:"Policies to compare: own, fleet, home, omniscient."`
+	Hosts    int       `default:"122" help:"Number of hosts."`
+	Zones    int       `default:"6" help:"Number of zones."`
+	Slots    int       `default:"8" help:"Requests that a host serves at once."`
+	Service  float64   `default:"0.5" help:"Mean time of a request on an idle host, in seconds."`
+	Slowdown float64   `default:"0.5" help:"By how much longer a request takes on a full host, as a share."`
+	Slow     float64   `default:"0" help:"Share of the hosts that take three times as long."`
+	FailAt   float64   `default:"0" help:"When the preferred home of each zone fails, in seconds; 0: never."`
+	Length   float64   `default:"10" help:"Length, in seconds."`
+	Seed     uint64    `default:"1" help:"Seed of the random numbers."`
+	JSON     bool      `name:"json" help:"Print the results as JSON."`
+}
+
+const (
+	maxPlacementSize     = 5000 // gateways or hosts
+	placementSimulations = 4    // run at once
+)
+
+func (c *placementCommand) Run(ctx context.Context, out *output) error {
+	scenarios, err := c.scenarios()
+	if err != nil {
+		return err
+	}
+	results := make([]*placementsim.Result, len(scenarios))
+	group, _ := errgroup.WithContext(ctx)
+	group.SetLimit(placementSimulations)
+	for i, scenario := range scenarios {
+		group.Go(func() error {
+			results[i] = placementsim.Run(scenario)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if c.JSON {
+		return out.json(results)
+	}
+	return printPlacement(out, results)
+}
+
+// scenarios are those of all combinations of a load, a number of gateways and a policy.
+func (c *placementCommand) scenarios() ([]placementsim.Scenario, error) {
+	if c.Hosts < 1 || c.Hosts > maxPlacementSize || c.Zones < 1 || c.Zones > c.Hosts || c.Slots < 1 || c.Service <= 0 || c.Length <= 0 ||
+		c.Slow < 0 || c.Slow > 1 || c.Slowdown < 0 {
+		return nil, inputError{errors.New("1 to 5000 hosts in no more zones than hosts, and slots, times and shares over 0 are wanted")}
+	}
+	var scenarios []placementsim.Scenario
+	for _, load := range c.Load {
+		for _, gateways := range c.Gateways {
+			for _, name := range c.Policy {
+				policy, err := placementPolicy(name)
+				if err != nil {
+					return nil, err
+				}
+				if gateways < 1 || gateways > maxPlacementSize || load <= 0 || load > 2 {
+					return nil, inputError{errors.New("1 to 5000 gateways and a load over 0 and up to 2 are wanted")}
+				}
+				scenarios = append(scenarios, placementsim.Scenario{
+					Policy: policy, Gateways: gateways, Hosts: c.Hosts, Zones: c.Zones, Slots: c.Slots, Load: load, Service: c.Service,
+					Slowdown: c.Slowdown, Duration: c.Length, Seed: c.Seed, HomesFailAt: c.FailAt, SlowHosts: c.Slow,
+				})
+			}
+		}
+	}
+	return scenarios, nil
+}
+
+func placementPolicy(name string) (placementsim.Policy, error) {
+	policies := []placementsim.Policy{
+		placementsim.OwnKnowledge, placementsim.FleetKnowledge, placementsim.HomePlacement, placementsim.Omniscient,
+	}
+	for _, policy := range policies {
+		if string(policy) == name {
+			return policy, nil
+		}
+	}
+	return "", inputError{fmt.Errorf("policy %q is not known; there are %v", name, policies)}
+}
+
+func printPlacement(out *output, results []*placementsim.Result) error {
+	table := tabwriter.NewWriter(out.stdout, 2, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "load\tgateways\tpolicy\trequests\twait mean\t50%\t99%\tbusiest/mean\tother zone\tmessages/s\tbytes/s\t")
+	for _, r := range results {
+		fmt.Fprintf(table, "%.2f\t%d\t%s\t%d\t%.4f s\t%.3f s\t%.3f s\t%.2f\t%.2f\t%.1f\t%.0f\t\n", r.Load, r.Gateways, r.Policy, r.Requests,
+			r.WaitMean, r.WaitP50, r.WaitP99, r.BusiestToMean, r.RemoteShare, r.MessagesPerSecond, r.BytesPerSecond)
+	}
+	return table.Flush()
+}
--- a/tier/balance/choose.go
+++ b/tier/balance/choose.go
@@ -27,21 +27,29 @@
 	Preferred string          // host with the prefix cache of the earlier turns; empty if not known
 	Tried     map[string]bool // hosts that this request has been sent to
 	Random    func() float64  // between 0 and 1
+	// FleetBegins is how many requests all gateways send to hosts in a second; 0 if this gateway does not know what the others
+	// have in flight.
+	FleetBegins float64
+	// KnowsZone says that what is in flight at the hosts of the zone is known as of now: requests to them are placed here alone.
+	KnowsZone bool
 }
 
 // Choose returns the host to send a request to, or nil if there is none. Hosts that back off or are ejected are used only when no
 // other is left.
 func Choose(hosts []*Host, request Request, now time.Time) *Host {
-	if best := lowestScore(hosts, request, now, false); best != nil {
-		return best
+	candidates := eligible(hosts, request, now, false)
+	if len(candidates) == 0 {
+		candidates = eligible(hosts, request, now, true)
 	}
-	return lowestScore(hosts, request, now, true)
+	if request.FleetBegins > 0 {
+		return chooseOfSample(candidates, request, now)
+	}
+	return lowestScore(candidates, request, now)
 }
 
-// lowestScore returns the host with the lowest score, among the unhealthy ones too if they are included.
-func lowestScore(hosts []*Host, request Request, now time.Time, includeUnhealthy bool) *Host {
-	var best *Host
-	bestScore := math.Inf(1)
+// eligible lists the hosts that may take a request, the unhealthy ones too if they are included.
+func eligible(hosts []*Host, request Request, now time.Time, includeUnhealthy bool) []*Host {
+	candidates := make([]*Host, 0, len(hosts))
 	for _, host := range hosts {
 		if host.Draining || request.Tried[host.ID] {
 			continue
@@ -49,6 +57,16 @@
 		if !includeUnhealthy && (now.Before(host.backoffUntil) || host.isEjected(now, request.Random)) {
 			continue
 		}
+		candidates = append(candidates, host)
+	}
+	return candidates
+}
+
+// lowestScore returns the host with the lowest score, nil of none.
+func lowestScore(hosts []*Host, request Request, now time.Time) *Host {
+	var best *Host
+	bestScore := math.Inf(1)
+	for _, host := range hosts {
 		if score := host.score(request, now); score < bestScore {
 			best = host
 			bestScore = score
--- a/tier/balance/host.go
+++ b/tier/balance/host.go
@@ -14,6 +14,9 @@
 	maxBackoff         = 5 * time.Second
 	maxBackoffDoubling = 4
 
+	// fleetTrust is for how long it is believed what the other gateways have in flight.
+	fleetTrust = 700 * time.Millisecond
+
 	// errorRateGain is the weight of the newest outcome in a host's error rate.
 	errorRateGain = 0.2
 	// errorRateHalfLife is the time in which an error rate halves without new errors.
@@ -35,6 +38,8 @@
 	HasIdleConnection func() bool
 
 	inflight int // requests of this gateway there
+	others   int // requests of all other gateways there, at othersAt
+	othersAt time.Time
 	stalled  int // those of them without a sign of life for longer than usual
 
 	reportedLoad float64 // requests running and queued, as the host reported
@@ -57,6 +62,12 @@
 // Inflight is the number of this gateway's requests at the host.
 func (h *Host) Inflight() int { return h.inflight }
 
+// UpdateOthers takes how many requests all other gateways have in flight at the host.
+func (h *Host) UpdateOthers(inflight int, now time.Time) {
+	h.others = inflight
+	h.othersAt = now
+}
+
 // UpdateLoad takes the load that the host reported: requests running and queued.
 func (h *Host) UpdateLoad(running, queued int, now time.Time) {
 	h.reportedLoad = float64(running + queued)
@@ -95,6 +106,11 @@
 // back in steps.
 func (h *Host) Eject(until time.Time) { h.ejectedUntil = until }
 
+// IsSuspect tells whether the host backs off, has requests that are stalled, or fails for more than a share of its requests.
+func (h *Host) IsSuspect(now time.Time, errorRate float64) bool {
+	return now.Before(h.backoffUntil) || h.stalled > 0 || h.decayedErrorRate(now) > errorRate
+}
+
 // RecordStall counts a request in flight that has waited for longer than usual without a sign of life.
 func (h *Host) RecordStall() { h.stalled++ }
 
@@ -145,6 +161,9 @@
 // load is the share of the host's slots that is taken, as far as is known here.
 func (h *Host) load(now time.Time) float64 {
 	busy := float64(h.inflight)
+	if now.Sub(h.othersAt) < fleetTrust {
+		busy += float64(h.others)
+	}
 	if now.Sub(h.reportedAt) < reportTrust {
 		busy = math.Max(busy, h.reportedLoad)
 	}
--- /dev/null
+++ b/tier/balance/sample_test.go
@@ -0,0 +1,120 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleetOf is hosts over zones, a known number of requests of others at each.
+func fleetOf(now time.Time, zones int, others ...int) []*Host {
+	all := hosts(len(others))
+	for i, count := range others {
+		all[i].Zone = string(rune('A' + i%zones))
+		all[i].UpdateOthers(count, now)
+	}
+	return all
+}
+
+func TestRequestsOfOtherGatewaysCountForAWhile(t *testing.T) {
+	now := time.Now()
+	all := fleetOf(now, 1, 5, 0)
+	all[1].Begin()
+	if got := Choose(all, Request{Zone: "A", Random: zeroRandom}, now); got.ID != "b" {
+		t.Fatal("the requests of the others are not counted")
+	}
+	if got := Choose(all, Request{Zone: "A", Random: zeroRandom}, now.Add(fleetTrust)); got.ID != "a" {
+		t.Fatal("requests of long ago are counted")
+	}
+}
+
+func TestTheOwnZoneYieldsToLoad(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		others []int // by host: zones A and B in turn
+		want   string
+	}{
+		"own zone with room": {[]int{4, 0, 5, 0}, "a"},
+		"own zone crowded":   {[]int{8, 2, 9, 3}, "b"},
+		"crowded everywhere": {[]int{8, 8, 9, 9}, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request := Request{Zone: "A", Random: zeroRandom, FleetBegins: 1, KnowsZone: true}
+			if got := Choose(fleetOf(now, 2, test.others...), request, now); got.ID != test.want {
+				t.Fatalf("%s, not %s", got.ID, test.want)
+			}
+		})
+	}
+}
+
+// The more requests are sent before the next loads arrive, the fewer hosts each of them looks at.
+func TestSamplesShrinkWithTheRateOfTheFleet(t *testing.T) {
+	for rate, want := range map[float64]int{1: 100, 8: 50, 40: 10, 4000: minSample} {
+		if got := sampleSize(100, sampleShare(rate)); got != want {
+			t.Errorf("at %v a second %d of 100 hosts are sampled, not %d", rate, got, want)
+		}
+	}
+	if got := sampleSize(1, sampleShare(4000)); got != 1 {
+		t.Errorf("%d of one host", got)
+	}
+}
+
+// Gateways that all see the same idle host at the same moment do not all take it.
+func TestAnIdleHostDrawsNoHerd(t *testing.T) {
+	const gateways = 300
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Now()
+	others := make([]int, 120)
+	for i := 1; i < len(others); i++ {
+		others[i] = 4
+	}
+	taken := 0
+	for range gateways {
+		request := Request{Zone: "A", Random: random.Float64, FleetBegins: 1000}
+		if Choose(fleetOf(now, 1, others...), request, now).ID == hosts(1)[0].ID {
+			taken++
+		}
+	}
+	if taken > gateways/20 {
+		t.Fatalf("%d of %d gateways took the idle host", taken, gateways)
+	}
+}
+
+func TestAHostWithThePrefixCacheIsInEverySample(t *testing.T) {
+	now := time.Now()
+	others := make([]int, 60)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		all := fleetOf(now, 3, others...)
+		request := Request{Zone: "A", Preferred: all[31].ID, Random: random.Float64, FleetBegins: 1000}
+		if got := Choose(all, request, now); got != all[31] {
+			t.Fatalf("%s", got.ID)
+		}
+	}
+}
+
+func TestAChoiceOfASampleKeepsToWhatMayBeChosen(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Now()
+		all := fleetOf(now, 2, rapid.SliceOfN(rapid.IntRange(0, 20), 1, 12).Draw(rt, "others")...)
+		tried := map[string]bool{}
+		left := 0
+		for _, host := range all {
+			host.Draining = rapid.Bool().Draw(rt, "draining")
+			tried[host.ID] = rapid.Bool().Draw(rt, "tried")
+			if !host.Draining && !tried[host.ID] {
+				left++
+			}
+		}
+		request := Request{
+			Zone: "A", Tried: tried, FleetBegins: rapid.Float64Range(0.1, 5000).Draw(rt, "rate"), KnowsZone: rapid.Bool().Draw(rt, "knows"),
+			Random: func() float64 { return rapid.Float64Range(0, 1).Draw(rt, "random") },
+		}
+		got := Choose(all, request, now)
+		if (got == nil) != (left == 0) || (got != nil && (got.Draining || tried[got.ID])) {
+			rt.Fatalf("%+v of %d that may be chosen", got, left)
+		}
+	})
+}
--- a/tier/codec/codec_test.go
+++ b/tier/codec/codec_test.go
@@ -34,6 +34,7 @@
 		"uint8":          {func(e *Encoder) { e.Uint8(0xab) }, "ab"},
 		"false":          {func(e *Encoder) { e.Bool(false) }, "00"},
 		"true":           {func(e *Encoder) { e.Bool(true) }, "01"},
+		"uint16":         {func(e *Encoder) { e.Uint16(0x0102) }, "0102"},
 		"uint32":         {func(e *Encoder) { e.Uint32(0x01020304) }, "01020304"},
 		"uint64":         {func(e *Encoder) { e.Uint64(0x0102030405060708) }, "0102030405060708"},
 		"negative int64": {func(e *Encoder) { e.Int64(-2) }, "fffffffffffffffe"},
@@ -127,7 +128,7 @@
 		t.Fatalf("a blob of %d bytes", len(blob))
 	}
 	for name, isZero := range map[string]bool{
-		"uint8": d.Uint8() == 0, "bool": !d.Bool(), "uint32": d.Uint32() == 0, "uint64": d.Uint64() == 0, "int64": d.Int64() == 0,
+		"uint8": d.Uint8() == 0, "uint16": d.Uint16() == 0, "bool": !d.Bool(), "uint32": d.Uint32() == 0, "uint64": d.Uint64() == 0, "int64": d.Int64() == 0,
 		"blob": d.Blob() == nil, "string": d.String() == "", "list": d.Uint64s() == nil, "count": d.Count(1) == 0,
 	} {
 		if !isZero {
--- a/tier/codec/decoder.go
+++ b/tier/codec/decoder.go
@@ -10,6 +10,7 @@
 
 // Sizes of encoded integers.
 const (
+	uint16Bytes = 2
 	uint32Bytes = 4
 	uint64Bytes = 8
 )
@@ -54,6 +55,14 @@
 // Bool reads a byte that is not 0 as true.
 func (d *Decoder) Bool() bool { return d.Uint8() != 0 }
 
+// Uint16 reads two bytes.
+func (d *Decoder) Uint16() uint16 {
+	if b := d.take(uint16Bytes); b != nil {
+		return binary.BigEndian.Uint16(b)
+	}
+	return 0
+}
+
 // Uint32 reads four bytes.
 func (d *Decoder) Uint32() uint32 {
 	if b := d.take(uint32Bytes); b != nil {
--- a/tier/codec/encoder.go
+++ b/tier/codec/encoder.go
@@ -17,6 +17,9 @@
 	}
 }
 
+// Uint16 appends two bytes.
+func (e *Encoder) Uint16(v uint16) { e.Bytes = binary.BigEndian.AppendUint16(e.Bytes, v) }
+
 // Uint32 appends four bytes.
 func (e *Encoder) Uint32(v uint32) { e.Bytes = binary.BigEndian.AppendUint32(e.Bytes, v) }
 
--- /dev/null
+++ b/tier/fleetload/homes.go
@@ -0,0 +1,63 @@
+package fleetload
+
+import (
+	"cmp"
+	"hash/crc32"
+	"maps"
+	"slices"
+	"strconv"
+
+	"otterseam/tier/directory"
+)
+
+// Homes lists the addresses of the machines that may be the home of a zone, the preferred one first. Everyone who knows the same store
+// machines gets the same list. A zone without store machines shares the homes of another.
+func Homes(stores map[uint64]directory.Store, zone string) []string {
+	zones := Zones(stores)
+	if len(zones) == 0 {
+		return nil
+	}
+	if !slices.Contains(zones, zone) {
+		zone = zones[crc32.ChecksumIEEE([]byte(zone))%uint32(len(zones))]
+	}
+	candidates := map[uint64]directory.Store{}
+	for id, store := range stores {
+		if store.Zone == zone {
+			candidates[id] = store
+		}
+	}
+	ids := slices.SortedFunc(maps.Keys(candidates), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
+	})
+	var addresses []string
+	for _, id := range ids {
+		addresses = append(addresses, candidates[id].Address)
+	}
+	return addresses
+}
+
+// rank spreads the homes over the machines by their identities.
+func rank(identity uint64) uint32 {
+	return crc32.ChecksumIEEE([]byte("home " + strconv.FormatUint(identity, 16)))
+}
+
+// Zones lists the zones that have store machines, in order.
+func Zones(stores map[uint64]directory.Store) []string {
+	var zones []string
+	for _, store := range stores {
+		zones = append(zones, store.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// PeerHomes lists the addresses of the preferred homes of all zones but for one's own address.
+func PeerHomes(stores map[uint64]directory.Store, self string) []string {
+	var peers []string
+	for _, zone := range Zones(stores) {
+		if home := Homes(stores, zone)[0]; home != self {
+			peers = append(peers, home)
+		}
+	}
+	return peers
+}
--- a/tier/proxy/hosts.go
+++ b/tier/proxy/hosts.go
@@ -10,6 +10,7 @@
 	"otterseam/tier/balance"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
+	"otterseam/tier/fleetload"
 	"otterseam/tier/outlier"
 	"otterseam/tier/upstream"
 )
@@ -18,6 +19,7 @@
 type upstreamHost struct {
 	balance.Host
 	address string
+	key     fleetload.HostKey
 	service string
 	pool    *upstream.Pool
 }
@@ -31,6 +33,7 @@
 	byID         map[string]*upstreamHost
 	byService    map[string][]*balance.Host
 	observations *outlier.Collector // for the fleet's outlier detection
+	fleet        fleetKnowledge
 }
 
 func newHostTable(zone string, onFirstFailure func()) *hostTable {
@@ -91,7 +94,7 @@
 	host := t.byID[entry.ID]
 	if host == nil || host.address != entry.Address {
 		t.remove(entry.ID)
-		host = &upstreamHost{address: entry.Address, pool: upstream.NewPool(entry.Address)}
+		host = &upstreamHost{address: entry.Address, key: fleetload.KeyOf(entry.ID), pool: upstream.NewPool(entry.Address)}
 		host.ID = entry.ID
 		host.HasIdleConnection = host.pool.HasIdle
 		t.byID[entry.ID] = host
@@ -114,12 +117,16 @@
 func (t *hostTable) choose(service, preferred string, tried map[string]bool) *upstreamHost {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	request := balance.Request{Zone: t.zone, Preferred: preferred, Tried: tried, Random: rand.Float64}
-	chosen := balance.Choose(t.byService[service], request, time.Now())
+	now := time.Now()
+	request := balance.Request{
+		Zone: t.zone, Preferred: preferred, Tried: tried, Random: rand.Float64, FleetBegins: t.fleet.beginsPerSecond(now),
+	}
+	chosen := balance.Choose(t.byService[service], request, now)
 	if chosen == nil {
 		return nil
 	}
 	chosen.Begin()
+	t.fleet.begins++
 	return t.byID[chosen.ID]
 }
 
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -24,7 +24,7 @@
 	tried := map[string]bool{}
 	failure := codes.NoHost
 	for attempts.CanAttempt() && ctx.Err() == nil {
-		host := p.hosts.choose(r.service, "", tried)
+		host := p.chooseHost(ctx, r.service, "", tried)
 		if host == nil {
 			break
 		}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -43,6 +43,7 @@
 	routesReady chan struct{}                  // closed once there are routes
 
 	hosts     *hostTable
+	loads     *loadExchange
 	programs  *programClient
 	latencies *routeLatencies
 	outages   *outageTracker
@@ -80,6 +81,7 @@
 		settlementBase: context.Background(),
 	}
 	p.hosts = newHostTable(s.Zone, func() { time.AfterFunc(observationWindow, p.reportObservations) })
+	p.loads = newLoadExchange(s.Zone, p.hosts, p.programs.clients)
 	p.requestBase, p.cancelRequests = context.WithCancelCause(context.Background())
 	return p, nil
 }
@@ -134,6 +136,7 @@
 func (p *Proxy) followView(ctx context.Context, running *sync.WaitGroup) {
 	agentAddress := []string{p.settings.AgentAddress()}
 	subscriber := &feed.Subscriber{View: p.view, Addresses: func() []string { return agentAddress }, OnChange: p.update}
+	running.Go(func() { p.loads.run(ctx) })
 	running.Add(2)
 	go func() {
 		defer running.Done()
@@ -157,6 +160,7 @@
 func (p *Proxy) update(items []feed.Item) {
 	p.hosts.update(items)
 	p.programs.update(items)
+	p.loads.update(p.view, items)
 	for _, item := range items {
 		if item.Section == feed.SectionConfig && !item.Deleted {
 			p.applyConfig(item.Data)
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -41,7 +41,7 @@
 	tried := map[string]bool{}
 	failure := codes.NoHost
 	for stream.attempts.CanAttempt() && ctx.Err() == nil && !stream.disconnected {
-		host := p.hosts.choose(t.service, t.preferredHost, tried)
+		host := p.chooseHost(ctx, t.service, t.preferredHost, tried)
 		if host == nil {
 			break
 		}
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -14,6 +14,7 @@
 	"otterseam/tier/controlclient"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
+	"otterseam/tier/fleetload"
 	"otterseam/tier/multigroup"
 	"otterseam/tier/rpc"
 	"otterseam/tier/settings"
@@ -31,6 +32,7 @@
 	seeds    *settings.Seeds
 	self     directory.Store
 	timeline *timeline.Timeline
+	loads    *loadHome
 
 	mu       sync.Mutex      // guards draining and changing
 	draining bool            // the process is about to end
@@ -62,6 +64,7 @@
 			Identity: node.Identity, Incarnation: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
 		},
 	}
+	server.loads = newLoadHome(server.self, server.view, clients)
 	server.view.SetClusterID(node.ClusterID())
 	server.control = controlclient.New(clients, server.controlAddresses)
 	for _, id := range node.UnopenedGroups() {
@@ -87,13 +90,20 @@
 	loops.Go(func() { rpc.Serve(listener, s.handle) })
 	loops.Go(func() { s.sendHeartbeats(ctx) })
 	loops.Go(func() { s.watchInSync(ctx) })
-	subscriber := &feed.Subscriber{View: s.view, Addresses: s.controlAddresses, OnChange: func([]feed.Item) { s.followMap() }}
+	loops.Go(func() { s.loads.run(ctx) })
+	subscriber := &feed.Subscriber{View: s.view, Addresses: s.controlAddresses, OnChange: s.follow}
 	subscriber.Run(ctx)
 	_ = listener.Close() // it only ends Serve
 	loops.Wait()
 	return nil
 }
 
+// follow acts on a change of the view.
+func (s *Server) follow(items []feed.Item) {
+	s.followMap()
+	s.loads.update(items)
+}
+
 // handle takes messages of gateways, of other stores, and of operators' status commands.
 func (s *Server) handle(message rpc.Message) {
 	switch message.Kind {
@@ -101,6 +111,12 @@
 		s.node.HandleMessage(message.Payload, s.openShard)
 	case KindProgram:
 		go s.handleProgram(message)
+	case fleetload.KindReport:
+		s.loads.handleReport(message)
+	case fleetload.KindPlace:
+		s.loads.handlePlace(message)
+	case fleetload.KindZoneLoad:
+		s.loads.handleZoneLoad(message)
 	case timeline.KindTimeline:
 		message.Answer(codes.OK, s.timeline.Encode())
 	default:
