--- a/cmd/otterseam-sim/placement.go
+++ b/cmd/otterseam-sim/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -57,9 +58,8 @@
 
 // scenarios are those of all combinations of a load, a number of gateways and a policy.
 func (c *placementCommand) scenarios() ([]placementsim.Scenario, error) {
-	if c.Hosts < 1 || c.Hosts > maxPlacementSize || c.Zones < 1 || c.Zones > c.Hosts || c.Slots < 1 || c.Service <= 0 || c.Length <= 0 ||
-		c.Slow < 0 || c.Slow > 1 || c.Slowdown < 0 {
-		return nil, inputError{errors.New("1 to 5000 hosts in no more zones than hosts, and slots, times and shares over 0 are wanted")}
+	if err := c.check(); err != nil {
+		return nil, err
 	}
 	var scenarios []placementsim.Scenario
 	for _, load := range c.Load {
@@ -69,9 +69,6 @@
 				if err != nil {
 					return nil, err
 				}
-				if gateways < 1 || gateways > maxPlacementSize || load <= 0 || load > 2 {
-					return nil, inputError{errors.New("1 to 5000 gateways and a load over 0 and up to 2 are wanted")}
-				}
 				scenarios = append(scenarios, placementsim.Scenario{
 					Policy: policy, Gateways: gateways, Hosts: c.Hosts, Zones: c.Zones, Slots: c.Slots, Load: load, Service: c.Service,
 					Slowdown: c.Slowdown, Duration: c.Length, Seed: c.Seed, HomesFailAt: c.FailAt, SlowHosts: c.Slow,
@@ -82,6 +79,21 @@
 	return scenarios, nil
 }
 
+// check tells what is wrong with the arguments.
+func (c *placementCommand) check() error {
+	hasHosts := c.Hosts >= 1 && c.Hosts <= maxPlacementSize && c.Zones >= 1 && c.Zones <= c.Hosts && c.Slots >= 1
+	hasTimes := c.Service > 0 && c.Length > 0 && c.Slow >= 0 && c.Slow <= 1 && c.Slowdown >= 0
+	if !hasHosts || !hasTimes {
+		return inputError{errors.New("1 to 5000 hosts in no more zones than hosts, and slots, times and shares over 0 are wanted")}
+	}
+	tooFew := func(gateways int) bool { return gateways < 1 || gateways > maxPlacementSize }
+	outOfRange := func(load float64) bool { return !(load > 0 && load <= 2) }
+	if slices.ContainsFunc(c.Gateways, tooFew) || slices.ContainsFunc(c.Load, outOfRange) {
+		return inputError{errors.New("1 to 5000 gateways and a load over 0 and up to 2 are wanted")}
+	}
+	return nil
+}
+
 func placementPolicy(name string) (placementsim.Policy, error) {
 	policies := []placementsim.Policy{
 		placementsim.OwnKnowledge, placementsim.FleetKnowledge, placementsim.HomePlacement, placementsim.Omniscient,
--- a/tier/control/session/session_test.go
+++ b/tier/control/session/session_test.go
@@ -70,56 +70,85 @@
 	}
 }
 
-// After a failover one control process has nearly all hosts: they move until none has more than a fifth beyond the mean, a few at a
-// time, and nothing moves before all hosts were heard or onto a process that is silent.
-func TestHostsSpreadAgainAfterAFailover(t *testing.T) {
-	const hosts, controls = 120, 5
-	c := &clock{at: 100_000}
-	sessions := New(1, c.now)
+const (
+	spreadHosts    = 120
+	spreadControls = 5
+)
+
+// spreadFixture is hosts that send their heartbeats to control processes, all but two of which were down for a while.
+type spreadFixture struct {
+	clock    *clock
+	sessions *Sessions
+	holders  []uint64 // by host
+}
+
+func newSpreadFixture() *spreadFixture {
+	f := &spreadFixture{clock: &clock{at: 100_000}}
+	f.sessions = New(1, f.clock.now)
 	st := state.New()
-	var holders []uint64
-	for i := range hosts {
+	for i := range spreadHosts {
 		st.Apply(uint64(i+1), state.PutHost{Host: directory.Host{ID: fmt.Sprint(i), Service: "s"}, Seq: 1}.Encode())
-		holders = append(holders, uint64(1+i%2)) // of the two that were up
+		f.holders = append(f.holders, uint64(1+i%2)) // of the two that were up
 	}
-	sessions.Begin(st)
-	if move := sessions.PlanMove(1); move.Hosts != 0 {
-		t.Fatalf("moved before the hosts were heard: %+v", move)
+	f.sessions.Begin(st)
+	return f
+}
+
+// heartbeats has all control processes and all hosts be heard.
+func (f *spreadFixture) heartbeats() {
+	for id := range uint64(spreadControls) {
+		f.sessions.RenewControl(consensus.Member{ID: id + 1, Address: fmt.Sprint("10.0.0.", id+1, ":7")}, false)
 	}
-	rounds := 0
-	for ; rounds < 40; rounds++ {
-		for id := range uint64(controls) {
-			sessions.RenewControl(consensus.Member{ID: id + 1, Address: fmt.Sprint("10.0.0.", id+1, ":7")}, false)
-		}
-		for i, holder := range holders {
-			sessions.RenewHost(fmt.Sprint(i), holder, c.at)
+	for i, holder := range f.holders {
+		f.sessions.RenewHost(fmt.Sprint(i), holder, f.clock.at)
+	}
+}
+
+// follow has hosts move as they are asked to.
+func (f *spreadFixture) follow(from uint64, move Move) {
+	for i := 0; i < spreadHosts && move.Hosts > 0; i++ {
+		if f.holders[i] == from {
+			f.holders[i] = move.Target.ID
+			move.Hosts--
 		}
-		for holder := range uint64(controls) {
-			move := sessions.PlanMove(holder + 1)
-			if again := sessions.PlanMove(holder + 1); again.Hosts != 0 {
+	}
+}
+
+// After a failover two control processes have all hosts: they move until none has more than a fifth beyond the mean, some at a time.
+func TestHostsSpreadAgainAfterAFailover(t *testing.T) {
+	f := newSpreadFixture()
+	for range 40 {
+		f.heartbeats()
+		for id := range uint64(spreadControls) {
+			move := f.sessions.PlanMove(id + 1)
+			if again := f.sessions.PlanMove(id + 1); again.Hosts != 0 {
 				t.Fatalf("asked twice at once: %+v", again)
 			}
-			for i := 0; i < hosts && move.Hosts > 0; i++ {
-				if holders[i] == holder+1 {
-					holders[i] = move.Target.ID
-					move.Hosts--
-				}
-			}
+			f.follow(id+1, move)
 		}
-		c.at += movePause
+		f.clock.at += movePause
 	}
 	counts := map[uint64]int{}
-	for _, holder := range holders {
+	for _, holder := range f.holders {
 		counts[holder]++
 	}
-	for id := range uint64(controls) {
-		if count := counts[id+1]; float64(count) > 1.2*hosts/controls || count < hosts/controls/2 {
-			t.Errorf("control process %d has %d of %d hosts: %v", id+1, count, hosts, counts)
+	for id := range uint64(spreadControls) {
+		if count := counts[id+1]; count > 12*spreadHosts/spreadControls/10 || count < spreadHosts/spreadControls/2 {
+			t.Errorf("control process %d has %d of %d hosts: %v", id+1, count, spreadHosts, counts)
 		}
 	}
-	c.at += lease.ControlTimeout + 1 // all others are silent
-	sessions.RenewControl(consensus.Member{ID: 1, Address: "10.0.0.1:7"}, false)
-	if move := sessions.PlanMove(1); move.Hosts != 0 {
+}
+
+// Nothing moves before all hosts were heard, or onto a process that is silent.
+func TestHostsMoveOnlyWhereAllIsKnown(t *testing.T) {
+	f := newSpreadFixture()
+	if move := f.sessions.PlanMove(1); move.Hosts != 0 {
+		t.Fatalf("moved before the hosts were heard: %+v", move)
+	}
+	f.heartbeats()
+	f.clock.at += lease.ControlTimeout + 1 // all others are silent
+	f.sessions.RenewControl(consensus.Member{ID: 1, Address: "10.0.0.1:7"}, false)
+	if move := f.sessions.PlanMove(1); move.Hosts != 0 {
 		t.Fatalf("moved onto a silent process: %+v", move)
 	}
 }
--- a/tier/feed/recorded_test.go
+++ b/tier/feed/recorded_test.go
@@ -67,7 +67,9 @@
 	recorded.Check(t, "export", restored.Export().Encode())
 	merged := NewView()
 	for _, name := range []string{"since-0", "since-4"} {
-		(&Subscriber{View: merged}).apply(recorded.Read(t, name))
+		if err := (&Subscriber{View: merged}).apply(recorded.Read(t, name)); err != nil {
+			t.Error(err)
+		}
 	}
 	again, _ := merged.SinceEncoded(0)
 	recorded.Check(t, "since-0", again)
@@ -96,7 +98,9 @@
 		}
 	})
 	view := NewView()
-	(&Subscriber{View: view}).apply(recorded.Read(t, "since-0"))
+	if err := (&Subscriber{View: view}).apply(recorded.Read(t, "since-0")); err != nil {
+		t.Error(err)
+	}
 	view.revision = 4 // as if it had missed what came behind
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/tier/storage/errors_test.go
+++ b/tier/storage/errors_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"otterseam/tier/codes"
@@ -113,8 +114,8 @@
 	const last = "segment-0000000000000002"
 	newerRecord := entry(1, 3, 1, "c")
 	newerRecord.Kind = RecordDrop + 1
-	withNewField := encodeCommit(commit{sequence: 3, records: []Record{entry(1, 3, 1, "c")}})
-	content := append(withNewField[commitHeaderBytes:len(withNewField):len(withNewField)], "new field"...)
+	known := encodeCommit(commit{sequence: 3, records: []Record{entry(1, 3, 1, "c")}})
+	content := slices.Concat(known[commitHeaderBytes:], []byte("new field"))
 	header := binary.BigEndian.AppendUint32(nil, commitMagic)
 	header = binary.BigEndian.AppendUint32(header, uint32(len(content)))
 	header = binary.BigEndian.AppendUint32(header, commitChecksum(3, content))
