--- a/gateway/policy/digest_test.go
+++ b/gateway/policy/digest_test.go
@@ -82,10 +82,12 @@
 		{Name: "open", MaxConcurrent: 6},
 		{Name: "both", Rate: 20, Burst: 40, MaxConcurrent: 8, CeilingRate: 60, CeilingBurst: 90},
 	}
-	c.gateway = policy.New(at, operations, plans,
-		policy.CounterConfig{Present: true, Timeout: 0.05, SettlesUnits: seed%2 == 0, MaxUnits: 8},
-		policy.SlowStart{InitialCapacity: 0.2, Duration: 5, OverloadFactor: 2},
-		policy.Limits{MaxAttempts: 4, CanCancel: true, PeerMessages: true, PeerMessageRate: digestedMail}, c)
+	c.gateway = policy.New(policy.Config{
+		Instance: at, Operations: operations, Plans: plans,
+		Counter:   policy.CounterConfig{Present: true, Timeout: 0.05, SettlesUnits: seed%2 == 0, MaxUnits: 8},
+		SlowStart: policy.SlowStart{InitialCapacity: 0.2, Duration: 5, OverloadFactor: 2},
+		Limits:    policy.Limits{MaxAttempts: 4, CanCancel: true, PeerMessages: true, PeerMessageRate: digestedMail},
+	}, c)
 	c.list(true)
 	return c
 }
--- a/gateway/policy/gateway.go
+++ b/gateway/policy/gateway.go
@@ -36,29 +36,27 @@
 	slowStart   SlowStart
 }
 
-// New makes the policy of one API gateway.
-func New(instance Instance, operations []Operation, plans []Plan, counter CounterConfig, slowStart SlowStart, limits Limits,
-	output Output,
-) *Gateway {
+// New makes the policy of one API gateway, which has its decisions carried out by an output.
+func New(config Config, output Output) *Gateway {
 	g := &Gateway{
-		instance:    instance,
-		limits:      limits,
+		instance:    config.Instance,
+		limits:      config.Limits,
 		output:      output,
-		random:      rng.New("%d ", instance.Seed),
+		random:      rng.New("%d ", config.Instance.Seed),
 		operations:  map[string]*operation{},
 		plans:       map[string]*Plan{},
-		peers:       newPeerView(instance.Gateways),
+		peers:       newPeerView(config.Instance.Gateways),
 		customers:   customerTable{byID: map[string]*customer{}},
-		counter:     newCounterClient(counter),
+		counter:     newCounterClient(config.Counter),
 		concurrency: newConcurrency(),
 		hosts:       hostTable{byAddr: map[string]*Host{}},
-		slowStart:   slowStart,
+		slowStart:   config.SlowStart,
 	}
-	for _, o := range operations {
+	for _, o := range config.Operations {
 		g.operations[o.Name] = newOperation(o)
-		g.meanLatency += o.LatencyTarget / initialMeanDivisor / float64(len(operations))
+		g.meanLatency += o.LatencyTarget / initialMeanDivisor / float64(len(config.Operations))
 	}
-	for _, p := range plans {
+	for _, p := range config.Plans {
 		g.plans[p.Name] = &p
 	}
 	return g
--- a/gateway/policy/harness_test.go
+++ b/gateway/policy/harness_test.go
@@ -45,9 +45,12 @@
 
 func newHarnessOf(t *testing.T, p Plan, gateways int) *harness {
 	f := &harness{t: t, now: 1000, decisions: map[*Invocation]Decision{}}
-	f.gateway = New(Instance{Gateways: gateways, Zone: "z"}, testOperations, []Plan{p},
-		CounterConfig{Present: true, Timeout: 0.05, MaxUnits: 8}, SlowStart{InitialCapacity: 0.2, Duration: 10, OverloadFactor: 2},
-		Limits{MaxAttempts: 4, CanCancel: true, PeerMessages: true, PeerMessageRate: 60}, f)
+	f.gateway = New(Config{
+		Instance: Instance{Gateways: gateways, Zone: "z"}, Operations: testOperations, Plans: []Plan{p},
+		Counter:   CounterConfig{Present: true, Timeout: 0.05, MaxUnits: 8},
+		SlowStart: SlowStart{InitialCapacity: 0.2, Duration: 10, OverloadFactor: 2},
+		Limits:    Limits{MaxAttempts: 4, CanCancel: true, PeerMessages: true, PeerMessageRate: 60},
+	}, f)
 	f.gateway.UpdateHosts(f.now, []HostEntry{{Addr: "a", Zone: "z", State: "active"}, {Addr: "b", Zone: "y", State: "active"}}, true)
 	return f
 }
--- a/gateway/policy/types.go
+++ b/gateway/policy/types.go
@@ -76,6 +76,16 @@
 	Overload *overload.Controller // bounds what all do while hosts don't answer; nil: nothing is bounded
 }
 
+// Config is all that a Gateway is made of.
+type Config struct {
+	Instance   Instance
+	Operations []Operation
+	Plans      []Plan
+	Counter    CounterConfig
+	SlowStart  SlowStart
+	Limits     Limits
+}
+
 // Limits is what the deployment allows an API gateway.
 type Limits struct {
 	MaxAttempts     int  // for one invocation
--- a/gateway/simprotocol/settings.go
+++ b/gateway/simprotocol/settings.go
@@ -97,22 +97,26 @@
 	if err != nil {
 		return nil, err
 	}
-	instance := policy.Instance{
-		Gateways: s.Gateways, Zone: s.Zone, Seed: seed,
-		Peers: s.newDetector(seed), Overload: s.newOverloadController(seed),
+	config := policy.Config{
+		Instance: policy.Instance{
+			Gateways: s.Gateways, Zone: s.Zone, Seed: seed,
+			Peers: s.newDetector(seed), Overload: s.newOverloadController(seed),
+		},
+		Operations: operations,
+		Plans:      s.policyPlans(),
+		Counter: policy.CounterConfig{
+			Present: s.Shared.Counter, Timeout: s.Shared.CounterTimeout,
+			SettlesUnits: s.Shared.SettlesUnits, MaxUnits: s.Shared.MaxUnits,
+		},
+		SlowStart: policy.SlowStart{
+			InitialCapacity: s.SlowStart.InitialCapacity, Duration: s.SlowStart.Duration, OverloadFactor: s.SlowStart.OverloadFactor,
+		},
+		Limits: policy.Limits{
+			MaxAttempts: s.Caps.MaxAttempts, CanCancel: s.Caps.Cancel,
+			PeerMessages: s.Caps.PeerMessages, PeerMessageRate: s.Shared.PeerMessageRate,
+		},
 	}
-	counter := policy.CounterConfig{
-		Present: s.Shared.Counter, Timeout: s.Shared.CounterTimeout,
-		SettlesUnits: s.Shared.SettlesUnits, MaxUnits: s.Shared.MaxUnits,
-	}
-	slowStart := policy.SlowStart{
-		InitialCapacity: s.SlowStart.InitialCapacity, Duration: s.SlowStart.Duration, OverloadFactor: s.SlowStart.OverloadFactor,
-	}
-	limits := policy.Limits{
-		MaxAttempts: s.Caps.MaxAttempts, CanCancel: s.Caps.Cancel,
-		PeerMessages: s.Caps.PeerMessages, PeerMessageRate: s.Shared.PeerMessageRate,
-	}
-	return policy.New(instance, operations, s.policyPlans(), counter, slowStart, limits, output), nil
+	return policy.New(config, output), nil
 }
 
 func (s *Settings) policyOperations() (operations []policy.Operation, err error) {
