--- a/sim/losscauses/losscauses.go
+++ b/sim/losscauses/losscauses.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +30,8 @@
 // Window is the programs that began in some seconds.
 type Window struct {
 	Name string `json:"name"` // its first second
+	// MedianMS is how long half of the programs took at most, 0 if the report doesn't tell.
+	MedianMS float64 `json:"p50_ms"`
 	Count
 }
 
@@ -72,6 +75,10 @@
 	longestRun = 8.0
 	// recovery is how long after a final fault programs that begin may still wait for the tier.
 	recovery = 2.5
+	// overloadFactor is by how much longer programs take in an overloaded window than in a calm one.
+	overloadFactor = 1.15
+	// calmShare is the share of the windows, those with the shortest programs, that count as calm.
+	calmShare = 0.25
 )
 
 const (
@@ -79,6 +86,9 @@
 	InFlight = "in flight at the final fault"
 	// Outage is the cause of programs that began in the outage after the final fault.
 	Outage = "began in the outage after the final fault"
+	// Overload is the cause of programs that no disruption was near and that took longer than those of calm seconds: hosts had more to
+	// do than they could at once.
+	Overload = "overload"
 	// Unexplained is the cause of programs that no disruption was near.
 	Unexplained = "unexplained"
 )
@@ -93,6 +103,7 @@
 // Shares attributes the programs that were late or lost, the cause with most lost ones first.
 func (r *Report) Shares() ([]Share, error) {
 	byCause := map[string]*Share{}
+	calm := r.calmMedian()
 	for _, window := range r.Windows {
 		if window.Late+window.Refused+window.Failed == 0 {
 			continue
@@ -102,6 +113,9 @@
 			return nil, fmt.Errorf("%s: window %q is no second", r.Name, window.Name)
 		}
 		cause := r.causeOf(from)
+		if cause == Unexplained && window.MedianMS > overloadFactor*calm {
+			cause = Overload
+		}
 		if byCause[cause] == nil {
 			byCause[cause] = &Share{Cause: cause}
 		}
@@ -111,6 +125,21 @@
 	return r.checked(byCause)
 }
 
+// calmMedian is how long half of the programs take at most in calm seconds, in milliseconds; infinite if the report doesn't tell.
+func (r *Report) calmMedian() float64 {
+	var medians []float64
+	for _, window := range r.Windows {
+		if window.MedianMS > 0 {
+			medians = append(medians, window.MedianMS)
+		}
+	}
+	if len(medians) == 0 {
+		return math.Inf(1)
+	}
+	slices.Sort(medians)
+	return medians[int(calmShare*float64(len(medians)-1))]
+}
+
 // checked orders the shares and sees that they add up to what the report counts.
 func (r *Report) checked(byCause map[string]*Share) ([]Share, error) {
 	var shares []Share
--- a/sim/losscauses/losscauses_test.go
+++ b/sim/losscauses/losscauses_test.go
@@ -29,6 +29,36 @@
 	}
 }
 
+// Windows whose programs take longer than those of calm ones are overloaded, unless a disruption is near; without times nothing is.
+func TestOverloadIsNamed(t *testing.T) {
+	const loaded = `{"all":{"late":9,"failed":2},"events":[{"at_s":20,"to_s":22,"kind":"srv_grey (hang)"}],"windows":[
+		{"name":"0","p50_ms":1000},{"name":"2","p50_ms":1010,"late":1},{"name":"4","p50_ms":990},{"name":"6","p50_ms":1020},
+		{"name":"8","p50_ms":1300,"late":4,"failed":1},{"name":"20","p50_ms":1900,"late":4,"failed":1}]}`
+	for name, test := range map[string]struct {
+		report string
+		want   map[string]int // late programs
+	}{
+		"with times":    {loaded, map[string]int{Overload: 4, "srv_grey (hang)": 4, Unexplained: 1}},
+		"without times": {strings.ReplaceAll(loaded, "p50_ms", "other"), map[string]int{"srv_grey (hang)": 4, Unexplained: 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := Parse("day", []byte(test.report))
+			if err != nil {
+				t.Fatal(err)
+			}
+			shares, err := r.Shares()
+			if err != nil || len(shares) != len(test.want) {
+				t.Fatalf("%+v, %v", shares, err)
+			}
+			for _, share := range shares {
+				if share.Late != test.want[share.Cause] {
+					t.Errorf("%s: %d late, not %d", share.Cause, share.Late, test.want[share.Cause])
+				}
+			}
+		})
+	}
+}
+
 func TestCountsThatDoNotAddUpAreAnError(t *testing.T) {
 	r, err := Parse("day", []byte(strings.Replace(report, `"failed":11`, `"failed":12`, 1)))
 	if err != nil {
