--- a/cmd/otterseam-sim/placement.go
+++ b/cmd/otterseam-sim/placement.go
@@ -81,9 +81,7 @@
 
 // check tells what is wrong with the arguments.
 func (c *placementCommand) check() error {
-	hasHosts := c.Hosts >= 1 && c.Hosts <= maxPlacementSize && c.Zones >= 1 && c.Zones <= c.Hosts && c.Slots >= 1
-	hasTimes := c.Service > 0 && c.Length > 0 && c.Slow >= 0 && c.Slow <= 1 && c.Slowdown >= 0
-	if !hasHosts || !hasTimes {
+	if !c.hasValidHosts() || !c.hasValidTimes() {
 		return inputError{errors.New("1 to 5000 hosts in no more zones than hosts, and slots, times and shares over 0 are wanted")}
 	}
 	tooFew := func(gateways int) bool { return gateways < 1 || gateways > maxPlacementSize }
@@ -94,6 +92,14 @@
 	return nil
 }
 
+func (c *placementCommand) hasValidHosts() bool {
+	return c.Hosts >= 1 && c.Hosts <= maxPlacementSize && c.Zones >= 1 && c.Zones <= c.Hosts && c.Slots >= 1
+}
+
+func (c *placementCommand) hasValidTimes() bool {
+	return c.Service > 0 && c.Length > 0 && c.Slow >= 0 && c.Slow <= 1 && c.Slowdown >= 0
+}
+
 func placementPolicy(name string) (placementsim.Policy, error) {
 	policies := []placementsim.Policy{
 		placementsim.OwnKnowledge, placementsim.FleetKnowledge, placementsim.HomePlacement, placementsim.Omniscient,
