Balance: sessions keep their prefix caches when all hosts are full

Cause: the host of the turn before was preferred only below a load of 0.85. The bound now holds only where the load of the others is not known.

--- a/tier/balance/choose.go
+++ b/tier/balance/choose.go
@@ -10,7 +10,9 @@
 	localZoneBonus      = 0.10
 	idleConnectionBonus = 0.05
 
-	// affinityBonus is that of the host that holds the prefix cache of the request, while its load is below affinityMaxLoad.
+	// affinityBonus is that of the host that holds the prefix cache of the request. Where the load of the others is not known, it
+	// has the bonus only while its load is below affinityMaxLoad. Where it is known, there is no such bound: when all hosts are
+	// full, each request that leaves its prefix cache has another host read its prompt again, and they get fuller still.
 	affinityBonus   = 0.35
 	affinityMaxLoad = 0.85
 
@@ -86,7 +88,7 @@
 	if h.HasIdleConnection != nil && h.HasIdleConnection() {
 		score -= idleConnectionBonus
 	}
-	if h.ID == request.Preferred && load < affinityMaxLoad && stallShare < 1 {
+	if h.ID == request.Preferred && stallShare < 1 && (request.FleetBegins > 0 || load < affinityMaxLoad) {
 		score -= affinityBonus
 	}
 	return score
--- a/tier/balance/sample_test.go
+++ b/tier/balance/sample_test.go
@@ -95,6 +95,29 @@
 	}
 }
 
+// When all hosts are full, requests stay with their prefix caches; one whose host is far above the others leaves it. Where the load of
+// the others is not known, a full host is left.
+func TestPrefixCachesAreKeptWhenAllHostsAreFull(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		others []int
+		rate   float64
+		want   string
+	}{
+		"all full":                  {[]int{12, 12, 12}, 1, "b"},
+		"far above the others":      {[]int{8, 12, 8}, 1, "a"},
+		"all full, nothing known":   {[]int{11, 12, 12}, 0, "a"},
+		"a little above the others": {[]int{9, 12, 10}, 1, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request := Request{Zone: "A", Preferred: "b", Random: zeroRandom, FleetBegins: test.rate, KnowsZone: true}
+			if got := Choose(fleetOf(now, 1, test.others...), request, now); got.ID != test.want {
+				t.Fatalf("%s, not %s", got.ID, test.want)
+			}
+		})
+	}
+}
+
 func TestAChoiceOfASampleKeepsToWhatMayBeChosen(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Now()
