--- a/review/stand-2/sweep.go
+++ b/review/stand-2/sweep.go
@@ -19,7 +19,7 @@
 	// partsOfPrograms is the number of parts over which the tier spreads programs by the CRC-32 of their name. The names of the other
 	// programs are chosen so that they meet the same part: that stands for the many other programs of a larger deployment.
 	partsOfPrograms = 24
-	fillerWorkers   = 40
+	fillerWorkers   = 20
 )
 
 var errCalm = errors.New("a turn was not served in calm time")
