A turn that outlives the chain that it continues is stored with the chain's texts

Callers saw: a turn that had been answered whole a moment ago got 404 as Previous, and all that its program had said was lost (LOST).

Cause: Begin reads the chain of a turn, but nothing keeps the chain until End. End answers OK, the client gets the last chunk, and the chain is broken for good. It also meets a fast turn that begins within the 10 s after keep_s.

Change: the result of Begin tells the ChainTTL, the time until the first turn of the chain may be deleted. The gateway, which holds the whole prompt anyway, compares it with the time until which End may be executed, less 10 s for the clocks of two primaries. Where the chain may expire, End names no predecessor and brings the texts of the whole chain, the form that turns which continue another program's turn have had all along. Only such turns cost the bytes.

A pin of the chain in the state would have made them differ: one build finds a chain that the other has deleted, reserves for the turn or not, and the count depends on who leads. The answer of Begin has one more field, the last, which gateways of the old build don't read; recordings of the new form stand beside the old ones. With a primary of the old build, which does not tell the time, a new gateway assumes the 10 s that are left to a turn that began within keep_s. An old gateway has the fault until it is replaced. Nothing new is stored, so an abandoned turn leaves nothing behind.

TestRecordedProgramCall of tier/store checks the recorded answer as the prefix of the new one, whose last field depends on the clock; the field is checked by its range, and the whole form against the new recording.

--- a/tier/programs/chain.go
+++ b/tier/programs/chain.go
@@ -20,27 +20,34 @@
 	expiresAt int64 // compared with the times that commands carry
 }
 
-// chain returns the inputs and outputs of the turns that a new turn continues, the oldest first, and the host that ran the last of
-// them. found is false if one of these turns is not retained, or no longer.
-func (p *program) chain(previous string, now int64) (parts [][]byte, host string, found bool) {
+// chain holds the turns that a new turn continues.
+type chain struct {
+	parts     [][]byte // inputs and outputs, the oldest first
+	host      string   // the host that ran the last turn
+	expiresAt int64    // when the first of the turns expires
+}
+
+// chain returns the turns that a new turn continues. found is false if one of these turns is not retained, or no longer.
+func (p *program) chain(previous string, now int64) (c chain, found bool) {
 	if previous == "" {
-		return nil, "", true
+		return chain{}, true
 	}
-	var reversed [][]byte
 	last, retained := p.turns[previous]
 	if !retained || now > last.expiresAt {
-		return nil, "", false
+		return chain{}, false
 	}
+	c = chain{host: last.host, expiresAt: last.expiresAt}
 	first := previous
 	for _, each := range p.lineage(previous) {
-		reversed = append(reversed, each.output, each.input)
+		c.parts = append(c.parts, each.output, each.input)
+		c.expiresAt = min(c.expiresAt, each.expiresAt)
 		first = each.previous
 	}
 	if first != "" {
-		return nil, "", false
+		return chain{}, false
 	}
-	slices.Reverse(reversed)
-	return reversed, last.host, true
+	slices.Reverse(c.parts)
+	return c, true
 }
 
 // lineage yields a turn and its predecessors, the newest first, up to the first one that is not retained. It terminates even if they
@@ -57,15 +64,33 @@
 	}
 }
 
+// chainTTL returns the ChainTTL of the result of a Begin. A turn that would be its own predecessor is never stored, so that its chain is
+// not needed again.
+func (p *program) chainTTL(b Begin, c chain) int64 {
+	switch {
+	case b.Previous == "":
+		return 0
+	case p.precedes(b.Request, b.Previous):
+		return unlimitedChainTTL
+	default:
+		return max(c.expiresAt-b.Now, 0) + 1 // a sweep deletes a turn after its time of expiry
+	}
+}
+
+// precedes reports whether a turn is another one or one of its predecessors.
+func (p *program) precedes(id, other string) bool {
+	for predecessor := range p.lineage(other) {
+		if predecessor == id {
+			return true
+		}
+	}
+	return id == other
+}
+
 // retain stores a turn and extends the retention of its predecessors to at least its own. A turn that would be its own predecessor is
 // not stored: its ID is that of an earlier turn, which is kept.
 func (p *program) retain(c End) {
-	for id := range p.lineage(c.Previous) {
-		if id == c.Request {
-			return
-		}
-	}
-	if c.Request == c.Previous {
+	if p.precedes(c.Request, c.Previous) {
 		return
 	}
 	expires := c.Now + c.RetentionMS + clockSkew
--- a/tier/programs/doc.go
+++ b/tier/programs/doc.go
@@ -14,7 +14,9 @@
 //   - Settled and reserved tokens together never exceed the budget that the Begin commands of these turns carried.
 //   - A Begin or an End takes effect once, however often and however late it is repeated. A repeat is recognized by its request ID
 //     while the turn is open or among the newest settled turns, and by its Ticket at any time after that.
-//   - A retained turn is kept as long as the newest turn of its chain.
+//   - A retained turn is kept as long as the newest turn of its chain. An open turn does not prolong the retention of its chain: the
+//     result of its Begin tells the ChainTTL, and a gateway stores a turn that may take longer with the texts of its chain. The state
+//     thus depends on no turn that may never end, and replicas of all versions execute a command alike.
 //   - The state of each program is bounded: open turns by time; settled turns, sessions and watermarks by number.
 //
 // # Constraints
--- a/tier/programs/programs_test.go
+++ b/tier/programs/programs_test.go
@@ -158,7 +158,7 @@
 	p := newProgram()
 	p.turns["a"] = turn{previous: "b", expiresAt: 10}
 	p.turns["b"] = turn{previous: "a", expiresAt: 10}
-	if _, _, found := p.chain("a", 1); found {
+	if _, found := p.chain("a", 1); found {
 		t.Fatal("the chain of a cycle was found")
 	}
 	p.retain(End{Now: 1, Request: "c", Previous: "a"})
--- a/tier/programs/recorded_test.go
+++ b/tier/programs/recorded_test.go
@@ -59,6 +59,8 @@
 func TestRecordedResult(t *testing.T) {
 	result := Result{Host: "host-7", Chain: [][]byte{[]byte("input 1"), []byte("output 1"), {0, 255}}}
 	recorded.CheckBoth(t, "result", result, Result.Encode, DecodeResult)
+	result.ChainTTL = 609_915
+	recorded.CheckBoth(t, "result-chain-ttl", result, Result.Encode, DecodeResult)
 }
 
 // recordedState returns a state with two programs, of which the first has several entries of each kind.
@@ -117,7 +119,7 @@
 		want    Result
 	}{
 		{"command-fetch", Result{Chain: chain, Host: "host-2"}},
-		{"command-begin", Result{Chain: chain, Host: "host-2"}},
+		{"command-begin", Result{Chain: chain, Host: "host-2", ChainTTL: 60_001}},
 		{"command-end", Result{}},
 	} {
 		if got := s.Apply(1, recorded.Read(t, step.command)); !reflect.DeepEqual(got, step.want) {
--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -77,10 +77,11 @@
 	if code, settled := p.settledCode(b.Request, b.Ticket); settled && !repeated {
 		return Result{Code: code}
 	}
-	chain, host, found := p.chain(b.Previous, b.Now)
+	chain, found := p.chain(b.Previous, b.Now)
 	if !found {
 		return Result{Code: codes.TurnUnknown}
 	}
+	host := chain.host
 	if host == "" {
 		host = p.sessionHosts[b.Session]
 	}
@@ -92,7 +93,7 @@
 			return Result{Code: codes.BudgetSpent}
 		}
 	}
-	return Result{Code: codes.OK, Chain: chain, Host: host}
+	return Result{Code: codes.OK, Chain: chain.parts, Host: host, ChainTTL: p.chainTTL(b, chain)}
 }
 
 // end releases a turn's reservation and charges its actual tokens. A repeated End charges them once.
@@ -121,9 +122,9 @@
 	if p == nil {
 		return Result{Code: codes.TurnUnknown}
 	}
-	chain, host, found := p.chain(request, now)
+	chain, found := p.chain(request, now)
 	if !found {
 		return Result{Code: codes.TurnUnknown}
 	}
-	return Result{Code: codes.OK, Chain: chain, Host: host}
+	return Result{Code: codes.OK, Chain: chain.parts, Host: chain.host}
 }
--- a/tier/proxy/recorded_test.go
+++ b/tier/proxy/recorded_test.go
@@ -42,12 +42,14 @@
 		Estimate: 2_500, Previous: "request-2", Ticket: programs.Ticket{Gateway: 0x1112131415161718, Number: 0x2122232425262728},
 	}
 	var code atomic.Uint32
+	var answer atomic.Value
+	answer.Store("program-answer")
 	address := serveRPC(t, func(m rpc.Message) {
 		if store.KindProgram != 40 || m.Kind != 40 {
 			t.Errorf("kind %d", m.Kind)
 		}
 		recorded.Check(t, "program-call", m.Payload)
-		m.Answer(codes.Code(code.Load()), recorded.Read(t, "program-answer"))
+		m.Answer(codes.Code(code.Load()), recorded.Read(t, answer.Load().(string)))
 	})
 	client := newProgramClient(feed.NewView(), newOutageTracker())
 	client.setShardMap(
@@ -61,6 +63,11 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%+v, %v", got, err)
 	}
+	answer.Store("program-answer-chain-ttl")
+	want.ChainTTL = 609_915
+	if got, err := client.callShard(ctx, 37, begin.Encode()); err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v, %v", got, err)
+	}
 	code.Store(uint32(codes.BudgetSpent))
 	if _, err := client.callShard(ctx, 37, begin.Encode()); !errors.Is(err, codes.BudgetSpent) {
 		t.Fatal(err)
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -215,12 +215,13 @@
 		return
 	}
 	received := stream.events * t.tokensPerEvent
-	end := t.completeCommand(received, stream.output, stream.hostID)
+	deadline := time.Now().Add(min(retainTimeout, t.remaining()))
+	end := t.completeCommand(received, stream.output, stream.hostID, deadline)
 	if !t.route.Retained {
 		p.settleInBackground(t, end)
 		return
 	}
-	if err := p.settle(ctx, t, end, min(retainTimeout, max(t.remaining(), 0))); err != nil {
+	if err := p.settle(ctx, t, end, deadline); err != nil {
 		p.log.WithField("code", uint16(codes.AnswerNotKept)).WithField("request", t.id).WithError(err).
 			Warn("failed to make a turn durable; its response is aborted")
 		p.settleInBackground(t, t.abortCommand(received, stream.hostID))
--- a/tier/proxy/request_test.go
+++ b/tier/proxy/request_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	end := turn.completeCommand(24, []byte("out"), "h")
+	end := turn.completeCommand(24, []byte("out"), "h", time.Now())
 	if end.Actual != 24 || !end.Retain || end.RetentionMS != 60_000 || string(end.Input) != "body" {
 		t.Fatalf("%+v", end)
 	}
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -32,6 +32,7 @@
 	preferredHost  string          // host of the previous turn, which has the prefix in its cache
 	tokensPerEvent uint64          // number of tokens in an event of the service's engine
 	ticket         programs.Ticket // identifies the turn's commands, so that the stores recognize repeats
+	chainExpiresAt time.Time       // until then the stores certainly retain the chain of earlier turns
 }
 
 var (
@@ -107,6 +108,7 @@
 		t.previous = ""
 	}
 	t.ticket = p.programs.tickets.next()
+	begunAt := time.Now()
 	result, err := p.programs.call(ctx, t.program, t.beginCommand().Encode())
 	if errors.Is(err, codes.TurnUnknown) && t.previous != "" {
 		return p.beginFromOtherProgram(ctx, t)
@@ -116,6 +118,7 @@
 	}
 	t.preferredHost = result.Host
 	t.prompt = buildPrompt(result.Chain, t.body)
+	t.chainExpiresAt = begunAt.Add(result.ChainGuarantee())
 	return nil
 }
 
--- a/tier/store/recorded_test.go
+++ b/tier/store/recorded_test.go
@@ -61,7 +61,8 @@
 	return s
 }
 
-// A store decodes the recorded call of a gateway and answers as recorded.
+// A store decodes the recorded call of a gateway. Its answer is the recorded one followed by the ChainTTL, which depends on the clock and
+// which gateways of older versions don't read.
 func TestRecordedProgramCall(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -77,5 +78,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	recorded.Check(t, "program-answer", answer)
+	result, err := programs.DecodeResult(answer)
+	if err != nil || result.ChainTTL <= 600_000 || result.ChainTTL > 610_001 {
+		t.Fatalf("a retention of 600 s and 10 s of clock skew: ChainTTL %d, %v", result.ChainTTL, err)
+	}
+	older := recorded.Read(t, "program-answer")
+	recorded.Check(t, "program-answer", answer[:min(len(older), len(answer))])
+	result.ChainTTL = 609_915
+	recorded.Check(t, "program-answer-chain-ttl", result.Encode())
+	if encoded := recorded.Read(t, "program-answer-chain-ttl"); len(answer) != len(encoded) {
+		t.Fatalf("the answer has %d bytes, the recorded one %d", len(answer), len(encoded))
+	}
 }
