A turn that is not retained leaves no entry in the index of turns

Cause: End enters each retained turn in programOfTurn, also one that retain rejects because it would be its own predecessor. Usually the ID is that of an earlier turn, whose expiry deletes the entry.

Change: retain reports whether it stored the turn.

--- a/tier/programs/chain.go
+++ b/tier/programs/chain.go
@@ -87,11 +87,11 @@
 	return id == other
 }
 
-// retain stores a turn and extends the retention of its predecessors to at least its own. A turn that would be its own predecessor is
-// not stored: its ID is that of an earlier turn, which is kept.
-func (p *program) retain(c End) {
+// retain stores a turn and extends the retention of its predecessors to at least its own. It returns false for a turn that would be its
+// own predecessor, which is not stored: its ID is that of an earlier turn, which is kept.
+func (p *program) retain(c End) bool {
 	if p.precedes(c.Request, c.Previous) {
-		return
+		return false
 	}
 	expires := c.Now + c.RetentionMS + clockSkew
 	p.turns[c.Request] = turn{previous: c.Previous, input: c.Input, output: c.Output, host: c.Host, expiresAt: expires}
@@ -99,4 +99,5 @@
 		each.expiresAt = max(each.expiresAt, expires)
 		p.turns[id] = each
 	}
+	return true
 }
--- a/tier/programs/chain_test.go
+++ b/tier/programs/chain_test.go
@@ -101,3 +101,20 @@
 	}
 	return text
 }
+
+// Guards against index entries that no sweep deletes: a turn that continues itself is not retained, and when its chain expired while it
+// ran, its ID is that of no retained turn either.
+func TestTurnThatIsNotRetainedIsNotIndexed(t *testing.T) {
+	s := newShard()
+	s.end("a", "p", 1, "", "A", "a\n")
+	s.state.programs["p"].settled = nil // so that the request ID can be used again
+	s.begin("a", "p", 100, 1, "a")
+	s.now += 80_000
+	s.state.sweep(s.now)
+	s.end("a", "p", 1, "a", "again", "again\n")
+	s.now += 80_000
+	s.state.sweep(s.now)
+	if len(s.state.programOfTurn) != 0 {
+		t.Fatalf("indexed: %v", s.state.programOfTurn)
+	}
+}
--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -109,8 +109,7 @@
 	if c.Host != "" {
 		p.rememberHost(c.Session, c.Host)
 	}
-	if c.Retain {
-		p.retain(c)
+	if c.Retain && p.retain(c) {
 		s.programOfTurn[c.Request] = c.Program
 	}
 	return Result{Code: codes.OK}
