Soak of the tier: turns that outlive their chains under faults that overlap

Change: harness/tiersoak starts a tier as processes (16, or 132 with many fronts). 30 programs continue turns of their own and of others with pauses up to the last moment at which the stores accept a turn, half of their turns run for up to 22 s; clients keep their connection until it fails. Meanwhile machines are killed, terminated, suspended and combinations of these, alone, several at once and all together, disks are lost, hosts crash and join, configurations change, all drawn from a seed. Checked: no 404 within keep_s, each host receives the whole chain, a turn runs once, no 402, and the tier is in sync and serves after the last fault. Stand-in hosts pause between events as the request asks; machines of tiercluster can be suspended.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint format fuzz run try try-tier hunt try-copies hunt-copies hunt-tier sites
+.PHONY: build test race lint format fuzz run try try-tier soak hunt try-copies hunt-copies hunt-tier sites
 
 # Builds the programs of the gateway as its deploy file says.
 build:
@@ -58,6 +58,11 @@
 hunt-tier:
 	TIER_SEEDS=$(SEEDS)00 go test -count=1 ./tier/replica ./tier/programs
 
+# Runs the tier as processes under overlapping faults and turns that outlive their chains, over SEEDS seeds from SEED on, four at a time;
+# every tenth has 132 processes. Not part of CI, which plays one seed.
+soak:
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=60 SOAK_LARGE=10 go test -count=1 -v -timeout 0 -parallel 4 ./harness/tiersoak
+
 # Simulates replicas of the quota store on a network that fails, over 100 times SEEDS seeds from SEED on. Not part of CI.
 hunt-copies: build
 	bin/otterseam-sim keepers --seed $(SEED) --seeds $(SEEDS)00
--- a/harness/tiercluster/machine.go
+++ b/harness/tiercluster/machine.go
@@ -33,11 +33,30 @@
 	}
 }
 
-// ShutDown sends SIGTERM to the machine's processes and waits without a time limit until they have exited.
-func (m *Machine) ShutDown() {
+// Terminate sends SIGTERM to the machine's processes and doesn't wait for their exit.
+func (m *Machine) Terminate() {
 	for _, process := range m.processes {
 		process.Terminate()
 	}
+}
+
+// Suspend pauses the machine's processes with SIGSTOP until Resume is called.
+func (m *Machine) Suspend() {
+	for _, process := range m.processes {
+		process.Suspend()
+	}
+}
+
+// Resume continues the machine's processes.
+func (m *Machine) Resume() {
+	for _, process := range m.processes {
+		process.Resume()
+	}
+}
+
+// ShutDown sends SIGTERM to the machine's processes and waits without a time limit until they have exited.
+func (m *Machine) ShutDown() {
+	m.Terminate()
 	for _, process := range m.processes {
 		<-process.Done()
 	}
--- a/harness/tierhost/serve.go
+++ b/harness/tierhost/serve.go
@@ -1,13 +1,18 @@
 package tierhost
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
+// PauseParameter is the query parameter of a request that sets the pause after each event of its stream, in milliseconds.
+const PauseParameter = "pause_ms"
+
 const (
 	// engineService is the service whose hosts send event streams. Hosts of other services send plain bodies.
 	engineService = "engine"
@@ -68,10 +73,12 @@
 	return tokens
 }
 
-// stream sends the events for the maximum number of tokens, starting after the event of Last-Event-Id if there is one.
+// stream sends the events for the maximum number of tokens, starting after the event of Last-Event-Id if there is one. The query
+// parameter PauseParameter makes it pause after each event.
 func stream(w http.ResponseWriter, r *http.Request, tokenRange string, breakAfter int) {
 	_, maximum, _ := strings.Cut(tokenRange, ",")
-	tokens, _ := strconv.Atoi(maximum) // 0 if it isn't a number
+	tokens, _ := strconv.Atoi(maximum)                          // 0 if it isn't a number
+	pause, _ := strconv.Atoi(r.URL.Query().Get(PauseParameter)) // 0 if it isn't a number
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -84,5 +91,21 @@
 		}
 		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id)
 		flusher.Flush()
+		if !sleep(r.Context(), time.Duration(pause)*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// sleep waits for a duration. It returns false if the context ends before.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
 	}
 }
--- /dev/null
+++ b/harness/tiersoak/soak.go
@@ -0,0 +1,160 @@
+package tiersoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"otterseam/harness/tiercluster"
+)
+
+// Options selects the run of a soak.
+type Options struct {
+	Program   string        // path of the otterseam-tier binary
+	Dir       string        // holds settings, data and logs
+	Network   int           // 1 to 250, different for each run of one process
+	ProcessID int           // of the running process
+	Seed      uint64        // of the faults and of the clients
+	Duration  time.Duration // of the faults
+	Large     bool          // many front machines
+}
+
+// Report is what a soak measured.
+type Report struct {
+	Answered   int      // retained turns that were answered completely
+	Continued  int      // of these, turns that continued another one
+	Outlived   int      // of these, turns that ended after the retention of the chain that they continue
+	Rejected   int      // tries without a complete answer
+	Expired    int      // tries that were rejected because their chain had expired
+	Others     int      // turns of other programs, which make the shards sweep
+	Faults     []string // in the order in which they began
+	Violations []string // broken promises
+}
+
+const (
+	startLimit   = 30 * time.Second // for the tier to serve after its start
+	recoverLimit = 60 * time.Second // for all replicas to be in sync after the last fault
+	engineSlots  = 64
+	clients      = 30
+	otherClients = 4
+)
+
+// size is the number of machines of each class, and how many of them may be lost.
+type size struct{ fronts, controls, stores, toleratedLosses, engines int }
+
+var (
+	smallSize = size{fronts: 5, controls: 3, stores: 3, toleratedLosses: 1, engines: 5}
+	largeSize = size{fronts: 60, controls: 5, stores: 7, toleratedLosses: 2, engines: 8}
+)
+
+// soak is a running soak.
+type soak struct {
+	options Options
+	size    size
+	cluster *tiercluster.Cluster
+	history *history
+	names   []string // programs of the clients and of the others, which share a few shards
+
+	mu     sync.Mutex // guards faults
+	faults []string
+}
+
+// Run starts a tier, plays the faults of a seed while clients send turns, and checks that the tier recovers. An error means that the run
+// itself was not possible.
+func Run(options Options) (Report, error) {
+	s := &soak{options: options, size: smallSize, history: newHistory()}
+	if options.Large {
+		s.size = largeSize
+	}
+	if err := s.start(); err != nil {
+		return Report{}, err
+	}
+	defer s.cluster.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var load sync.WaitGroup
+	for i := range clients {
+		load.Go(func() { s.newClient(i).run(ctx) })
+	}
+	for i := range otherClients {
+		load.Go(func() { s.newClient(clients + i).runOthers(ctx) })
+	}
+	s.playFaults()
+	recovered := s.awaitRecovery()
+	cancel()
+	load.Wait()
+	report := s.history.report()
+	report.Faults = s.faults
+	report.Violations = append(report.Violations, recovered...)
+	report.Violations = append(report.Violations, s.history.checkExecutions(s.executions())...)
+	return report, nil
+}
+
+// start starts the tier and waits until it serves.
+func (s *soak) start() error {
+	cluster, err := tiercluster.Start(tiercluster.Options{
+		Program: s.options.Program, Dir: s.options.Dir, Network: s.options.Network, ProcessID: s.options.ProcessID,
+		Fronts: s.size.fronts, Controls: s.size.controls, Stores: s.size.stores, ToleratedLosses: s.size.toleratedLosses,
+	})
+	if err != nil {
+		return err
+	}
+	s.cluster = cluster
+	if err := s.prepare(); err != nil {
+		cluster.Stop()
+		return err
+	}
+	return nil
+}
+
+func (s *soak) prepare() error {
+	for i := range s.size.engines {
+		if err := s.addEngine(i); err != nil {
+			return err
+		}
+	}
+	if got := s.cluster.ReplaceConfig(0, config(1), startLimit); got.Err != nil || got.Status != http.StatusOK {
+		return fmt.Errorf("first configuration: status %d: %w", got.Status, got.Err)
+	}
+	if err := s.cluster.WaitReady(startLimit); err != nil {
+		return err
+	}
+	if err := tiercluster.WaitUntil(startLimit, func() bool { return s.cluster.IsInSync(s.size.toleratedLosses*2 + 1) }); err != nil {
+		return err
+	}
+	state, err := s.cluster.Status()
+	if err != nil {
+		return err
+	}
+	s.names = programNames(state.Shards, clients+otherClients)
+	return nil
+}
+
+func (s *soak) addEngine(number int) error {
+	_, err := s.cluster.AddHost(fmt.Sprintf("engine-%d", number), "engine", engineSlots)
+	return err
+}
+
+// random returns a source of random numbers for one user of them, so that its draws depend on the seed alone.
+func (s *soak) random(user uint64) *rand.Rand { return rand.New(rand.NewPCG(s.options.Seed, user)) }
+
+// awaitRecovery waits until all replicas are in sync and a chain of turns is answered. It returns what the tier failed to do.
+func (s *soak) awaitRecovery() []string {
+	replicas := s.size.toleratedLosses*2 + 1
+	if err := tiercluster.WaitUntil(recoverLimit, func() bool { return s.cluster.IsInSync(replicas) }); err != nil {
+		return []string{fmt.Sprintf("%d replicas of all shards in sync after the faults: %v", replicas, err)}
+	}
+	client := s.newClient(clients + otherClients - 1)
+	answered := s.history.answeredTurns()
+	err := tiercluster.WaitUntil(recoverLimit, func() bool {
+		client.nextTurn(context.Background())
+		return s.history.answeredTurns() > answered
+	})
+	if err != nil {
+		return []string{fmt.Sprintf("a turn is answered after the faults: %v", err)}
+	}
+	return nil
+}
