control: Run waits for votes that are being written

Cause: messages to the acceptor are handled in goroutines of their own, which write its state to disk. Run didn't know of them and returned while one was still writing. TestRunNamesSettingOfAddressInUse then found its folder not empty, beside load.

Evidence: the only writer of values beside the work that Run waits for is Elector.vote, called by HandlePrepare and HandleAccept, which dispatch started with go; the process bootstraps itself, so that it calls its own acceptor.

--- a/tier/control/dispatch.go
+++ b/tier/control/dispatch.go
@@ -31,9 +31,9 @@
 	case controlclient.KindPreVote:
 		go s.elector.HandlePreVote(message)
 	case controlclient.KindPrepare:
-		go s.elector.HandlePrepare(message)
+		s.votes.handle(message, s.elector.HandlePrepare)
 	case controlclient.KindAccept:
-		go s.elector.HandleAccept(message)
+		s.votes.handle(message, s.elector.HandleAccept)
 	case election.KindTakeOver:
 		go s.failover.HandleTakeOver(message)
 	case controlclient.KindMemberHeartbeat:
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -69,6 +69,7 @@
 	members          *reconcile.Members
 	api              *api.API
 
+	votes    voteHandlers
 	draining atomic.Bool   // this process is shutting down
 	wake     chan struct{} // makes the supervisor run immediately; has a capacity of one
 }
--- a/tier/control/shutdown.go
+++ b/tier/control/shutdown.go
@@ -39,11 +39,13 @@
 	})
 }
 
-// awaitBackground waits for the background work, whose context is cancelled. Work that hangs on a disk ends when the process exits.
+// awaitBackground waits for the background work, whose context is cancelled, and for the votes of the acceptor. Work that hangs on a disk
+// ends when the process exits.
 func (s *Server) awaitBackground(work *sync.WaitGroup) {
 	done := make(chan struct{})
 	go func() {
 		work.Wait()
+		s.votes.stop()
 		close(done)
 	}()
 	select {
