childprocess test: wait until the log has reached the limit

Cause: TestFileSizeLimitStopsGrowthUntilRemoved took it that the log reaches 20 bytes within 50 ms of the limit being set. On a busy machine it is shorter then and still grows up to the limit, which the test took for growth beyond it.

Change: the test waits until the log has 20 bytes and then looks for growth as before.

--- a/harness/childprocess/process_test.go
+++ b/harness/childprocess/process_test.go
@@ -84,9 +84,15 @@
 	if !logGrows(p, startLimit) {
 		t.Fatal("the script printed nothing")
 	}
-	if err := p.LimitFileSize(20); err != nil {
+	const limit = 20
+	if err := p.LimitFileSize(limit); err != nil {
 		t.Fatal(err)
 	}
+	for deadline := time.Now().Add(startLimit); logSize(p) < limit; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the log has %d bytes and does not reach the limit", logSize(p))
+		}
+	}
 	time.Sleep(50 * time.Millisecond)
 	if logGrows(p, 200*time.Millisecond) {
 		t.Error("the log grows beyond the limit")
