--- a/harness/tiercluster/testcluster_test.go
+++ b/harness/tiercluster/testcluster_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
@@ -33,9 +32,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "otterseam-tier")
-	if out, err := exec.Command("go", "build", "-o", program, "otterseam/cmd/otterseam-tier").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if program, err = Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
--- a/harness/tiersoak/soak_test.go
+++ b/harness/tiersoak/soak_test.go
@@ -4,13 +4,12 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"otterseam/harness/tiercluster"
 	"otterseam/harness/tierhost"
 )
 
@@ -39,9 +38,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "otterseam-tier")
-	if out, err := exec.Command("go", "build", "-o", program, "otterseam/cmd/otterseam-tier").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if program, err = tiercluster.Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
