--- a/harness/tiersoak/clients.go
+++ b/harness/tiersoak/clients.go
@@ -128,7 +128,7 @@
 	request.Header.Set("Program", c.program)
 	request.Header.Set("Session", c.program)
 	request.Header.Set("Budget", strconv.Itoa(budget))
-	request.Header.Set("X-Token-Count", fmt.Sprintf("1,%d", events*tokensAnEach))
+	request.Header.Set("X-Token-Count", fmt.Sprintf("1,%d", events*tokensPerEvent))
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(turnTimeout.Milliseconds(), 10))
 	for name, value := range header {
 		request.Header.Set(name, value)
--- a/harness/tiersoak/config.go
+++ b/harness/tiersoak/config.go
@@ -12,9 +12,9 @@
 	// retention is the keep_s of the route.
 	retention = 5 * time.Second
 	// storeMargin is added to the retention by the stores.
-	storeMargin  = 10 * time.Second
-	turnTimeout  = 25 * time.Second
-	tokensAnEach = 3 // tokens in an event of an engine
+	storeMargin    = 10 * time.Second
+	turnTimeout    = 25 * time.Second
+	tokensPerEvent = 3 // tokens in an event of an engine
 )
 
 // config returns a version of the configuration.
@@ -26,7 +26,7 @@
   "service":"engine","max_attempts":2,"resumable":false,"gap_aim_ms":400}],
  "services":[{"name":"engine","health_path":"/health","max_conns":230,"protocol":"h1","engine":{"slots":64,"kv_tokens":200000,"stride":%d}}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		version, turnTimeout.Milliseconds(), int(retention.Seconds()), turnTimeout.Milliseconds(), tokensAnEach)
+		version, turnTimeout.Milliseconds(), int(retention.Seconds()), turnTimeout.Milliseconds(), tokensPerEvent)
 }
 
 // shardsInUse is the number of shards over which the programs are spread. It is small, so that these shards sweep often.
