--- a/tier/programs/chain.go
+++ b/tier/programs/chain.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// chainTTL returns the ChainTTL of the result of a Begin. A turn that would be its own predecessor is never stored, so that its chain is
-// not needed again.
+// chainTTL returns the ChainTTL of the result of a Begin. A turn that would be its own predecessor is rejected by retain while its chain
+// exists. It must not be stored with the texts of its chain instead, because it would replace the earlier turn of its ID.
 func (p *program) chainTTL(b Begin, c chain) int64 {
 	switch {
 	case b.Previous == "":
--- a/tier/programs/chain_test.go
+++ b/tier/programs/chain_test.go
@@ -30,7 +30,8 @@
 	}
 }
 
-// Only a chain that the End may need has a ChainTTL. A turn that would be its own predecessor is never stored.
+// Only a chain that the End may need has a ChainTTL. That of a turn which would be its own predecessor is unlimited, so that the turn does
+// not replace the earlier one of its ID.
 func TestChainTTL(t *testing.T) {
 	s := newShard()
 	s.end("a", "p", 1, "", "A", "a\n")
--- a/tier/programs/result.go
+++ b/tier/programs/result.go
@@ -7,7 +7,7 @@
 	"otterseam/tier/codes"
 )
 
-// unlimitedChainTTL is the ChainTTL in milliseconds, a century, of a chain that is not needed after its Begin.
+// unlimitedChainTTL is the ChainTTL in milliseconds, a century, of a turn that must not be stored with the texts of its chain.
 const unlimitedChainTTL = 100 * 365 * 24 * 60 * 60 * 1000
 
 // minBlobBytes is the encoded size of an empty blob or string.
