Stores refuse turns for which they have no room

Change: tier/limits divides the limits of a process by fixed shares. The primary admits a turn before it proposes its Begin (tier/admission), with room for the turn's output and the texts of its chain, else 503 with Retry-After and code 304; an End is never refused. Begin tells how much may be kept in an optional last field, which older replicas skip. A replica that holds more than half of its limit tells its primaries. Large commands are sent and committed a few at a time; a replica that reads or writes too slowly is sent them later. rpc.Serve outlives a failed accept. The runtime's memory limit is set.

--- a/cmd/otterseam-tier/main.go
+++ b/cmd/otterseam-tier/main.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
 
+	"otterseam/tier/limits"
 	"otterseam/tier/settings"
 )
 
@@ -67,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(limits.Of(s).RuntimeBytes())
 	log := newLogger(level).WithField("node", s.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -37,6 +37,7 @@
 	BudgetSpent Code = 301
 	TurnUnknown Code = 302
 	TurnSettled Code = 303
+	StoreFull   Code = 304
 
 	// Codes of requests at a proxy.
 	NoRoute          Code = 401
@@ -52,6 +53,7 @@
 	ClientGone       Code = 411
 	AnswerNotKept    Code = 412
 	Stopping         Code = 413
+	Overloaded       Code = 414
 
 	// Codes of disks.
 	DiskDamaged   Code = 501
--- a/tier/multigroup/node.go
+++ b/tier/multigroup/node.go
@@ -185,6 +185,17 @@
 	return true
 }
 
+// UnappliedBytes returns the size of the log entries of all groups that are not applied yet.
+func (n *Node) UnappliedBytes() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := 0
+	for _, group := range n.groups {
+		total += group.replica.UnappliedBytes()
+	}
+	return int64(total)
+}
+
 // SetView sets the view of a group.
 func (n *Node) SetView(id uint32, view replica.View) {
 	n.WithGroup(id, func(g *replica.Group) { g.SetView(view, Now()) })
--- a/tier/multigroup/transport.go
+++ b/tier/multigroup/transport.go
@@ -22,13 +22,21 @@
 	n.transport.addresses[identity] = address
 }
 
-// sendMessage sends a message of a replica. It drops the message if the receiver's address is unknown. The caller holds n.mu.
+// maxQueuedBytes is how many bytes may wait for the connection to a replica before messages with data are dropped.
+const maxQueuedBytes = 4 << 20
+
+// sendMessage sends a message of a replica. It drops the message if the receiver's address is unknown, or if it carries data and too
+// much waits for the receiver already. The caller holds n.mu.
 func (n *Node) sendMessage(group uint32, out replica.Outgoing) {
 	address := n.transport.addresses[out.To]
 	if address == "" {
 		return
 	}
-	n.transport.clients.To(address).Send(KindReplica, n.encodeMessage(group, out))
+	client := n.transport.clients.To(address)
+	if out.Message.DataBytes() > 0 && client.QueuedBytes() > maxQueuedBytes {
+		return // the replica reads too slowly; what it lacks is sent again
+	}
+	client.Send(KindReplica, n.encodeMessage(group, out))
 }
 
 // sender holds the fields of a message header that describe the sending node.
@@ -38,9 +46,12 @@
 	starts    uint64
 }
 
+// messageOverhead is the usual size of an encoded message without its data.
+const messageOverhead = 128
+
 // encodeMessage encodes a message of a replica after a header of group, cluster ID, sender, the sender's start count and receiver.
 func (n *Node) encodeMessage(group uint32, out replica.Outgoing) []byte {
-	var e codec.Encoder
+	e := codec.Encoder{Bytes: make([]byte, 0, messageOverhead+out.Message.DataBytes())}
 	e.Uint32(group)
 	e.Uint64(n.ClusterID())
 	e.Uint64(n.Identity)
@@ -62,6 +73,9 @@
 	if d.Err() != nil || to != n.Identity || !n.disk.accepts(from) {
 		return
 	}
+	if message.DataBytes() > 0 && n.writer.isBehind() {
+		return // the disk is too slow; the primary sends the data again
+	}
 	if !n.HasGroup(group) && unknownGroup != nil {
 		unknownGroup(group)
 	}
--- a/tier/multigroup/writer.go
+++ b/tier/multigroup/writer.go
@@ -33,11 +33,34 @@
 	// mu is Node.mu. It guards the fields below. All writes that are queued while it is held go into the same commit.
 	mu      *sync.Mutex
 	queue   []pendingWrite
+	bytes   int // size of the entries in the queue and in the commit that is being written
 	monitor DiskMonitor
 }
 
+// maxUnwrittenBytes is the size of the entries of all groups that wait to be written above which replicas accept no more.
+const maxUnwrittenBytes = 16 << 20
+
+// isBehind reports whether too many bytes wait to be written.
+func (w *writer) isBehind() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes > maxUnwrittenBytes
+}
+
+// size returns the size of the data that is written.
+func (p pendingWrite) size() int {
+	total := 0
+	for _, entry := range p.write.Entries {
+		total += len(entry.Data)
+	}
+	return total
+}
+
 // enqueue adds a write to the queue. The caller holds mu.
-func (w *writer) enqueue(pending pendingWrite) { w.queue = append(w.queue, pending) }
+func (w *writer) enqueue(pending pendingWrite) {
+	w.queue = append(w.queue, pending)
+	w.bytes += pending.size()
+}
 
 // wakeUp wakes the writer's goroutine to process the queue.
 func (w *writer) wakeUp() {
@@ -121,6 +144,7 @@
 	n.writer.monitor.EndWrite(now)
 	touched := map[*openGroup]bool{}
 	for _, pending := range queue {
+		n.writer.bytes -= pending.size()
 		group := pending.group.replica
 		group.WriteCompleted(pending.write)
 		if snapshot := pending.write.Snapshot; snapshot != nil {
--- a/tier/programs/begin.go
+++ b/tier/programs/begin.go
@@ -14,6 +14,10 @@
 	Estimate uint64 // tokens
 	Previous string // request ID of the turn to continue; empty for none
 	Ticket   Ticket
+	// RetainedBytes is the most that the turn's End will store of its own input and output, or 0 for a turn that is not retained. Only
+	// the primary that admits the turn reads it. It is the last field and is omitted if it is 0, which is the form that older versions
+	// know.
+	RetainedBytes uint64
 }
 
 // Encode returns the command in its replicated form.
@@ -29,12 +33,29 @@
 	e.Uint64(b.Estimate)
 	e.String(b.Previous)
 	b.Ticket.encode(&e)
+	if b.RetainedBytes != 0 {
+		e.Uint64(b.RetainedBytes)
+	}
 	return e.Bytes
 }
 
+// DecodeBegin decodes an encoded command if it is a Begin.
+func DecodeBegin(command []byte) (b Begin, isBegin bool) {
+	d := codec.NewDecoder(command)
+	if CommandKind(d.Uint8()) != CommandBegin {
+		return Begin{}, false
+	}
+	b = decodeBegin(d)
+	return b, d.Err() == nil
+}
+
 func decodeBegin(d *codec.Decoder) Begin {
-	return Begin{
+	b := Begin{
 		Now: d.Int64(), Request: d.String(), Program: d.String(), Session: d.String(), Limited: d.Bool(), Budget: d.Uint64(),
 		Estimate: d.Uint64(), Previous: d.String(), Ticket: decodeTicket(d),
 	}
+	if len(d.Rest()) > 0 {
+		b.RetainedBytes = d.Uint64()
+	}
+	return b
 }
--- a/tier/programs/chain.go
+++ b/tier/programs/chain.go
@@ -89,12 +89,12 @@
 
 // retain stores a turn and extends the retention of its predecessors to at least its own. It returns false for a turn that would be its
 // own predecessor, which is not stored: its ID is that of an earlier turn, which is kept.
-func (p *program) retain(c End) bool {
+func (s *State) retain(p *program, c End) bool {
 	if p.precedes(c.Request, c.Previous) {
 		return false
 	}
 	expires := c.Now + c.RetentionMS + clockSkew
-	p.turns[c.Request] = turn{previous: c.Previous, input: c.Input, output: c.Output, host: c.Host, expiresAt: expires}
+	s.setTurn(p, c.Request, turn{previous: c.Previous, input: c.Input, output: c.Output, host: c.Host, expiresAt: expires})
 	for id, each := range p.lineage(c.Previous) {
 		each.expiresAt = max(each.expiresAt, expires)
 		p.turns[id] = each
--- a/tier/programs/end.go
+++ b/tier/programs/end.go
@@ -18,9 +18,12 @@
 	Ticket      Ticket // the ticket of the turn's Begin
 }
 
+// endOverhead is the usual size of an encoded End without its input and output.
+const endOverhead = 256
+
 // Encode returns the command in its replicated form.
 func (c End) Encode() []byte {
-	var e codec.Encoder
+	e := codec.Encoder{Bytes: make([]byte, 0, endOverhead+len(c.Input)+len(c.Output))}
 	e.Uint8(uint8(CommandEnd))
 	e.Int64(c.Now)
 	e.String(c.Request)
@@ -37,6 +40,17 @@
 	return e.Bytes
 }
 
+// EndedTurn returns the request ID of an encoded command if it is an End.
+func EndedTurn(command []byte) (request string, isEnd bool) {
+	d := codec.NewDecoder(command)
+	if CommandKind(d.Uint8()) != CommandEnd {
+		return "", false
+	}
+	d.Int64() // its timestamp
+	request = d.String()
+	return request, d.Err() == nil
+}
+
 func decodeEnd(d *codec.Decoder) End {
 	return End{
 		Now: d.Int64(), Request: d.String(), Program: d.String(), Session: d.String(), Actual: d.Uint64(), Retain: d.Bool(),
--- a/tier/programs/programs_test.go
+++ b/tier/programs/programs_test.go
@@ -155,13 +155,14 @@
 
 // A state stored by an older version may contain a cycle. Its chain is not found, and neither chain nor retain loops forever.
 func TestChainTerminatesOnStoredCycle(t *testing.T) {
+	s := NewState()
 	p := newProgram()
 	p.turns["a"] = turn{previous: "b", expiresAt: 10}
 	p.turns["b"] = turn{previous: "a", expiresAt: 10}
 	if _, found := p.chain("a", 1); found {
 		t.Fatal("the chain of a cycle was found")
 	}
-	p.retain(End{Now: 1, Request: "c", Previous: "a"})
+	s.retain(p, End{Now: 1, Request: "c", Previous: "a"})
 }
 
 func TestTokenCountOutlivesRetainedTurns(t *testing.T) {
--- a/tier/programs/recorded_test.go
+++ b/tier/programs/recorded_test.go
@@ -91,6 +91,7 @@
 	s.programs["program-a"] = first
 	s.programOfTurn["request-1"] = "program-a"
 	s.programOfTurn["request-2"] = "program-a"
+	s.countUsage()
 	return s
 }
 
--- a/tier/programs/snapshot.go
+++ b/tier/programs/snapshot.go
@@ -9,7 +9,7 @@
 
 // Snapshot encodes the state. Equal states have equal snapshots.
 func (s *State) Snapshot() []byte {
-	var e codec.Encoder
+	e := codec.Encoder{Bytes: make([]byte, 0, s.snapshotCapacity())}
 	e.Uint64(s.commands)
 	names := sortedKeys(s.programs)
 	e.Uint32(uint32(len(names)))
@@ -20,6 +20,14 @@
 	return e.Bytes
 }
 
+// snapshotProgramBytes is the typical encoded size of a program without its turns.
+const snapshotProgramBytes = 256
+
+// snapshotCapacity returns the estimated size of a snapshot, so that a large one is encoded without copies of its parts.
+func (s *State) snapshotCapacity() int64 {
+	return s.retainedBytes + int64(len(s.programs))*snapshotProgramBytes
+}
+
 // Restore replaces the state by a snapshot. On an error the state is unchanged.
 func (s *State) Restore(snapshot []byte) error {
 	d := codec.NewDecoder(snapshot)
@@ -36,8 +44,10 @@
 	if d.Err() != nil {
 		return d.Err()
 	}
+	s.Discard()
 	s.commands = commands
 	s.programs = programs
+	s.countUsage()
 	s.programOfTurn = byTurn
 	return nil
 }
--- a/tier/programs/state.go
+++ b/tier/programs/state.go
@@ -11,11 +11,16 @@
 	programs      map[string]*program
 	programOfTurn map[string]string // program of each retained turn, by request; derived from programs
 	commands      uint64            // number of commands applied
+	retainedBytes int64             // memory of the retained turns
+	usage         *Usage
 }
 
-// NewState returns an empty state.
-func NewState() *State {
-	return &State{programs: map[string]*program{}, programOfTurn: map[string]string{}}
+// NewState returns an empty state with a Usage of its own.
+func NewState() *State { return NewStateIn(&Usage{}) }
+
+// NewStateIn returns an empty state that adds its memory to usage.
+func NewStateIn(usage *Usage) *State {
+	return &State{programs: map[string]*program{}, programOfTurn: map[string]string{}, usage: usage}
 }
 
 // Apply executes an encoded command and returns its Result. A command that cannot be decoded changes nothing and results in
@@ -65,6 +70,7 @@
 	if p == nil {
 		p = newProgram()
 		s.programs[name] = p
+		s.addPrograms(1)
 	}
 	p.lastUsed = max(p.lastUsed, now)
 	return p
@@ -109,7 +115,7 @@
 	if c.Host != "" {
 		p.rememberHost(c.Session, c.Host)
 	}
-	if c.Retain && p.retain(c) {
+	if c.Retain && s.retain(p, c) {
 		s.programOfTurn[c.Request] = c.Program
 	}
 	return Result{Code: codes.OK}
--- a/tier/programs/sweep.go
+++ b/tier/programs/sweep.go
@@ -15,12 +15,13 @@
 		p.chargeAbandoned(now)
 		for id, each := range p.turns {
 			if now > each.expiresAt {
-				delete(p.turns, id)
+				s.removeTurn(p, id)
 				delete(s.programOfTurn, id)
 			}
 		}
 		if len(p.turns) == 0 && now-p.lastUsed > idleProgramTTL {
 			delete(s.programs, name)
+			s.addPrograms(-1)
 		}
 	}
 }
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
@@ -19,6 +21,12 @@
 const (
 	storeCallTimeout   = 500 * time.Millisecond
 	storeRetryInterval = 30 * time.Millisecond
+	// largeCommandBytes is the size from which on a command is large. Large ones get more time, wait longer before they are sent again
+	// and are sent a few at a time, so that they don't fill the memory of the stores.
+	largeCommandBytes       = 64 << 10
+	largeCallTimeout        = 1500 * time.Millisecond
+	largeRetryInterval      = 250 * time.Millisecond
+	maxLargeBytesInProgress = 8 << 20
 )
 
 // ticketSource issues the tickets of the turns that this process begins.
@@ -40,6 +48,7 @@
 	view    *feed.View
 	tickets *ticketSource
 	outages *outageTracker
+	large   *semaphore.Weighted // bytes of the large commands that are being sent
 
 	mu              sync.Mutex // guards the shard map below
 	shards          map[uint32]directory.Shard
@@ -49,7 +58,8 @@
 
 func newProgramClient(view *feed.View, outages *outageTracker) *programClient {
 	return &programClient{
-		clients: rpc.NewClients(nil), view: view, tickets: newTicketSource(), outages: outages, shardMapChanged: make(chan struct{}),
+		clients: rpc.NewClients(nil), view: view, tickets: newTicketSource(), outages: outages,
+		large: semaphore.NewWeighted(maxLargeBytesInProgress), shardMapChanged: make(chan struct{}),
 	}
 }
 
@@ -116,16 +126,30 @@
 		if shard, found := c.shardOf(program); found {
 			return c.callShard(ctx, shard, command)
 		}
-		if !awaitRetry(ctx) {
+		if !awaitRetry(ctx, storeRetryInterval) {
 			return programs.Result{}, codes.StoreUnreachable
 		}
 	}
 }
 
-// callShard executes a command on a shard. It retries until the context ends.
+// callShard executes a command on a shard. It retries until the context ends. The error codes.StoreFull means that no call for the
+// command was executed.
 func (c *programClient) callShard(ctx context.Context, shard uint32, command []byte) (programs.Result, error) {
+	interval := storeRetryInterval
+	if len(command) >= largeCommandBytes {
+		interval = largeRetryInterval
+	}
+	uncertain := false // an earlier call may have been executed
 	for {
 		result, err := c.callPrimary(ctx, shard, command)
+		if errors.Is(err, codes.StoreFull) {
+			c.outages.recordSuccess(shardDependency(shard))
+			if uncertain {
+				return result, codes.StoreUnreachable
+			}
+			return result, err
+		}
+		uncertain = uncertain || !errors.Is(err, codes.NotPrimary)
 		if err == nil || isDecision(err) {
 			c.outages.recordSuccess(shardDependency(shard))
 			return result, err
@@ -133,7 +157,7 @@
 		if !errors.Is(ctx.Err(), context.Canceled) { // a disconnect of the client is not a failure of the shard
 			c.outages.recordFailure(shardDependency(shard))
 		}
-		if !awaitRetry(ctx) {
+		if !awaitRetry(ctx, interval) {
 			return programs.Result{}, codes.StoreUnreachable
 		}
 	}
@@ -145,7 +169,16 @@
 	if address == "" {
 		return programs.Result{}, codes.StoreUnreachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	timeout := storeCallTimeout
+	if len(command) >= largeCommandBytes {
+		timeout = largeCallTimeout
+		weight := min(int64(len(command)), maxLargeBytesInProgress)
+		if c.large.Acquire(ctx, weight) != nil {
+			return programs.Result{}, codes.StoreUnreachable
+		}
+		defer c.large.Release(weight)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	go c.cancelOnPrimaryChange(ctx, cancel, shard, address)
 	request := store.ProgramRequest{Shard: shard, Command: command}
@@ -177,11 +210,11 @@
 }
 
 // awaitRetry waits for the interval between calls. It returns false if the context has ended.
-func awaitRetry(ctx context.Context) bool {
+func awaitRetry(ctx context.Context, interval time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(storeRetryInterval):
+	case <-time.After(interval):
 		return true
 	}
 }
--- a/tier/proxy/retention_test.go
+++ b/tier/proxy/retention_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"otterseam/tier/codes"
 	"otterseam/tier/programs"
 	"otterseam/tier/rpc"
 	"otterseam/tier/store"
@@ -200,3 +201,24 @@
 		}
 	}
 }
+
+// A turn for which the stores have no room gets a 503 at once. It was not charged, so nothing is settled.
+func TestTurnWithoutRoomIsRejected(t *testing.T) {
+	g := newTestProxy(t)
+	commands := make(chan programs.CommandKind, 16)
+	g.addStore(func(kind programs.CommandKind, m rpc.Message) {
+		commands <- kind
+		m.Answer(codes.StoreFull, nil)
+	})
+	g.addHost(func(hostRequest) { t.Error("a turn that was rejected reached a host") })
+	connection := g.dial()
+	connection.send("/turn/1", "1", turnHeaders, "hello")
+	got := connection.receive()
+	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, header %v", got.StatusCode, got.Header)
+	}
+	g.awaitIdle()
+	if len(commands) != 1 || <-commands != programs.CommandBegin {
+		t.Fatalf("%d further commands", len(commands))
+	}
+}
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -141,27 +141,54 @@
 func (t *turn) beginCommand() programs.Begin {
 	return programs.Begin{
 		Request: t.id, Program: t.program, Session: t.session, Limited: t.hasBudget, Budget: t.budget, Estimate: t.maxTokens,
-		Previous: t.previous, Ticket: t.ticket,
+		Previous: t.previous, Ticket: t.ticket, RetainedBytes: t.retainedBytes(),
 	}
 }
 
+const (
+	// outputBytesPerToken is the size of a token in the events of an engine for which the stores reserve room.
+	outputBytesPerToken = 16
+	// maxOutputReservation bounds the reservation for the output, since clients may ask for any number of tokens. A longer output is
+	// stored all the same.
+	maxOutputReservation = 256 << 10
+)
+
+// retainedBytes returns how much the turn is expected to add to the retained turns, without the chain that it continues, or 0 if it is
+// not retained.
+func (t *turn) retainedBytes() uint64 {
+	if !t.route.Retained {
+		return 0
+	}
+	output := min(t.maxTokens, maxOutputReservation/outputBytesPerToken) * outputBytesPerToken
+	return uint64(len(t.body)) + output + 1
+}
+
 // buildPrompt returns the texts of a chain followed by the new input.
 func buildPrompt(chain [][]byte, input []byte) []byte {
 	if len(chain) == 0 {
 		return input
 	}
-	var prompt []byte
+	size := len(input)
+	for _, part := range chain {
+		size += len(part)
+	}
+	prompt := make([]byte, 0, size)
 	for _, part := range chain {
 		prompt = append(prompt, part...)
 	}
 	return append(prompt, input...)
 }
 
+// storeFullDelay is the time after which a store is expected to have room again. Turns are retained for several seconds at least.
+const storeFullDelay = time.Second
+
 // rejectTurn writes the error response to a turn that could not begin, and settles the turn if its estimate may have been charged.
 func (p *Proxy) rejectTurn(w http.ResponseWriter, t *turn, err error) {
 	switch {
 	case errors.Is(err, codes.BudgetSpent):
 		p.fail(w, http.StatusPaymentRequired, codes.BudgetSpent)
+	case errors.Is(err, codes.StoreFull):
+		p.reject(w, codes.StoreFull, t.remaining(), storeFullDelay)
 	case errors.Is(err, codes.TurnUnknown):
 		// a duplicate of the begin command may still be in flight; it charges nothing once the turn is settled
 		p.settleInBackground(t, t.abortCommand(0, ""))
--- a/tier/replica/commit.go
+++ b/tier/replica/commit.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// UnappliedBytes returns the size of the entries that are not applied yet.
+func (g *Group) UnappliedBytes() int { return g.log.bytes - g.commit.appliedBytes }
+
 // CompactionState returns a snapshot of the applied state and the entries after it, from which the log on disk can be rewritten.
 func (g *Group) CompactionState() (Snapshot, []Entry) {
 	epoch, _ := g.log.epochAt(g.commit.applied)
--- a/tier/replica/message.go
+++ b/tier/replica/message.go
@@ -62,6 +62,15 @@
 // minEntryBytes is the encoded size of an entry without data.
 const minEntryBytes = 8 + 8 + 4
 
+// DataBytes returns the size of the entries and of the chunk that the message carries.
+func (m Message) DataBytes() int {
+	total := len(m.Chunk)
+	for _, entry := range m.Entries {
+		total += minEntryBytes + len(entry.Data)
+	}
+	return total
+}
+
 // Encode appends the encoding of the message.
 func (m Message) Encode(e *codec.Encoder) {
 	e.Uint8(uint8(m.Kind))
--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// QueuedBytes returns how many bytes wait to be written to the open connection, or 0 if there is none.
+func (c *Client) QueuedBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return 0
+	}
+	return c.conn.queuedBytes()
+}
+
 // dialAfterDelayLocked schedules a dial for the time when redialDelay has passed since the last failed one.
 func (c *Client) dialAfterDelayLocked() {
 	if c.redialPending {
--- a/tier/rpc/conn.go
+++ b/tier/rpc/conn.go
@@ -20,6 +20,7 @@
 	handler  Handler
 	closed   chan struct{}
 	openedAt time.Time
+	frames   *FrameBudget   // limits the frames that are received; nil for no limit
 	loops    sync.WaitGroup // readLoop and writeLoop
 
 	lastReadAt atomic.Int64 // time of the last received frame, in nanoseconds since openedAt
@@ -28,6 +29,7 @@
 	pending map[uint64]chan answer // channels of the calls that wait for answers, by ID
 	lastID  uint64
 	queue   []byte // encoded frames for writeLoop
+	writing int    // size of the frames that writeLoop is writing
 	ended   bool
 
 	wake chan struct{} // signals writeLoop that the queue is not empty; has capacity 1
@@ -92,6 +94,13 @@
 	}
 }
 
+// queuedBytes returns how many bytes have not been written yet.
+func (c *Conn) queuedBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) + c.writing
+}
+
 // Send queues a one-way message. It never blocks. If the queue is full because the peer does not read, the connection ends.
 func (c *Conn) Send(kind Kind, payload []byte) {
 	c.send(header{Kind: kind}, payload)
--- a/tier/rpc/frame.go
+++ b/tier/rpc/frame.go
@@ -34,11 +34,11 @@
 	return append(buffer, payload...)
 }
 
-// readFrame reads the next frame. It allocates memory as data arrives, so that a corrupt length alone does not cause a large allocation.
-func readFrame(r io.Reader) (header, []byte, error) {
+// readHeader reads the header of the next frame.
+func readHeader(r io.Reader) (header, error) {
 	var raw [headerBytes]byte
 	if _, err := io.ReadFull(r, raw[:]); err != nil {
-		return header{}, nil, err
+		return header{}, err
 	}
 	h := header{
 		Length: binary.BigEndian.Uint32(raw[0:]),
@@ -47,16 +47,15 @@
 		ID:     binary.BigEndian.Uint64(raw[8:]),
 	}
 	if h.Length > MaxFrame {
-		return h, nil, &FrameTooLargeError{h.Length}
+		return h, &FrameTooLargeError{h.Length}
 	}
-	payload, err := readPayload(r, int(h.Length))
-	return h, payload, err
+	return h, nil
 }
 
 // payloadStep is how many bytes are allocated at a time for a payload that is being received.
 const payloadStep = 1 << 20
 
-// readPayload reads a payload in steps of payloadStep bytes.
+// readPayload reads a payload in steps of payloadStep bytes, so that a corrupt length alone does not cause a large allocation.
 func readPayload(r io.Reader, length int) ([]byte, error) {
 	payload := make([]byte, min(length, payloadStep))
 	if _, err := io.ReadFull(r, payload); err != nil {
--- a/tier/rpc/loops.go
+++ b/tier/rpc/loops.go
@@ -14,6 +14,9 @@
 func (c *Conn) writeLoop() {
 	var spare []byte
 	for {
+		c.mu.Lock()
+		c.writing = 0
+		c.mu.Unlock()
 		select {
 		case <-c.wake:
 		case <-c.closed:
@@ -22,6 +25,7 @@
 		c.mu.Lock()
 		batch := c.queue
 		c.queue = spare[:0]
+		c.writing = len(batch)
 		c.mu.Unlock()
 		if len(batch) == 0 {
 			spare = batch
@@ -42,18 +46,32 @@
 func (c *Conn) readLoop() {
 	defer c.Close()
 	reader := bufio.NewReaderSize(c.socket, readBufferBytes)
-	for {
-		h, payload, err := readFrame(reader)
-		if err != nil {
-			return
-		}
-		c.lastReadAt.Store(int64(time.Since(c.openedAt)))
-		if h.Kind == kindAnswer {
-			c.deliver(h, payload)
-			continue
-		}
-		c.handler(Message{Kind: h.Kind, Payload: payload, Conn: c, id: h.ID})
+	for c.readMessage(reader) == nil {
+	}
+}
+
+// readMessage reads and handles one frame.
+func (c *Conn) readMessage(reader *bufio.Reader) error {
+	h, err := readHeader(reader)
+	if err != nil {
+		return err
+	}
+	release, err := c.frames.acquire(c.closed, h.Length)
+	if err != nil {
+		return err
+	}
+	defer release()
+	payload, err := readPayload(reader, int(h.Length))
+	if err != nil {
+		return err
+	}
+	c.lastReadAt.Store(int64(time.Since(c.openedAt)))
+	if h.Kind == kindAnswer {
+		c.deliver(h, payload)
+		return nil
 	}
+	c.handler(Message{Kind: h.Kind, Payload: payload, Conn: c, id: h.ID})
+	return nil
 }
 
 // deliver passes an answer to its pending call. It drops the answer if there is none.
--- a/tier/rpc/rpc_test.go
+++ b/tier/rpc/rpc_test.go
@@ -184,6 +184,82 @@
 	conn.Wait()
 }
 
+// A large frame waits, without being read, until another one on another connection has been handled. Small frames don't wait.
+func TestFrameBudgetDelaysLargeFrames(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	received := make(chan int, 3)
+	proceed := make(chan struct{})
+	go ServeWithin(listener, func(m Message) {
+		received <- len(m.Payload)
+		if len(m.Payload) >= largeFrameBytes {
+			<-proceed
+		}
+	}, NewFrameBudget(largeFrameBytes))
+	send := func(bytes int) {
+		client := NewClient(listener.Addr().String(), nil)
+		t.Cleanup(client.Close)
+		client.Send(kindEcho, make([]byte, bytes))
+	}
+	send(largeFrameBytes)
+	if got := <-received; got != largeFrameBytes {
+		t.Fatalf("first frame: %d bytes", got)
+	}
+	send(2 * largeFrameBytes)
+	send(1)
+	if got := <-received; got != 1 {
+		t.Fatalf("%d bytes were handled while the budget was spent", got)
+	}
+	proceed <- struct{}{}
+	if got := <-received; got != 2*largeFrameBytes {
+		t.Fatalf("third frame: %d bytes", got)
+	}
+	proceed <- struct{}{}
+}
+
+// failingListener fails a number of times before it accepts.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+var errNoDescriptor = errors.New("too many open files")
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, errNoDescriptor
+	}
+	return l.Listener.Accept()
+}
+
+func TestServeContinuesAfterFailedAccepts(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = inner.Close() })
+	go Serve(&failingListener{inner, 2}, func(m Message) { m.Answer(codes.OK, m.Payload) })
+	client := NewClient(inner.Addr().String(), nil)
+	defer client.Close()
+	if got, err := client.Call(contextWithTimeout(t, 10*time.Second), kindEcho, []byte("a")); err != nil || string(got) != "a" {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
+
+// readFrame reads the next frame.
+func readFrame(r io.Reader) (header, []byte, error) {
+	h, err := readHeader(r)
+	if err != nil {
+		return h, nil, err
+	}
+	payload, err := readPayload(r, int(h.Length))
+	return h, payload, err
+}
+
 // For any data, including a corrupt length that must not cause a large allocation, readFrame returns an error or a payload with the
 // length that the header states.
 func FuzzFrame(f *testing.F) {
--- a/tier/rpc/serve.go
+++ b/tier/rpc/serve.go
@@ -3,24 +3,30 @@
 import (
 	"errors"
 	"net"
+	"time"
 )
 
+// acceptRetryDelay is the pause after a failed accept. The usual reason is that the process has no descriptor left.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // Serve accepts connections until the listener is closed. The handler receives the messages of all connections, which stay open after
 // Serve has returned.
-func Serve(listener net.Listener, handler Handler) {
+func Serve(listener net.Listener, handler Handler) { ServeWithin(listener, handler, nil) }
+
+// ServeWithin is like Serve. The frames that are being received and handled on all connections stay within the budget, which may be nil
+// for no limit.
+func ServeWithin(listener net.Listener, handler Handler, budget *FrameBudget) {
 	for {
 		socket, err := listener.Accept()
-		if err != nil {
-			if isTimeout(err) {
-				continue
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		openConn(socket, handler)
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		c := newConn(socket, handler)
+		c.frames = budget
+		c.loops.Go(c.readLoop)
 	}
 }
-
-func isTimeout(err error) bool {
-	var netError net.Error
-	return errors.As(err, &netError) && netError.Timeout()
-}
--- a/tier/settings/fields.go
+++ b/tier/settings/fields.go
@@ -82,10 +82,8 @@
 	return parsed
 }
 
-// integer returns a number without its fractional part.
-func (f *fields) integer(key string, fallback int) int {
-	return int(f.float(key, float64(fallback)))
-}
+// integer returns a number without its fractional part, or 0 if the key is missing.
+func (f *fields) integer(key string) int { return int(f.float(key, 0)) }
 
 func (f *fields) milliseconds(key string, fallback time.Duration) time.Duration {
 	return time.Duration(f.float(key, float64(fallback)/float64(time.Millisecond)) * float64(time.Millisecond))
--- a/tier/settings/settings.go
+++ b/tier/settings/settings.go
@@ -23,6 +23,7 @@
 	DataDir          string
 	MemoryMB         int // 0 means that no limit is set
 	MaxFDs           int // 0 means that no limit is set
+	DiskMB           int // 0 means that no limit is set
 	Heartbeat        time.Duration
 	TolerateMachines int // number of machines that may be lost at once
 	Bounds           Bounds
--- a/tier/storage/commit.go
+++ b/tier/storage/commit.go
@@ -34,6 +34,7 @@
 const (
 	commitMagic       = uint32(0x4f434d54) // "OCMT"
 	commitHeaderBytes = 4 + 4 + 4 + 8      // magic, length, checksum, sequence number
+	minCommitBytes    = 1 + 4              // content without records: checkpoint, number of records
 	minRecordBytes    = 1 + 4 + 8 + 8 + 4  // size of a record without data
 )
 
@@ -45,7 +46,12 @@
 }
 
 func encodeCommit(c commit) []byte {
-	var e codec.Encoder
+	size := commitHeaderBytes + minCommitBytes
+	for _, record := range c.records {
+		size += minRecordBytes + len(record.Data)
+	}
+	// the content is encoded behind the space for the header, so that a large commit is in memory only once
+	e := codec.Encoder{Bytes: make([]byte, commitHeaderBytes, size)}
 	e.Bool(c.checkpoint)
 	e.Uint32(uint32(len(c.records)))
 	for _, record := range c.records {
@@ -55,12 +61,13 @@
 		e.Uint64(record.Epoch)
 		e.Blob(record.Data)
 	}
-	encoded := make([]byte, 0, commitHeaderBytes+len(e.Bytes))
-	encoded = binary.BigEndian.AppendUint32(encoded, commitMagic)
-	encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(e.Bytes)))
-	encoded = binary.BigEndian.AppendUint32(encoded, commitChecksum(c.sequence, e.Bytes))
-	encoded = binary.BigEndian.AppendUint64(encoded, c.sequence)
-	return append(encoded, e.Bytes...)
+	content := e.Bytes[commitHeaderBytes:]
+	header := e.Bytes[:0]
+	header = binary.BigEndian.AppendUint32(header, commitMagic)
+	header = binary.BigEndian.AppendUint32(header, uint32(len(content)))
+	header = binary.BigEndian.AppendUint32(header, commitChecksum(c.sequence, content))
+	binary.BigEndian.AppendUint64(header, c.sequence)
+	return e.Bytes
 }
 
 func commitChecksum(sequence uint64, content []byte) uint32 {
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -5,8 +5,10 @@
 	"errors"
 	"time"
 
+	"otterseam/tier/admission"
 	"otterseam/tier/codes"
 	"otterseam/tier/programs"
+	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
 	"otterseam/tier/timeline"
 )
@@ -14,7 +16,8 @@
 // submitTimeout is the limit for committing a command.
 const submitTimeout = 1500 * time.Millisecond
 
-// handleProgram executes a command on the shard that the request names, if this process is primary of the shard.
+// handleProgram executes a command on the shard that the request names, if this process is primary of the shard and has room for the
+// turn that the command begins.
 func (s *Server) handleProgram(message rpc.Message) {
 	request, err := DecodeProgramRequest(message.Payload)
 	if err != nil || !programs.IsCommand(request.Command) {
@@ -24,16 +27,68 @@
 	programs.Stamp(request.Command, time.Now().UnixMilli())
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
-	got, err := s.node.Submit(ctx, request.Shard, request.Command)
+	result, err := s.execute(ctx, request)
 	if err != nil {
-		var code codes.Code
-		if !errors.As(err, &code) {
-			code = codes.Unavailable
-		}
+		code := codes.Unavailable
+		errors.As(err, &code)
 		message.Answer(code, nil)
 		return
 	}
 	s.timeline.Reach(timeline.ShardLed)
-	result := got.(programs.Result)
 	message.Answer(result.Code, result.Encode())
 }
+
+// execute submits a command. The error codes.StoreFull means that the command was not proposed.
+func (s *Server) execute(ctx context.Context, request ProgramRequest) (programs.Result, error) {
+	if begin, isBegin := programs.DecodeBegin(request.Command); isBegin {
+		return s.executeBegin(ctx, request, begin)
+	}
+	release, err := s.commands.acquire(ctx, len(request.Command))
+	if err != nil {
+		return programs.Result{}, err
+	}
+	defer release()
+	result, err := s.submit(ctx, request)
+	if turn, isEnd := programs.EndedTurn(request.Command); isEnd && err == nil {
+		s.turns.release(admission.Key{Shard: request.Shard, Request: turn})
+	}
+	return result, err
+}
+
+// executeBegin submits a Begin if there is room for its turn. The room stays reserved until the turn's End, unless the turn does not
+// begin.
+func (s *Server) executeBegin(ctx context.Context, request ProgramRequest, begin programs.Begin) (programs.Result, error) {
+	if s.node.IsPrimary(request.Shard) && !s.admit(request.Shard, begin) {
+		return programs.Result{}, codes.StoreFull
+	}
+	result, err := s.submit(ctx, request)
+	if err == nil && result.Code != codes.OK {
+		s.turns.release(admission.Key{Shard: request.Shard, Request: begin.Request})
+	}
+	return result, err
+}
+
+// admit reserves room for a turn of a shard.
+func (s *Server) admit(shard uint32, begin programs.Begin) bool {
+	turn := admission.Turn{
+		Key: admission.Key{Shard: shard, Request: begin.Request}, IsNewProgram: true, RetainedBytes: int64(begin.RetainedBytes),
+	}
+	var replicas []uint64
+	s.node.WithGroup(shard, func(g *replica.Group) {
+		s.turns.complete(&turn, begin)
+		replicas = g.View().Replicas
+	})
+	unapplied := int64(0)
+	if turn.RetainedBytes > 0 {
+		unapplied = s.node.UnappliedBytes()
+	}
+	return s.turns.admit(turn, replicas, unapplied, time.Now().UnixMilli())
+}
+
+func (s *Server) submit(ctx context.Context, request ProgramRequest) (programs.Result, error) {
+	got, err := s.node.Submit(ctx, request.Shard, request.Command)
+	if err != nil {
+		return programs.Result{}, err
+	}
+	return got.(programs.Result), nil
+}
--- a/tier/store/recorded_test.go
+++ b/tier/store/recorded_test.go
@@ -11,10 +11,12 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"otterseam/tier/internal/recorded"
+	"otterseam/tier/limits"
 	"otterseam/tier/multigroup"
 	"otterseam/tier/programs"
 	"otterseam/tier/replica"
 	"otterseam/tier/rpc"
+	"otterseam/tier/settings"
 	"otterseam/tier/storage"
 	"otterseam/tier/timeline"
 )
@@ -47,7 +49,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{node: host, log: log, timeline: timeline.New(log)}
+	processLimits := limits.Of(&settings.Settings{})
+	s := &Server{
+		node: host, log: log, timeline: timeline.New(log), commands: newCommandBudget(processLimits.CommandBytes()), turns: newTurnAdmission(processLimits),
+	}
 	s.openShard(recordedShard)
 	go host.Run(ctx)
 	only := []uint64{host.Identity}
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -15,7 +15,9 @@
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
 	"otterseam/tier/fleetload"
+	"otterseam/tier/limits"
 	"otterseam/tier/multigroup"
+	"otterseam/tier/periodic"
 	"otterseam/tier/rpc"
 	"otterseam/tier/settings"
 	"otterseam/tier/timeline"
@@ -33,8 +35,13 @@
 	self     directory.Store
 	timeline *timeline.Timeline
 	loads    *loadHome
+	frames   *rpc.FrameBudget
+	commands *commandBudget
+	turns    *turnAdmission
 
-	mu       sync.Mutex      // guards draining and changing
+	shardsMu sync.Mutex // held while a shard is opened or dropped
+
+	mu       sync.Mutex      // guards the fields below
 	draining bool            // Drain was called
 	changing map[uint32]bool // shards with a request to change their in-sync set in progress
 }
@@ -51,6 +58,7 @@
 		return nil, err
 	}
 	steps.Reach(timeline.DiskRead)
+	processLimits := limits.Of(s)
 	server := &Server{
 		settings: s,
 		log:      log,
@@ -60,6 +68,9 @@
 		seeds:    settings.NewSeeds(s),
 		changing: map[uint32]bool{},
 		timeline: steps,
+		frames:   rpc.NewFrameBudget(processLimits.CommandBytes()),
+		commands: newCommandBudget(processLimits.CommandBytes()),
+		turns:    newTurnAdmission(processLimits),
 		self: directory.Store{
 			Identity: node.Identity, Incarnation: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
 		},
@@ -87,10 +98,11 @@
 	}
 	go s.node.Run(ctx)
 	var loops sync.WaitGroup
-	loops.Go(func() { rpc.Serve(listener, s.handle) })
+	loops.Go(func() { rpc.ServeWithin(listener, s.handle, s.frames) })
 	loops.Go(func() { s.sendHeartbeats(ctx) })
 	loops.Go(func() { s.watchInSync(ctx) })
 	loops.Go(func() { s.loads.run(ctx) })
+	loops.Go(func() { periodic.Run(ctx, usageInterval, s.reportUsage) })
 	subscriber := &feed.Subscriber{View: s.view, Addresses: s.controlAddresses, OnChange: s.onViewChange}
 	subscriber.Run(ctx)
 	_ = listener.Close() // the error does not matter: closing only makes Serve return
@@ -111,6 +123,8 @@
 		s.node.HandleMessage(message.Payload, s.openShard)
 	case KindProgram:
 		go s.handleProgram(message)
+	case KindRetainedUsage:
+		s.handleUsage(message)
 	case fleetload.KindReport:
 		s.loads.handleReport(message)
 	case fleetload.KindPlace:
--- a/tier/store/shards.go
+++ b/tier/store/shards.go
@@ -18,6 +18,7 @@
 	for _, store := range directory.Stores(s.view) {
 		s.node.SetAddress(store.Identity, store.Address)
 	}
+	s.turns.setPrimaries(len(s.primariesOfOwnShards()))
 	for id, shard := range directory.Shards(s.view) {
 		switch {
 		case slices.Contains(shard.View.Replicas, s.self.Identity):
@@ -41,16 +42,27 @@
 
 // dropMovedShard drops a shard that the map no longer assigns to this store, unless its group has a newer view than the map.
 func (s *Server) dropMovedShard(id uint32, shard directory.Shard) {
+	s.shardsMu.Lock()
+	defer s.shardsMu.Unlock()
 	movedAway := false
 	s.node.WithGroup(id, func(g *replica.Group) { movedAway = shard.View.Epoch >= g.View().Epoch })
 	if movedAway {
 		s.node.DropGroup(id)
+		s.turns.setState(id, nil)
 	}
 }
 
 // openShard opens the replica of a shard with its state on disk, if there is any.
 func (s *Server) openShard(id uint32) {
-	if err := s.node.OpenGroup(id, programs.NewState(), replica.Options{}); err != nil {
+	s.shardsMu.Lock()
+	defer s.shardsMu.Unlock()
+	if s.node.HasGroup(id) {
+		return
+	}
+	state := programs.NewStateIn(s.turns.usage)
+	if err := s.node.OpenGroup(id, state, replica.Options{}); err != nil {
 		s.log.WithField("shard", id).WithError(err).Error("shard cannot be opened")
+		return
 	}
+	s.turns.setState(id, state)
 }
--- /dev/null
+++ b/tier/store/turnadmission.go
@@ -0,0 +1,79 @@
+package store
+
+import (
+	"sync"
+
+	"otterseam/tier/admission"
+	"otterseam/tier/limits"
+	"otterseam/tier/programs"
+)
+
+// turnAdmission decides which turns may begin, by what the shards of this process hold and by the turns that have begun. It is safe for
+// concurrent use.
+type turnAdmission struct {
+	usage *programs.Usage // of all shards
+	limit int64           // for retained turns, in bytes
+
+	mu         sync.Mutex                 // guards the fields below
+	primaries  int64                      // number of primaries of the shards that this process has replicas of
+	peers      map[uint64]peerUsage       // what other stores hold, by identity
+	states     map[uint32]*programs.State // of the open shards; the node's lock guards their content
+	controller *admission.Controller
+}
+
+func newTurnAdmission(l limits.Limits) *turnAdmission {
+	return &turnAdmission{
+		usage:      &programs.Usage{},
+		limit:      l.RetainedBytes(),
+		peers:      map[uint64]peerUsage{},
+		states:     map[uint32]*programs.State{},
+		controller: admission.NewController(admission.Limits{RetainedBytes: l.RetainedBytes(), Programs: l.Programs()}),
+	}
+}
+
+// setState sets the state of a shard that was opened, or nil for one that was dropped.
+func (a *turnAdmission) setState(shard uint32, state *programs.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old := a.states[shard]; old != nil {
+		old.Discard()
+	}
+	a.states[shard] = state
+}
+
+// complete sets what the state of the shard tells about a turn that wants to begin: whether its program is new, and the size of the chain
+// that it continues, with whose texts it is stored if it outlives them. The caller holds the node's lock.
+func (a *turnAdmission) complete(turn *admission.Turn, begin programs.Begin) {
+	a.mu.Lock()
+	state := a.states[turn.Shard]
+	a.mu.Unlock()
+	if state == nil {
+		return
+	}
+	turn.IsNewProgram = !state.HasProgram(begin.Program)
+	if turn.RetainedBytes > 0 && begin.Previous != "" {
+		turn.RetainedBytes += state.ChainBytes(begin.Program, begin.Previous)
+	}
+}
+
+// admit reports whether there is room for a turn in all replicas of its shard, and reserves it. unapplied is the size of the log entries
+// that are not part of the state yet. The time is in milliseconds.
+func (a *turnAdmission) admit(turn admission.Turn, replicas []uint64, unapplied, now int64) bool {
+	usage := admission.Usage{RetainedBytes: a.usage.RetainedBytes() + unapplied, Programs: a.usage.Programs()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	usage.Primaries = a.primaries
+	for _, id := range replicas {
+		if peer, found := a.peers[id]; found && now <= peer.expiresAt {
+			usage.RetainedBytes = max(usage.RetainedBytes, peer.bytes)
+		}
+	}
+	return a.controller.Admit(turn, usage, now)
+}
+
+// release drops the reservation of a turn that has ended or did not begin.
+func (a *turnAdmission) release(key admission.Key) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.Release(key)
+}
