Proxies bound the memory of clients' heads and bodies

What callers saw: 60 open heads of 250 KB, 400 legal heads in lines of 4 bytes, 40 bodies of 4 MiB one byte short or 20 whole ones took a proxy of 128 MB to 145, 142, 235 and 498 MB; the platform ends it. Cause: net/http read 256 KB of a head whatever the operator's limit and builds a map of some 100 bytes a line; httpguard kept a second copy and searched it from its start at each read; io.ReadAll doubles; nothing bounded the sum. Change: tier/clientmemory is one budget out of the process's memory limit. A request reserves what its head and body cost as they come and gives it back at its end. If it is spent, the request still coming in that has held most for longest yields (503, Retry-After, code 414: nothing has run); without one the new request is refused so. httpguard scans heads without keeping them, ends a head over the limit of the configuration in force with 431 and reads bodies into buffers that it reserves first.

--- /dev/null
+++ b/tier/clientmemory/budget.go
@@ -0,0 +1,223 @@
+// Package clientmemory divides the memory that a process may hold for its clients among their requests. A request reserves memory as its
+// bytes arrive and gives it back when it has ended. If the memory is spent, requests that are still being received yield, those first that
+// have held most for longest: a client that stops short of the end of its request cannot keep its memory, while one that sends at its pace
+// keeps it as long as there is enough. The package reads no clock.
+package clientmemory
+
+import (
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// smallRequestBytes is the size up to which a request may use all of the memory. Larger ones leave a quarter of it, so that ordinary
+	// requests are served beside them.
+	smallRequestBytes = 64 << 10
+	// minEvictionAge is the time that a request has to arrive before it may have to yield.
+	minEvictionAge = 250 * time.Millisecond
+)
+
+var (
+	// ErrSpent is returned if there is not enough memory and no request yields.
+	ErrSpent = errors.New("the memory for requests is spent")
+	// ErrEvicted is returned to a request that has had to yield.
+	ErrEvicted = errors.New("the request was given up to free memory")
+)
+
+// Budget is a number of bytes that the claims of requests share. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+
+	mu        sync.Mutex // guards the fields below and the fields of the claims
+	used      int64
+	yielding  int64 // bytes of the claims that were evicted and are not closed yet
+	receiving map[*Claim]bool
+	released  chan struct{} // closed and replaced when bytes are released and a claim waits for them
+	waiting   int           // number of claims that wait
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{limit: limit, receiving: map[*Claim]bool{}, released: make(chan struct{})}
+}
+
+// Used returns the number of bytes that are reserved.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Claim is the memory of one request. The zero value is closed. A claim must not be copied.
+type Claim struct {
+	budget   *Budget
+	bytes    int64
+	openedAt time.Time
+	evict    func()
+	evicted  bool
+}
+
+// Open starts a claim for a request that is being received. If the request has to yield, evict is called once, by another goroutine; it
+// must make the request end and must not block.
+func (b *Budget) Open(c *Claim, now time.Time, evict func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*c = Claim{budget: b, openedAt: now, evict: evict}
+	b.receiving[c] = true
+}
+
+// Reserve adds bytes to the claim. If a channel is returned, other requests are yielding: the caller has to try again when the channel is
+// closed. The error is ErrSpent or ErrEvicted.
+func (c *Claim) Reserve(bytes int64, now time.Time) (wait <-chan struct{}, err error) {
+	b := c.budget
+	if b == nil {
+		return nil, nil
+	}
+	b.mu.Lock()
+	if c.evicted {
+		b.mu.Unlock()
+		return nil, ErrEvicted
+	}
+	limit := b.limitFor(c.bytes + bytes)
+	if b.used+bytes <= limit {
+		b.used += bytes
+		c.bytes += bytes
+		b.mu.Unlock()
+		return nil, nil
+	}
+	victims, enough := b.selectVictims(c, bytes, limit, now)
+	if enough {
+		b.waiting++
+		wait = b.released
+	} else {
+		err = ErrSpent
+	}
+	b.mu.Unlock()
+	for _, victim := range victims {
+		victim()
+	}
+	return wait, err
+}
+
+// limitFor returns how much of the budget may be used by a request of a size.
+func (b *Budget) limitFor(size int64) int64 {
+	if size > smallRequestBytes {
+		return b.limit - b.limit/4
+	}
+	return b.limit
+}
+
+// selectVictims marks so many requests as evicted that the bytes fit, and returns their evict functions. If they never would, it marks
+// none and returns false. The caller holds the lock.
+func (b *Budget) selectVictims(c *Claim, bytes, limit int64, now time.Time) (evict []func(), enough bool) {
+	var victims []*Claim
+	yielding := b.yielding
+	for b.used-yielding+bytes > limit {
+		victim := b.worst(c, now)
+		if victim == nil {
+			for _, each := range victims {
+				each.evicted = false
+				b.receiving[each] = true
+			}
+			return nil, false
+		}
+		victim.evicted = true
+		delete(b.receiving, victim)
+		victims = append(victims, victim)
+		yielding += victim.bytes
+	}
+	b.yielding = yielding
+	for _, each := range victims {
+		evict = append(evict, each.evict)
+	}
+	return evict, true
+}
+
+// worst returns the request that has held most for longest, other than c, or nil if there is none that may have to yield.
+func (b *Budget) worst(c *Claim, now time.Time) *Claim {
+	var worst *Claim
+	worstHeld := float64(0)
+	for each := range b.receiving {
+		age := now.Sub(each.openedAt)
+		if each == c || age < minEvictionAge {
+			continue
+		}
+		if held := float64(each.bytes) * age.Seconds(); held > worstHeld {
+			worst = each
+			worstHeld = held
+		}
+	}
+	return worst
+}
+
+// Waited has to be called after the channel that Reserve returned was closed, or when the caller no longer waits for it.
+func (c *Claim) Waited() {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.waiting--
+}
+
+// Received marks the request as completely received. It no longer has to yield. It returns ErrEvicted if it already had to.
+func (c *Claim) Received() error {
+	b := c.budget
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.evicted {
+		return ErrEvicted
+	}
+	delete(b.receiving, c)
+	return nil
+}
+
+// Evicted reports whether the request had to yield.
+func (c *Claim) Evicted() bool {
+	b := c.budget
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.evicted
+}
+
+// Release gives back a part of the claim.
+func (c *Claim) Release(bytes int64) {
+	b := c.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.release(min(bytes, c.bytes))
+}
+
+// Close releases the bytes of the claim. A claim may be closed more than once, and opened again.
+func (c *Claim) Close() {
+	b := c.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.receiving, c)
+	c.release(c.bytes)
+	c.budget = nil
+}
+
+// release gives bytes back and tells the claims that wait for them. The caller holds the lock.
+func (c *Claim) release(bytes int64) {
+	b := c.budget
+	b.used -= bytes
+	c.bytes -= bytes
+	if c.evicted {
+		b.yielding -= bytes
+	}
+	if b.waiting > 0 {
+		close(b.released)
+		b.released = make(chan struct{})
+	}
+}
--- a/tier/httpguard/conn.go
+++ b/tier/httpguard/conn.go
@@ -1,39 +1,54 @@
 package httpguard
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"otterseam/tier/clientmemory"
 )
 
 const (
-	// maxHeadBytes is how much of a head is kept. net/http rejects a longer one.
-	maxHeadBytes = 256 << 10
 	// backgroundReadBytes is the size of the reads that the server makes in the background while a handler runs. It distinguishes
 	// them from other reads.
 	backgroundReadBytes = 1
-	// responseWriteTimeout is the timeout for writing headTimeoutResponse.
+	// responseWriteTimeout is the timeout for writing a response of the guard.
 	responseWriteTimeout = time.Second
-	endOfHead            = "\r\n\r\n"
-	// headTimeoutResponse is sent when a head is not complete in time.
-	headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// minHeadReservation is the smallest step in which the memory of a head is reserved, enough for most heads.
+	minHeadReservation = 16 << 10
+	// lingerTimeout and maxLingerBytes limit what is read and discarded after such a response. Closing a connection with unread bytes
+	// resets it, and the client may then lose the response.
+	lingerTimeout  = 300 * time.Millisecond
+	maxLingerBytes = 1 << 20
 )
 
-// guardedConn is a connection that records each request's head as the server reads it.
+// headTimeoutResponse is sent when a head is not complete in time.
+var headTimeoutResponse = Response(http.StatusRequestTimeout, "", nil)
+
+// expired is a deadline in the past. It ends a pending read.
+var expired = time.Unix(1, 0)
+
+// guardedConn is a connection whose requests' heads are scanned as the server reads them.
 type guardedConn struct {
 	net.Conn
 	guard          *Guard
 	cancelRequests context.CancelFunc // cancels the context of the connection and of its requests; nil before ConnContext
 
+	// claim is the memory of the current request. The connection's goroutine, which also runs the handlers, opens and closes it.
+	claim clientmemory.Claim
+
 	mu           sync.Mutex    // guards the fields below
 	stopWatch    chan struct{} // closed to stop the watch for the client's close; nil if none runs
 	readingHead  bool          // the connection waits for a head or is reading one
-	head         []byte        // head of the current request, or the part of the next head that has been read
+	head         headScanner   // of the current request, or of the part of the next head that has been read
 	headDeadline time.Time     // deadline of the head that is being read; zero for none
+	claimOpen    bool          // the claim of the current request was opened
+	reserved     int64         // bytes of the claim for the head
 }
 
 // expectHead prepares for the head of the next request.
@@ -42,32 +57,117 @@
 	defer c.mu.Unlock()
 	c.stopCloseWatch()
 	c.readingHead = true
-	c.head = nil
+	c.head = headScanner{}
 	c.headDeadline = time.Time{}
+	c.claimOpen = false
+	c.claim.Close()
 }
 
-// Read reads from the connection. If a head is not complete in time, it sends a 408 response and returns the timeout error.
+// Read reads from the connection. If a head is not complete in time or too large, or there is no memory for it, it sends a response and
+// returns a timeout error.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	response, rejected := c.scanned(p[:n], len(p), err)
+	if !rejected && n > 0 {
+		response, rejected = c.reserveHead()
+	}
+	if rejected {
+		c.reject(response)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// scanned scans what was read by a call of Read with a buffer of a size. If the head is rejected, it returns the response.
+func (c *guardedConn) scanned(data []byte, bufferBytes int, err error) (response []byte, rejected bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.readingHead {
-		if n > 0 && len(p) == backgroundReadBytes {
+		if len(data) > 0 && bufferBytes == backgroundReadBytes {
 			c.startCloseWatch()
 		}
-		return n, err
+		return nil, false
 	}
-	if n > 0 {
-		c.consumeHead(p[:n])
+	if len(data) > 0 {
+		c.scanHead(data)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && len(c.head) > 0 && !c.headDeadline.IsZero() && !time.Now().Before(c.headDeadline) {
-		_ = c.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-		_, _ = c.Write([]byte(headTimeoutResponse))
+	response, rejected = c.headRejection(errors.Is(err, os.ErrDeadlineExceeded))
+	if rejected {
 		c.readingHead = false
+		c.headDeadline = time.Time{}
 	}
-	return n, err
+	return response, rejected
+}
+
+// headRejection returns whether the current head is rejected, and the response. The caller holds the lock.
+func (c *guardedConn) headRejection(readTimedOut bool) (response []byte, rejected bool) {
+	switch {
+	case c.head.bytes > c.guard.headLimit():
+		return c.guard.HeadTooLarge, true
+	case readTimedOut && c.claim.Evicted():
+		return c.guard.Overloaded, true
+	case readTimedOut && c.head.bytes > 0 && !c.headDeadline.IsZero() && !time.Now().Before(c.headDeadline):
+		return headTimeoutResponse, true
+	default:
+		return nil, false
+	}
+}
+
+// reserveHead reserves the memory of the head that has been read so far. If there is none, it returns the response.
+func (c *guardedConn) reserveHead() (response []byte, rejected bool) {
+	c.mu.Lock()
+	if !c.claimOpen {
+		c.mu.Unlock()
+		return nil, false
+	}
+	missing := c.head.cost() - c.reserved
+	if missing <= 0 {
+		c.mu.Unlock()
+		return nil, false
+	}
+	missing = max(missing, minHeadReservation)
+	c.reserved += missing
+	deadline := c.headDeadline
+	c.mu.Unlock()
+	if reserve(&c.claim, missing, deadline) != nil {
+		return c.guard.Overloaded, true
+	}
+	return nil, false
 }
 
+// reject sends a response, if there is one, and discards what the client still sends.
+func (c *guardedConn) reject(response []byte) {
+	if len(response) == 0 {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	if _, err := c.Write(response); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+}
+
+// openClaim opens the claim of the current request. It returns false if it is open already or the guard doesn't limit memory.
+func (c *guardedConn) openClaim() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openClaimLocked()
+}
+
+func (c *guardedConn) openClaimLocked() bool {
+	if c.claimOpen || c.guard.Memory == nil {
+		return false
+	}
+	c.claimOpen = true
+	c.reserved = 0
+	c.guard.Memory.Open(&c.claim, time.Now(), c.endRead)
+	return true
+}
+
+// endRead ends the read of a request that has to yield.
+func (c *guardedConn) endRead() { _ = c.Conn.SetReadDeadline(expired) }
+
 // startCloseWatch starts to watch for the client's close while a request is being handled. The caller holds the lock. During a request
 // the server detects that close by reading single bytes in the background, but it stops at the first byte of the next request.
 func (c *guardedConn) startCloseWatch() {
@@ -97,22 +197,21 @@
 	return c.Conn.Close()
 }
 
-// consumeHead adds bytes to the current head. The caller holds the lock.
-func (c *guardedConn) consumeHead(data []byte) {
-	if len(c.head) == 0 {
+// scanHead scans bytes of the current head. The caller holds the lock.
+func (c *guardedConn) scanHead(data []byte) {
+	if c.head.bytes == 0 {
+		c.openClaimLocked()
 		if timeout := time.Duration(c.guard.headTimeout.Load()); timeout > 0 {
 			c.headDeadline = time.Now().Add(timeout)
 			_ = c.Conn.SetReadDeadline(c.headDeadline)
 		}
 	}
-	c.head = append(c.head, data...)
-	if end := bytes.Index(c.head, []byte(endOfHead)); end >= 0 || len(c.head) > maxHeadBytes {
+	if c.head.scan(data) {
 		c.readingHead = false
 		c.headDeadline = time.Time{}
-		if end >= 0 {
-			c.head = c.head[:end]
+		if !c.claim.Evicted() {
+			_ = c.Conn.SetReadDeadline(time.Time{})
 		}
-		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -120,10 +219,10 @@
 // holds the lock. Bytes read since then are the start of the next head, which has no deadline while the current request is handled.
 func (c *guardedConn) discardReadAhead() {
 	c.readingHead = false
-	if len(c.head) == 0 {
+	if c.head.bytes == 0 {
 		return
 	}
-	c.head = nil
+	c.head = headScanner{}
 	c.headDeadline = time.Time{}
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.startCloseWatch()
@@ -136,6 +235,9 @@
 	if !c.headDeadline.IsZero() && (t.IsZero() || t.After(c.headDeadline)) {
 		t = c.headDeadline
 	}
+	if c.claim.Evicted() {
+		t = expired
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -147,23 +249,19 @@
 	return nil
 }
 
-// countLengthHeaders returns the numbers of Content-Length and Transfer-Encoding headers of the current request. It returns zeros if
-// the head was read together with the previous request.
-func (c *guardedConn) countLengthHeaders() (lengths, encodings int) {
+// headRead is called when the head of a request has been read completely.
+func (c *guardedConn) headRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readingHead {
 		c.discardReadAhead()
-		return 0, 0
-	}
-	for _, line := range bytes.Split(c.head, []byte("\r\n")) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-		}
 	}
-	return lengths, encodings
+}
+
+// countLengthHeaders returns the numbers of Content-Length and Transfer-Encoding headers of the current request. It returns zeros if
+// the head was read together with the previous request.
+func (c *guardedConn) countLengthHeaders() (lengths, encodings int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.lengths, c.head.encodings
 }
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"otterseam/tier/controlclient"
 	"otterseam/tier/feed"
 	"otterseam/tier/httpguard"
+	"otterseam/tier/limits"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/periodic"
 	"otterseam/tier/rpc"
@@ -84,6 +85,7 @@
 	}
 	p.hosts = newHostTable(s.Zone, func() { time.AfterFunc(observationWindow, p.reportObservations) })
 	p.loads = newLoadExchange(s.Zone, p.hosts, p.programs.clients)
+	p.limitClients(limits.Of(s))
 	p.requestContext, p.cancelRequests = context.WithCancelCause(context.Background())
 	return p, nil
 }
@@ -186,6 +188,11 @@
 	}
 	p.latencies.retainRoutes(config)
 	p.guard.SetHeadTimeout(milliseconds(config.Limits.HeaderTimeoutMS))
+	if maxHeaderBytes := config.Limits.MaxHeaderBytes; maxHeaderBytes > 0 {
+		p.guard.SetMaxHeadBytes(maxHeaderBytes + rawHeadOverhead)
+	} else {
+		p.guard.SetMaxHeadBytes(0)
+	}
 	p.log.WithField("version", version).Info("configuration applied")
 }
 
--- a/tier/proxy/server.go
+++ b/tier/proxy/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,7 +16,10 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 256 << 10
+	// maxHeaderBytes is the limit of net/http. The guard applies a lower one before.
+	maxHeaderBytes = 256 << 10
+	// rawHeadOverhead is how much larger than limits.max_header_bytes a head may be on the wire: spaces and the HTTP version don't count.
+	rawHeadOverhead = 1 << 10
 	// keepAlive is the Keep-Alive header that tells clients how long a connection may stay idle. The proxy closes it later, after
 	// idleTimeout, so that no connection is closed while a client sends a request on it.
 	keepAlive   = "timeout=3"
@@ -73,7 +75,7 @@
 		return
 	}
 	deadline := arrived.Add(timeout)
-	body, ok := p.readBody(w, r, routes.Config.Limits, deadline)
+	body, ok := p.readBody(w, r, route, routes.Config.Limits, deadline)
 	if !ok {
 		return
 	}
@@ -142,7 +144,9 @@
 
 // readBody reads the body of a request within the operator's limits and the request's deadline. If that fails, it writes an error
 // response and returns false.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, limits opconfig.Limits, deadline time.Time) ([]byte, bool) {
+func (p *Proxy) readBody(
+	w http.ResponseWriter, r *http.Request, route *opconfig.Route, limits opconfig.Limits, deadline time.Time,
+) ([]byte, bool) {
 	if httpguard.HasAmbiguousLength(r) {
 		w.Header().Set("Connection", "close")
 		p.failText(w, http.StatusBadRequest, codes.RequestMalformed, textAmbiguousLength)
@@ -156,24 +160,35 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	if r.ContentLength == 0 {
-		return nil, true
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := httpguard.ReadBody(w, r, httpguard.BodyLimits{MaxBytes: maxBytes, Deadline: deadline, Copies: bodyCopies(route)})
 	if err != nil {
-		p.failBody(w, err)
+		p.failBody(w, err, deadline)
 		return nil, false
 	}
-	_ = controller.SetReadDeadline(time.Time{})
 	return body, true
 }
 
+// The numbers of copies of a request's body that are in memory at the same time.
+const (
+	plainCopies    = 2 // the body and the request to the host
+	retainedCopies = 6 // besides: the command that retains the turn, and the messages to the stores in the buffers of a connection
+)
+
+// bodyCopies returns how many copies of its body a request on a route holds.
+func bodyCopies(route *opconfig.Route) int64 {
+	if route != nil && route.Retained {
+		return retainedCopies
+	}
+	return plainCopies
+}
+
 // failBody writes the response to a request whose body could not be read.
-func (p *Proxy) failBody(w http.ResponseWriter, err error) {
+func (p *Proxy) failBody(w http.ResponseWriter, err error, deadline time.Time) {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, httpguard.ErrOverloaded):
+		w.Header().Set("Connection", "close")
+		p.reject(w, codes.Overloaded, time.Until(deadline), overloadDelay)
 	case errors.As(err, &tooLarge):
 		p.fail(w, http.StatusRequestEntityTooLarge, codes.BodyTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -185,6 +200,9 @@
 	}
 }
 
+// overloadDelay is the time after which a proxy that has no memory for a request is expected to have some again.
+const overloadDelay = time.Second
+
 // headerBytes returns the size of a request's head, without the spaces and the HTTP version of the request line.
 func headerBytes(r *http.Request) int {
 	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
