Proxies bound the connections of clients

What callers saw: 600 connections that say nothing took 615 descriptors of a proxy whose limit is 400 (200 of them for sockets); at the kernel's limit accept fails, and no descriptor is left for hosts and stores until the clients time out. Cause: limits.max_fds was read by nobody in the tier; idle connections were closed by time alone. Change: at its share of the descriptors the guard closes the connection that has waited longest for a request, or else for the rest of a head, and the new one if none has waited for 100 ms.

--- a/tier/httpguard/conn.go
+++ b/tier/httpguard/conn.go
@@ -45,6 +45,7 @@
 	mu           sync.Mutex    // guards the fields below
 	stopWatch    chan struct{} // closed to stop the watch for the client's close; nil if none runs
 	readingHead  bool          // the connection waits for a head or is reading one
+	waitingSince time.Time     // since when it does
 	head         headScanner   // of the current request, or of the part of the next head that has been read
 	headDeadline time.Time     // deadline of the head that is being read; zero for none
 	claimOpen    bool          // the claim of the current request was opened
@@ -57,6 +58,7 @@
 	defer c.mu.Unlock()
 	c.stopCloseWatch()
 	c.readingHead = true
+	c.waitingSince = time.Now()
 	c.head = headScanner{}
 	c.headDeadline = time.Time{}
 	c.claimOpen = false
@@ -168,6 +170,13 @@
 // endRead ends the read of a request that has to yield.
 func (c *guardedConn) endRead() { _ = c.Conn.SetReadDeadline(expired) }
 
+// waiting returns since when the connection waits for a head or is reading one, and whether it has read a part of it.
+func (c *guardedConn) waiting() (since time.Time, started, isWaiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingSince, c.head.bytes > 0, c.readingHead
+}
+
 // startCloseWatch starts to watch for the client's close while a request is being handled. The caller holds the lock. During a request
 // the server detects that close by reading single bytes in the background, but it stops at the first byte of the next request.
 func (c *guardedConn) startCloseWatch() {
@@ -186,8 +195,9 @@
 	}
 }
 
-// Close closes the connection and cancels its context, which would otherwise stay registered with the server's context.
+// Close closes the connection, removes it from its guard and cancels its context, which would otherwise stay registered with the server's context.
 func (c *guardedConn) Close() error {
+	c.guard.connections.remove(c)
 	c.mu.Lock()
 	c.stopCloseWatch()
 	c.mu.Unlock()
@@ -201,8 +211,9 @@
 func (c *guardedConn) scanHead(data []byte) {
 	if c.head.bytes == 0 {
 		c.openClaimLocked()
+		c.waitingSince = time.Now()
 		if timeout := time.Duration(c.guard.headTimeout.Load()); timeout > 0 {
-			c.headDeadline = time.Now().Add(timeout)
+			c.headDeadline = c.waitingSince.Add(timeout)
 			_ = c.Conn.SetReadDeadline(c.headDeadline)
 		}
 	}
--- a/tier/httpguard/guard.go
+++ b/tier/httpguard/guard.go
@@ -18,6 +18,8 @@
 type Guard struct {
 	// Memory limits what the requests of all connections hold; nil for no limit.
 	Memory *clientmemory.Budget
+	// MaxConnections is the number of connections above which idle ones are closed; 0 for no limit.
+	MaxConnections int
 	// HeadTooLarge and Overloaded are the responses, as returned by Response, to a head that is too large and to a request for which
 	// there is no memory. Without them, the connection is closed.
 	HeadTooLarge []byte
@@ -25,6 +27,7 @@
 
 	headTimeout  atomic.Int64
 	maxHeadBytes atomic.Int64
+	connections  connectionSet
 }
 
 // SetHeadTimeout sets how long the head of a request may take, counted from its first byte; 0 means no limit.
@@ -96,13 +99,20 @@
 	guard *Guard
 }
 
-// Accept returns the next connection, wrapped in a guardedConn.
+// Accept returns the next connection, wrapped in a guardedConn. At the maximum number of connections it closes an idle one, or the new
+// one if none is idle.
 func (l *guardedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &guardedConn{Conn: inner, guard: l.guard, readingHead: true, waitingSince: time.Now()}
+		if l.guard.connections.add(conn, l.guard.MaxConnections) {
+			return conn, nil
+		}
+		_ = inner.Close() // nothing was read, so the client can tell that its request has not run
 	}
-	return &guardedConn{Conn: conn, guard: l.guard, readingHead: true}, nil
 }
 
 // Response returns a complete response that closes its connection. retryAfter is the value of the Retry-After header, or empty.
--- a/tier/httpguard/limits_test.go
+++ b/tier/httpguard/limits_test.go
@@ -128,3 +128,36 @@
 		t.Fatalf("%d", got)
 	}
 }
+
+// At the limit, the connection that has waited longest is closed, and the others still work. Without an idle one, the new connection is
+// closed.
+func TestIdleConnectionsYield(t *testing.T) {
+	address := serveLimited(t, &Guard{MaxConnections: 2})
+	oldest, oldestReader := dial(t, address)
+	if got, _ := roundTrip(t, oldest, oldestReader, post("1", "a")); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	busy, busyReader := dial(t, address)
+	if _, err := io.WriteString(busy, post("2", "a")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * minIdleTime)
+	newest, newestReader := dial(t, address)
+	if got, _ := roundTrip(t, newest, newestReader, post("1", "a")); got != http.StatusOK {
+		t.Fatalf("the newest connection: %d", got)
+	}
+	if _, err := oldestReader.ReadByte(); err == nil {
+		t.Fatal("the oldest connection is still open")
+	}
+	if _, err := io.WriteString(newest, post("2", "a")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * minIdleTime)
+	_, refused := dial(t, address)
+	if _, err := refused.ReadByte(); err == nil {
+		t.Fatal("a connection was accepted while all others were busy")
+	}
+	if got, _ := roundTrip(t, busy, busyReader, "b"); got != http.StatusOK {
+		t.Fatalf("the busy connection: %d", got)
+	}
+}
--- a/tier/proxy/clientlimits.go
+++ b/tier/proxy/clientlimits.go
@@ -16,6 +16,7 @@
 // limitClients sets what clients may hold.
 func (p *Proxy) limitClients(l limits.Limits) {
 	p.guard.Memory = clientmemory.NewBudget(l.ClientBytes())
+	p.guard.MaxConnections = l.ClientConnections()
 	p.guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", problemBody(codes.HeadTooLarge))
 	p.guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, overloadRetryAfter, problemBody(codes.Overloaded))
 }
