Proxies bound what readiness probes hold

What callers saw: 40 open heads of 1 MB at the readiness port took a proxy of 128 MB to 367 MB. Cause: a plain http.Server without any limit or timeout. Change: the port has a guard of its own, apart from clients: heads of 8 KB, 5 s for a request, a small share of memory and connections.

--- a/tier/proxy/clientlimits.go
+++ b/tier/proxy/clientlimits.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"otterseam/tier/clientmemory"
 	"otterseam/tier/codes"
@@ -10,15 +11,27 @@
 	"otterseam/tier/limits"
 )
 
+// Limits of the port for readiness probes, whose requests are short and have no body.
+const (
+	maxProbeHeadBytes = 8 << 10
+	probeTimeout      = 5 * time.Second
+)
+
 // overloadRetryAfter is the Retry-After header, in seconds, of requests that are rejected before their head is complete.
 const overloadRetryAfter = "1"
 
-// limitClients sets what clients may hold.
+// limitClients sets what clients and readiness probes may hold. They have limits apart from each other.
 func (p *Proxy) limitClients(l limits.Limits) {
 	p.guard.Memory = clientmemory.NewBudget(l.ClientBytes())
 	p.guard.MaxConnections = l.ClientConnections()
-	p.guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", problemBody(codes.HeadTooLarge))
-	p.guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, overloadRetryAfter, problemBody(codes.Overloaded))
+	p.probeGuard.Memory = clientmemory.NewBudget(l.ProbeBytes())
+	p.probeGuard.MaxConnections = l.ProbeConnections()
+	p.probeGuard.SetMaxHeadBytes(maxProbeHeadBytes)
+	p.probeGuard.SetHeadTimeout(probeTimeout)
+	for _, guard := range []*httpguard.Guard{&p.guard, &p.probeGuard} {
+		guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", problemBody(codes.HeadTooLarge))
+		guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, overloadRetryAfter, problemBody(codes.Overloaded))
+	}
 }
 
 // problemBody returns the body of an error response with a code.
@@ -26,3 +39,16 @@
 	body, _ := json.Marshal(problem{Code: uint16(code), Error: code.Error()})
 	return body
 }
+
+// newProbeServer returns the HTTP server for readiness probes. Its listener has to be wrapped by probeGuard.
+func (p *Proxy) newProbeServer() *http.Server {
+	server := &http.Server{
+		Handler:        p.readinessRoutes(),
+		ReadTimeout:    probeTimeout,
+		WriteTimeout:   probeTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxProbeHeadBytes,
+	}
+	p.probeGuard.Install(server)
+	return server
+}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -40,6 +40,8 @@
 	timeline *timeline.Timeline
 	guard    httpguard.Guard
 
+	probeGuard httpguard.Guard // of the connections of readiness probes
+
 	view        *feed.View
 	routes      atomic.Pointer[opconfig.Table] // nil before the first configuration
 	routesReady chan struct{}                  // closed when the first routes are set
@@ -112,7 +114,7 @@
 	p.startBackgroundTasks(background, &running)
 
 	clients := p.newServer(http.HandlerFunc(p.serve))
-	probes := &http.Server{Handler: p.readinessRoutes()}
+	probes := p.newProbeServer()
 	failed := make(chan error, 2)
 	running.Add(2)
 	go func() {
@@ -121,7 +123,7 @@
 	}()
 	go func() {
 		defer running.Done()
-		failed <- oops.Wrapf(ignoreServerClosed(probes.Serve(readiness)), "listen.readiness")
+		failed <- oops.Wrapf(ignoreServerClosed(probes.Serve(p.probeGuard.Listen(readiness))), "listen.readiness")
 	}()
 
 	var serveErr error
