Control bounds what operators and hosts make it hold

What callers saw: 60 open heads of 1 MB took a control process of 128 MB to 557 MB, 20 bodies for config/replace one byte short to 392 MB, and such a body stayed open without end. Cause: net/http's own limit of 1 MB a head; 32 MB a body, read by doubling, without a time limit; no bound on the sum or on connections. Change: the guard and the budget of the proxy, with heads of 16 KB and 10 s for a body. Tests of tier/control pass.

--- a/tier/control/api/api.go
+++ b/tier/control/api/api.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,9 +12,12 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"otterseam/tier/clientmemory"
 	"otterseam/tier/codes"
 	"otterseam/tier/control/state"
 	"otterseam/tier/controlclient"
+	"otterseam/tier/httpguard"
+	"otterseam/tier/limits"
 )
 
 const (
@@ -26,8 +28,13 @@
 	// shutdownTimeout is the maximum time to wait for requests in flight at shutdown. It is above callTimeout.
 	shutdownTimeout = time.Second
 
+	maxHeadBytes      = 16 << 10
 	readHeaderTimeout = 5 * time.Second
+	bodyTimeout       = 10 * time.Second
 	idleTimeout       = time.Minute
+
+	// configCopies is how many copies of a configuration are in memory while it is checked and proposed.
+	configCopies = 2
 )
 
 // Backend executes the requests that the handlers have validated.
@@ -59,6 +66,8 @@
 	Address string
 	// StoresNeeded is the number of store machines that must remain when one is retired.
 	StoresNeeded uint32
+	// Limits are the limits of this process.
+	Limits limits.Limits
 }
 
 // API handles the HTTP requests of operators and hosts.
@@ -91,7 +100,11 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen.control")
 	}
-	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	guard := newGuard(a.config.Limits)
+	server := &http.Server{
+		Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+	guard.Install(server)
 	group, serving := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-serving.Done()
@@ -101,7 +114,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return oops.Wrapf(err, "listen.control")
 		}
 		return nil
@@ -130,16 +143,33 @@
 	return err == nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+// readBody reads the body of a request within a limit in bytes. copies is the number of copies of it that the handler holds at the same
+// time. If that fails, it writes an error response and returns false.
+func readBody(w http.ResponseWriter, r *http.Request, limit, copies int64) ([]byte, bool) {
+	body, err := httpguard.ReadBody(w, r, httpguard.BodyLimits{MaxBytes: limit, Deadline: time.Now().Add(bodyTimeout), Copies: copies})
 	if err == nil {
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		writeProblem(w, codes.BodyTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
-	} else {
+	case errors.Is(err, httpguard.ErrOverloaded):
+		w.Header().Set("Connection", "close")
+		writeProblem(w, codes.Overloaded, codes.Overloaded.Error())
+	default:
+		w.Header().Set("Connection", "close")
 		writeProblem(w, codes.Malformed, "the body cannot be read whole")
 	}
 	return nil, false
 }
+
+// newGuard returns the guard of the connections of operators and hosts.
+func newGuard(l limits.Limits) *httpguard.Guard {
+	guard := &httpguard.Guard{Memory: clientmemory.NewBudget(l.ClientBytes()), MaxConnections: l.ClientConnections()}
+	guard.SetMaxHeadBytes(maxHeadBytes)
+	guard.SetHeadTimeout(readHeaderTimeout)
+	guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, retryElsewhereAfter, nil)
+	guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", nil)
+	return guard
+}
--- a/tier/control/api/config.go
+++ b/tier/control/api/config.go
@@ -15,7 +15,7 @@
 const baseVersionHeader = "X-Base-Version"
 
 func (a *API) replaceConfig(w http.ResponseWriter, r *http.Request) {
-	body, ok := readBody(w, r, maxConfigBytes)
+	body, ok := readBody(w, r, maxConfigBytes, configCopies)
 	if !ok {
 		return
 	}
--- a/tier/control/api/hosts.go
+++ b/tier/control/api/hosts.go
@@ -14,7 +14,7 @@
 )
 
 func (a *API) heartbeat(w http.ResponseWriter, r *http.Request) {
-	body, ok := readBody(w, r, maxBodyBytes)
+	body, ok := readBody(w, r, maxBodyBytes, 1)
 	if !ok {
 		return
 	}
--- a/tier/control/server.go
+++ b/tier/control/server.go
@@ -23,6 +23,7 @@
 	"otterseam/tier/controlclient"
 	"otterseam/tier/feed"
 	"otterseam/tier/lease"
+	"otterseam/tier/limits"
 	"otterseam/tier/membership"
 	"otterseam/tier/multigroup"
 	"otterseam/tier/periodic"
@@ -173,7 +174,9 @@
 }
 
 func (s *Server) wireAPI() {
-	config := api.Config{Address: s.settings.ListenControl, StoresNeeded: uint32(s.settings.TolerateMachines + 1)}
+	config := api.Config{
+		Address: s.settings.ListenControl, StoresNeeded: uint32(s.settings.TolerateMachines + 1), Limits: limits.Of(s.settings),
+	}
 	s.api = api.New(config, &backend{
 		Proposer: s.proposer, Lease: s.status, hosts: s.hostHeartbeats, reconciler: s.reconciler, mayForward: s.status.MayForward,
 	})
