Proxies and stores bound the chains that turns continue

What callers saw: 200 turns that continue one kept turn of 3 MB took a proxy of 128 MB to 939 MB and a store of 192 MB to 1,232 MB, turns of another program 2,225 and 1,171 MB. Cause: a store encoded the chain for each of them and queued it, up to 96 MB a connection; a proxy read all answers and built a prompt and a request of each. Change: a store encodes a large answer when there is memory for it and keeps that until the answer is written; meanwhile the chain is the state's own. A proxy reads large answers a few at a time and reserves what prompt and request need before it builds them, else 503. A request that doesn't fit waits half a second for others to end before it is refused.

--- a/harness/misbehavior/tier_test.go
+++ b/harness/misbehavior/tier_test.go
@@ -316,6 +316,38 @@
 	}
 }
 
+// Guards against the memory of a large chain that many turns continue at once, in the proxy, which sends it to hosts, and in the stores,
+// which send it to the proxy.
+func TestProcessesBoundContinuedChains(t *testing.T) { checkContinuedChain(t, "chain") }
+
+// The same for turns of another program, which search the chain in all shards.
+func TestProcessesBoundChainsOfOtherPrograms(t *testing.T) { checkContinuedChain(t, "other") }
+
+// checkContinuedChain lets many turns of a program continue a large chain of the program "chain".
+func checkContinuedChain(t *testing.T, program string) {
+	t.Helper()
+	s := startTier(t)
+	got, id := s.turn("chain", "", strings.Repeat("z", 3<<20))
+	if got.Err != nil || got.Status != http.StatusOK {
+		t.Fatalf("the first turn: %s", summary(got))
+	}
+	request := retainedTurn(10, 0)
+	request.Path = "/chat/x?" + tierhost.PauseParameter + "=1000"
+	request.Fields = []string{
+		"Program: " + program, "Session: chain", "Budget: 1000000", "X-Token-Count: 1,6", "X-Deadline-Ms: 60000", "Previous: " + id,
+	}
+	crowd := Start(s.front(), 200, Body(request))
+	defer crowd.Stop()
+	crowd.AwaitSent()
+	time.Sleep(holdTime)
+	s.checkOrdinaryRequests()
+	s.checkContinued("chain", id, 3<<20)
+	checkMemory(t, s.proxy(), processMemoryMB)
+	for i := range 3 {
+		checkMemory(t, s.cluster.Machine(fmt.Sprintf("storage-%d", i+1)).Process("store"), storeMemoryMB)
+	}
+}
+
 // checkContinued checks that a turn that was answered can be continued with all of its text, or is refused for now.
 func (s *tier) checkContinued(program, id string, bytes int) {
 	s.Helper()
--- a/tier/clientmemory/budget.go
+++ b/tier/clientmemory/budget.go
@@ -19,7 +19,7 @@
 )
 
 var (
-	// ErrSpent is returned if there is not enough memory and no request yields.
+	// ErrSpent is returned if a request is larger than it may ever be.
 	ErrSpent = errors.New("the memory for requests is spent")
 	// ErrEvicted is returned to a request that has had to yield.
 	ErrEvicted = errors.New("the request was given up to free memory")
@@ -67,8 +67,8 @@
 	b.receiving[c] = true
 }
 
-// Reserve adds bytes to the claim. If a channel is returned, other requests are yielding: the caller has to try again when the channel is
-// closed. The error is ErrSpent or ErrEvicted.
+// Reserve adds bytes to the claim. If a channel is returned, the bytes don't fit now: requests that can make room are yielding, and the
+// caller may try again when the channel is closed. The error is ErrSpent or ErrEvicted.
 func (c *Claim) Reserve(bytes int64, now time.Time) (wait <-chan struct{}, err error) {
 	b := c.budget
 	if b == nil {
@@ -86,18 +86,18 @@
 		b.mu.Unlock()
 		return nil, nil
 	}
-	victims, enough := b.selectVictims(c, bytes, limit, now)
-	if enough {
-		b.waiting++
-		wait = b.released
-	} else {
-		err = ErrSpent
+	if c.bytes+bytes > limit {
+		b.mu.Unlock()
+		return nil, ErrSpent
 	}
+	victims := b.selectVictims(c, bytes, limit, now)
+	b.waiting++
+	wait = b.released
 	b.mu.Unlock()
 	for _, victim := range victims {
 		victim()
 	}
-	return wait, err
+	return wait, nil
 }
 
 // limitFor returns how much of the budget may be used by a request of a size.
@@ -108,9 +108,9 @@
 	return b.limit
 }
 
-// selectVictims marks so many requests as evicted that the bytes fit, and returns their evict functions. If they never would, it marks
-// none and returns false. The caller holds the lock.
-func (b *Budget) selectVictims(c *Claim, bytes, limit int64, now time.Time) (evict []func(), enough bool) {
+// selectVictims marks so many requests as evicted that the bytes fit, and returns their evict functions. If they wouldn't fit, it marks
+// none. The caller holds the lock.
+func (b *Budget) selectVictims(c *Claim, bytes, limit int64, now time.Time) (evict []func()) {
 	var victims []*Claim
 	yielding := b.yielding
 	for b.used-yielding+bytes > limit {
@@ -120,7 +120,7 @@
 				each.evicted = false
 				b.receiving[each] = true
 			}
-			return nil, false
+			return nil
 		}
 		victim.evicted = true
 		delete(b.receiving, victim)
@@ -131,7 +131,7 @@
 	for _, each := range victims {
 		evict = append(evict, each.evict)
 	}
-	return evict, true
+	return evict
 }
 
 // worst returns the request that has held most for longest, other than c, or nil if there is none that may have to yield.
--- a/tier/httpguard/body.go
+++ b/tier/httpguard/body.go
@@ -13,7 +13,7 @@
 const (
 	firstBodyBytes = 4 << 10  // first buffer of a body of unknown length
 	maxFirstBytes  = 64 << 10 // first buffer of a body of known length
-	// reservePatience is how long a request waits for others that yield.
+	// reservePatience is how long a request waits for memory that others give back.
 	reservePatience = 500 * time.Millisecond
 )
 
@@ -162,7 +162,8 @@
 	return err
 }
 
-// reserve reserves memory. It waits for requests that yield, at most for reservePatience and until the deadline, if there is one.
+// reserve reserves memory. It waits until other requests have given back enough, at most for reservePatience and until the deadline, if
+// there is one.
 func reserve(claim *clientmemory.Claim, bytes int64, deadline time.Time) error {
 	var patience <-chan time.Time
 	for {
--- a/tier/programs/result.go
+++ b/tier/programs/result.go
@@ -34,10 +34,22 @@
 	return time.Duration(r.ChainTTL-clockSkew) * time.Millisecond
 }
 
+// resultOverhead is the usual size of an encoded result without its chain.
+const resultOverhead = 64
+
+// ChainBytes returns the encoded size of the chain.
+func (r Result) ChainBytes() int {
+	total := 0
+	for _, part := range r.Chain {
+		total += minBlobBytes + len(part)
+	}
+	return total
+}
+
 // Encode returns the result in its wire form, without the code. ChainTTL is its last field and is omitted if it is 0, which is the form
 // that older versions know.
 func (r Result) Encode() []byte {
-	var e codec.Encoder
+	e := codec.Encoder{Bytes: make([]byte, 0, resultOverhead+r.ChainBytes())}
 	e.String(r.Host)
 	e.Uint32(uint32(len(r.Chain)))
 	for _, part := range r.Chain {
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -23,10 +23,9 @@
 	storeRetryInterval = 30 * time.Millisecond
 	// largeCommandBytes is the size from which on a command is large. Large ones get more time, wait longer before they are sent again
 	// and are sent a few at a time, so that they don't fill the memory of the stores.
-	largeCommandBytes       = 64 << 10
-	largeCallTimeout        = 1500 * time.Millisecond
-	largeRetryInterval      = 250 * time.Millisecond
-	maxLargeBytesInProgress = 8 << 20
+	largeCommandBytes  = 64 << 10
+	largeCallTimeout   = 1500 * time.Millisecond
+	largeRetryInterval = 250 * time.Millisecond
 )
 
 // ticketSource issues the tickets of the turns that this process begins.
@@ -48,7 +47,9 @@
 	view    *feed.View
 	tickets *ticketSource
 	outages *outageTracker
-	large   *semaphore.Weighted // bytes of the large commands that are being sent
+	large   *semaphore.Weighted // bytes of the large commands that are being sent, largeBytes in total
+	// largeBytes limits the large commands that are being sent and, apart from them, the large answers that are being received.
+	largeBytes int64
 
 	mu              sync.Mutex // guards the shard map below
 	shards          map[uint32]directory.Shard
@@ -56,10 +57,12 @@
 	shardMapChanged chan struct{} // closed and replaced when the shard map changes
 }
 
-func newProgramClient(view *feed.View, outages *outageTracker) *programClient {
+// newProgramClient returns a client. The large commands that it sends at the same time, and the large answers that it receives, stay
+// within a number of bytes.
+func newProgramClient(view *feed.View, outages *outageTracker, largeBytes int64) *programClient {
 	return &programClient{
-		clients: rpc.NewClients(nil), view: view, tickets: newTicketSource(), outages: outages,
-		large: semaphore.NewWeighted(maxLargeBytesInProgress), shardMapChanged: make(chan struct{}),
+		clients: rpc.NewClientsWithin(nil, rpc.NewFrameBudget(largeBytes)), view: view, tickets: newTicketSource(), outages: outages,
+		large: semaphore.NewWeighted(largeBytes), largeBytes: largeBytes, shardMapChanged: make(chan struct{}),
 	}
 }
 
@@ -172,7 +175,7 @@
 	timeout := storeCallTimeout
 	if len(command) >= largeCommandBytes {
 		timeout = largeCallTimeout
-		weight := min(int64(len(command)), maxLargeBytesInProgress)
+		weight := min(int64(len(command)), c.largeBytes)
 		if c.large.Acquire(ctx, weight) != nil {
 			return programs.Result{}, codes.StoreUnreachable
 		}
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -79,7 +79,7 @@
 		timeline:          timeline.New(log),
 		view:              view,
 		routesReady:       make(chan struct{}),
-		programs:          newProgramClient(view, outages),
+		programs:          newProgramClient(view, outages, limits.Of(s).CommandBytes()),
 		latencies:         newRouteLatencies(),
 		outages:           outages,
 		agent:             rpc.NewClient(s.AgentAddress(), nil),
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"otterseam/tier/codes"
+	"otterseam/tier/httpguard"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/programs"
 	"otterseam/tier/timeline"
@@ -117,7 +118,9 @@
 		return err
 	}
 	t.preferredHost = result.Host
-	t.prompt = buildPrompt(result.Chain, t.body)
+	if t.prompt, err = reservePrompt(ctx, result.Chain, t.body); err != nil {
+		return err
+	}
 	t.chainExpiresAt = begunAt.Add(result.ChainGuarantee())
 	return nil
 }
@@ -130,7 +133,9 @@
 		return err
 	}
 	t.previous = ""
-	t.prompt = buildPrompt(found.Chain, t.body)
+	if t.prompt, err = reservePrompt(ctx, found.Chain, t.body); err != nil {
+		return err
+	}
 	t.body = t.prompt
 	t.preferredHost = found.Host
 	_, err = p.programs.call(ctx, t.program, t.beginCommand().Encode())
@@ -163,6 +168,22 @@
 	return uint64(len(t.body)) + output + 1
 }
 
+// promptCopies is how many copies of a chain are in memory at the same time: the answer of the store, the prompt and the request to the
+// host.
+const promptCopies = 3
+
+// reservePrompt reserves memory for a prompt until the request ends, and builds it. The error is codes.Overloaded.
+func reservePrompt(ctx context.Context, chain [][]byte, input []byte) ([]byte, error) {
+	size := 0
+	for _, part := range chain {
+		size += len(part)
+	}
+	if size > 0 && httpguard.Reserve(ctx, int64(size)*promptCopies) != nil {
+		return nil, codes.Overloaded
+	}
+	return buildPrompt(chain, input), nil
+}
+
 // buildPrompt returns the texts of a chain followed by the new input.
 func buildPrompt(chain [][]byte, input []byte) []byte {
 	if len(chain) == 0 {
@@ -189,6 +210,9 @@
 		p.fail(w, http.StatusPaymentRequired, codes.BudgetSpent)
 	case errors.Is(err, codes.StoreFull):
 		p.reject(w, codes.StoreFull, t.remaining(), storeFullDelay)
+	case errors.Is(err, codes.Overloaded):
+		p.settleInBackground(t, t.abortCommand(0, ""))
+		p.reject(w, codes.Overloaded, t.remaining(), overloadDelay)
 	case errors.Is(err, codes.TurnUnknown):
 		// a duplicate of the begin command may still be in flight; it charges nothing once the turn is settled
 		p.settleInBackground(t, t.abortCommand(0, ""))
--- a/tier/rpc/call.go
+++ b/tier/rpc/call.go
@@ -16,6 +16,7 @@
 type answer struct {
 	code    codes.Code
 	payload []byte
+	release func() // releases the frame from its budget
 }
 
 // Call sends a call and waits for its answer. A code other than OK is returned as the error.
@@ -37,14 +38,13 @@
 	c.send(header{Kind: kind, ID: id}, payload)
 	select {
 	case got := <-channel:
+		got.release()
 		if got.code != codes.OK {
 			return got.payload, got.code
 		}
 		return got.payload, nil
 	case <-ctx.Done():
-		c.mu.Lock()
-		delete(c.pending, id)
-		c.mu.Unlock()
+		c.abandon(id, channel)
 		if isUnresponsive(sentAt, time.Since(c.openedAt), time.Duration(c.lastReadAt.Load())) {
 			c.Close()
 		}
@@ -52,6 +52,18 @@
 	}
 }
 
+// abandon drops the answer to a call that no longer waits, also one that is being delivered.
+func (c *Conn) abandon(id uint64, channel <-chan answer) {
+	c.mu.Lock()
+	_, pending := c.pending[id]
+	delete(c.pending, id)
+	c.mu.Unlock()
+	if !pending {
+		got := <-channel // deliver or Close has taken it and sends without blocking
+		got.release()
+	}
+}
+
 // isUnresponsive reports whether a call has been pending for at least unresponsiveTimeout and the connection has received nothing since
 // it was sent. Times are relative to the opening of the connection.
 func isUnresponsive(sentAt, now, lastReadAt time.Duration) bool {
--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -15,6 +15,7 @@
 type Client struct {
 	address string
 	handler Handler
+	frames  *FrameBudget // limits the frames that are received; nil for no limit
 
 	mu            sync.Mutex      // guards the fields below
 	conn          *Conn           // nil until the first dial succeeds; may have ended
@@ -139,7 +140,7 @@
 	done := make(chan struct{})
 	c.dialing = done
 	go func() {
-		conn, err := Dial(context.Background(), c.address, c.handler)
+		conn, err := dialWithin(context.Background(), c.address, c.handler, c.frames)
 		c.mu.Lock()
 		c.dialing = nil
 		switch {
--- a/tier/rpc/conn.go
+++ b/tier/rpc/conn.go
@@ -12,6 +12,9 @@
 // maxQueuedBytes is the limit of the queue of a connection whose peer does not read. The connection ends when the queue would exceed it.
 const maxQueuedBytes = 96 << 20
 
+// writtenPollInterval is the interval between two checks of AwaitWritten.
+const writtenPollInterval = 2 * time.Millisecond
+
 // Conn is a connection. Both ends may send calls, answers and one-way messages. Each end numbers its calls on a connection from 1 and
 // never reuses a number, so that an answer belongs to exactly one call on one connection. An answer that arrives after its call has
 // ended, or on another connection, is dropped.
@@ -50,9 +53,10 @@
 	return c
 }
 
-// openConn wraps a socket, and starts writeLoop and readLoop.
-func openConn(socket net.Conn, handler Handler) *Conn {
+// openConn wraps a socket, and starts writeLoop and readLoop. The frames that are received stay within a budget, which may be nil.
+func openConn(socket net.Conn, handler Handler, frames *FrameBudget) *Conn {
 	c := newConn(socket, handler)
+	c.frames = frames
 	c.loops.Go(c.readLoop)
 	return c
 }
@@ -90,7 +94,17 @@
 	_ = c.socket.Close()
 	close(c.closed)
 	for _, channel := range pending {
-		channel <- answer{code: codes.LinkBroken}
+		channel <- answer{code: codes.LinkBroken, release: func() {}}
+	}
+}
+
+// AwaitWritten waits until what was queued has been written, but for some bytes, or the connection has ended.
+func (c *Conn) AwaitWritten(bytes int) {
+	for c.isOpen() && c.queuedBytes() > bytes {
+		select {
+		case <-c.closed:
+		case <-time.After(writtenPollInterval):
+		}
 	}
 }
 
--- a/tier/rpc/dial.go
+++ b/tier/rpc/dial.go
@@ -13,6 +13,11 @@
 
 // Dial opens a connection. The error is codes.LinkBroken. The handler receives the calls and one-way messages of the peer; it may be nil.
 func Dial(ctx context.Context, address string, handler Handler) (*Conn, error) {
+	return dialWithin(ctx, address, handler, nil)
+}
+
+// dialWithin is like Dial. The frames that are received stay within a budget, which may be nil.
+func dialWithin(ctx context.Context, address string, handler Handler, frames *FrameBudget) (*Conn, error) {
 	call, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	socket, err := dialHedged(call, func(ctx context.Context) (net.Conn, error) {
@@ -24,7 +29,7 @@
 	if handler == nil {
 		handler = func(Message) {}
 	}
-	return openConn(socket, handler), nil
+	return openConn(socket, handler, frames), nil
 }
 
 // hedgeDelay is how long a dial waits before it starts another attempt in parallel. The SYN packet to a machine that is still starting
--- a/tier/rpc/loops.go
+++ b/tier/rpc/loops.go
@@ -60,27 +60,30 @@
 	if err != nil {
 		return err
 	}
-	defer release()
 	payload, err := readPayload(reader, int(h.Length))
 	if err != nil {
+		release()
 		return err
 	}
 	c.lastReadAt.Store(int64(time.Since(c.openedAt)))
 	if h.Kind == kindAnswer {
-		c.deliver(h, payload)
+		c.deliver(h, payload, release)
 		return nil
 	}
+	defer release()
 	c.handler(Message{Kind: h.Kind, Payload: payload, Conn: c, id: h.ID})
 	return nil
 }
 
-// deliver passes an answer to its pending call. It drops the answer if there is none.
-func (c *Conn) deliver(h header, payload []byte) {
+// deliver passes an answer to its pending call, which releases it. It drops the answer if there is none.
+func (c *Conn) deliver(h header, payload []byte, release func()) {
 	c.mu.Lock()
 	channel := c.pending[h.ID]
 	delete(c.pending, h.ID)
 	c.mu.Unlock()
 	if channel != nil {
-		channel <- answer{code: codes.Code(h.Code), payload: payload}
+		channel <- answer{code: codes.Code(h.Code), payload: payload, release: release}
+	} else {
+		release()
 	}
 }
--- a/tier/rpc/serve.go
+++ b/tier/rpc/serve.go
@@ -25,8 +25,6 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConn(socket, handler)
-		c.frames = budget
-		c.loops.Go(c.readLoop)
+		openConn(socket, handler, budget)
 	}
 }
--- a/tier/store/commandbudget.go
+++ b/tier/store/commandbudget.go
@@ -12,20 +12,23 @@
 const (
 	// largeCommandBytes is the size from which on a command counts against the budget. Smaller ones must never wait for larger ones.
 	largeCommandBytes = 64 << 10
-	// maxWaitingShare is how many times the budget may wait for it.
-	maxWaitingShare = 1
+	// maxWaitingAnswers is how many times their budget large answers may wait for. They take no memory while they wait, other than
+	// commands.
+	maxWaitingAnswers = 64
 )
 
-// commandBudget limits the memory of the large commands that wait to be committed. Each one is in memory several times until then: in the
-// log, in the write to disk and in the messages to the replicas.
+// commandBudget limits the memory of large commands that wait to be committed, or of large answers that wait to be written. Each one is in
+// memory several times until then: a command in the log, in the write to disk and in the messages to the replicas.
 type commandBudget struct {
-	bytes    int64
-	admitted *semaphore.Weighted
-	waiting  atomic.Int64 // bytes of the commands that wait for the budget
+	bytes      int64
+	maxWaiting int64 // bytes that may wait for the budget
+	admitted   *semaphore.Weighted
+	waiting    atomic.Int64 // bytes that wait for the budget
 }
 
-func newCommandBudget(bytes int64) *commandBudget {
-	return &commandBudget{bytes: bytes, admitted: semaphore.NewWeighted(bytes)}
+// newCommandBudget returns a budget of a number of bytes, for which a number of times as many may wait.
+func newCommandBudget(bytes, maxWaiting int64) *commandBudget {
+	return &commandBudget{bytes: bytes, maxWaiting: maxWaiting * bytes, admitted: semaphore.NewWeighted(bytes)}
 }
 
 // acquire waits until a command fits into the budget and returns the function that releases it. It returns codes.Unavailable at once if
@@ -40,7 +43,7 @@
 		return release, nil
 	}
 	defer b.waiting.Add(-weight)
-	if b.waiting.Add(weight) > maxWaitingShare*b.bytes {
+	if b.waiting.Add(weight) > b.maxWaiting {
 		return nil, codes.Unavailable
 	}
 	if b.admitted.Acquire(ctx, weight) != nil {
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -35,7 +35,28 @@
 		return
 	}
 	s.timeline.Reach(timeline.ShardLed)
+	s.answer(message, result)
+}
+
+// maxQueuedAnswerBytes is how many bytes may wait for a connection after a large answer before the answer's memory counts as released.
+const maxQueuedAnswerBytes = 64 << 10
+
+// answer sends the result of a command. A large one, which contains a chain, is encoded only when there is memory for it, and keeps that
+// until most of it has been written. Until then the chain is the one of the state.
+func (s *Server) answer(message rpc.Message, result programs.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	size := result.ChainBytes()
+	release, err := s.answers.acquire(ctx, size)
+	if err != nil {
+		message.Answer(codes.Unavailable, nil)
+		return
+	}
+	defer release()
 	message.Answer(result.Code, result.Encode())
+	if size >= largeCommandBytes {
+		message.Conn.AwaitWritten(maxQueuedAnswerBytes)
+	}
 }
 
 // execute submits a command. The error codes.StoreFull means that the command was not proposed.
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -36,7 +36,8 @@
 	timeline *timeline.Timeline
 	loads    *loadHome
 	frames   *rpc.FrameBudget
-	commands *commandBudget
+	commands *commandBudget // of the commands that wait to be committed
+	answers  *commandBudget // of the answers that are being written
 	turns    *turnAdmission
 
 	shardsMu sync.Mutex // held while a shard is opened or dropped
@@ -69,7 +70,8 @@
 		changing: map[uint32]bool{},
 		timeline: steps,
 		frames:   rpc.NewFrameBudget(processLimits.CommandBytes()),
-		commands: newCommandBudget(processLimits.CommandBytes()),
+		commands: newCommandBudget(processLimits.CommandBytes(), 1),
+		answers:  newCommandBudget(processLimits.CommandBytes(), maxWaitingAnswers),
 		turns:    newTurnAdmission(processLimits),
 		self: directory.Store{
 			Identity: node.Identity, Incarnation: rand.Uint64(), Node: s.Node, Address: s.StoreAddress(), Zone: s.Zone,
