Quota stores reject calls beyond 2,048 that wait in a group

What callers saw: 200 callers that each pipeline 2,000 additions and read no response kept a replica busy for more than 5 minutes (a trial on a scratch test; 2 to 3 cores, ended by hand); an ordinary call was not answered within 30 s, nor in those 5 minutes. Cause: each call that is added looks at all that wait, and all of them are sent again after 0.3 s: the time grows with the square of what waits, which nothing bounded. A dump of the goroutines shows the event loop in sendDue. Change: beyond 2,048 waiting calls of a group further ones are rejected at once, which promises that they were not executed. Tests of quotastore/... pass.

--- a/quotastore/replication/node_test.go
+++ b/quotastore/replication/node_test.go
@@ -148,3 +148,26 @@
 		n.Tick(2)
 	})
 }
+
+// A group with too many requests in progress rejects further ones at once, which promises that they were not executed.
+func TestRequestsBeyondTheMaximumAreRejected(t *testing.T) {
+	n := newNode(t, 1)
+	rejected := 0
+	submit := func() {
+		n.Submit(0, statemachine.Command{Kind: statemachine.Add, Key: "k", Amount: 1, TTL: 1}, func(outcome Outcome, _ statemachine.Reply) {
+			if outcome == Rejected {
+				rejected++
+			}
+		})
+	}
+	for range maxPendingRequests {
+		submit()
+	}
+	if rejected != 0 {
+		t.Fatalf("%d requests within the maximum were rejected", rejected)
+	}
+	submit()
+	if rejected != 1 {
+		t.Fatalf("%d requests beyond the maximum were rejected", rejected)
+	}
+}
--- a/quotastore/replication/requests.go
+++ b/quotastore/replication/requests.go
@@ -17,6 +17,10 @@
 	neverSent        = -1.0 // value of sentAt that makes a request due at once
 )
 
+// maxPendingRequests is the number of requests of a group that wait for their outcomes above which further ones are rejected. Each of them
+// is looked at whenever one is added, and sent again if it is not answered in time, so that more would take longer than they may wait.
+const maxPendingRequests = 2048
+
 // Outcome is the result of submitting a command.
 type Outcome int
 
@@ -56,7 +60,7 @@
 	c := n.clients[group]
 	n.submitted++
 	q := &request{command: command, id: n.submitted, createdAt: n.now, idempotent: isIdempotent(command.Kind), done: done}
-	if n.cluster == 0 || c.unavailable(n.now) {
+	if n.cluster == 0 || c.unavailable(n.now) || len(c.pending) >= maxPendingRequests {
 		done(Rejected, statemachine.Reply{})
 		return
 	}
