Quota stores bound the frames of connections

What callers saw: 8 connections to the port of gateways and operators that announce a frame of 48 MB and stop one byte short took a replica of 96 MB to 514 MB. Cause: a frame of 64 MB was received before its sender had said who it is, without a bound on the sum. Frames of peers stay as they were.

--- a/cmd/otterseam-quotastore/run.go
+++ b/cmd/otterseam-quotastore/run.go
@@ -42,7 +42,9 @@
 	if err != nil {
 		return err
 	}
-	options := server.Options{Name: c.Name, Dir: c.Dir, PeerAddress: c.PeerAddress, CounterAddress: c.CounterAddress}
+	options := server.Options{
+		Name: c.Name, Dir: c.Dir, PeerAddress: c.PeerAddress, CounterAddress: c.CounterAddress, MemoryBytes: int64(c.Memory * bytesPerMB),
+	}
 	s, err := server.New(config, options, log)
 	if err != nil {
 		return err
--- a/quotastore/server/server.go
+++ b/quotastore/server/server.go
@@ -20,6 +20,7 @@
 	Dir            string // data directory; "": data is lost when the process ends
 	PeerAddress    string // listen address for servers and clients; "": as configured
 	CounterAddress string // listen address for callers of the counter's protocol; "": as configured
+	MemoryBytes    int64  // memory that the process should stay within; 0: the default of 256 MB
 }
 
 // Server is one running server of the quota store.
@@ -93,7 +94,7 @@
 	if options.CounterAddress != "" {
 		counterAddress = options.CounterAddress
 	}
-	if s.transport, err = newTransport(s, number, peerAddress); err != nil {
+	if s.transport, err = newTransport(s, number, peerAddress, options.MemoryBytes); err != nil {
 		return err
 	}
 	if s.counter, err = newCounterListener(s, counterAddress); err != nil {
--- a/quotastore/server/server_test.go
+++ b/quotastore/server/server_test.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -301,3 +304,44 @@
 		}
 	}
 }
+
+// A first frame longer than any hello, and a client's frame longer than the memory for frames, end the connection before they are
+// received. Frames within the memory are received.
+func TestLongFramesEndTheConnection(t *testing.T) {
+	const memoryBytes = 1 << 20
+	config := singleServerConfig()
+	config = reachableConfig(startServer(t, config, Options{Name: "alone", MemoryBytes: memoryBytes}))
+	hello, err := protocol.ClientHello().AppendTo(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unknown := &protocol.Admin{Operation: strings.Repeat("x", memoryBytes/frameMemoryShare-100)}
+	allowed, err := protocol.AdminFrame(unknown).AppendTo(hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	length := func(n uint32) []byte { return binary.BigEndian.AppendUint32(nil, n) }
+	for name, test := range map[string]struct {
+		sent     []byte
+		answered bool
+	}{
+		"first frame": {length(maxHelloBytes + 1), false},
+		"later frame": {slices.Concat(hello, length(memoryBytes/frameMemoryShare+1)), false},
+		"allowed":     {allowed, true},
+	} {
+		conn, err := net.Dial("tcp", config.Members[0].PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(test.sent); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := protocol.ReadFrame(bufio.NewReader(conn), protocol.MaxFrameBytes); (err == nil) != test.answered {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/quotastore/server/transport.go
+++ b/quotastore/server/transport.go
@@ -29,6 +29,8 @@
 	listener net.Listener
 	conns    *connSet
 
+	clientFrames *frameMemory
+
 	// Set by start before any goroutine starts.
 	ctx   context.Context
 	group *errgroup.Group
@@ -37,12 +39,14 @@
 	peers []*peerStream // by server number; the one of this server is not used
 }
 
-func newTransport(s *Server, self int, address string) (*transport, error) {
+func newTransport(s *Server, self int, address string, memoryBytes int64) (*transport, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("peer listener: %w", err)
 	}
-	return &transport{server: s, self: self, listener: listener, conns: newConnSet(0)}, nil
+	return &transport{
+		server: s, self: self, listener: listener, conns: newConnSet(0), clientFrames: newFrameMemory(memoryBytes),
+	}, nil
 }
 
 // start starts the transport's goroutines in a group. When the context is done they end, and the listener and all connections
@@ -135,7 +139,7 @@
 func (t *transport) serve(conn net.Conn) {
 	r := bufio.NewReaderSize(conn, streamBuffer)
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	frame, err := protocol.ReadFrame(r, protocol.MaxFrameBytes)
+	frame, err := protocol.ReadFrame(r, maxHelloBytes)
 	if err != nil || frame.Hello == nil {
 		return
 	}
