Proxies and stores bound the outputs that turns keep

What callers saw: 120 turns of 1.6 MB of output each, from hosts that send more bytes a token than was taken for granted, filled the stores past their limit: ordinary turns got 503 for more than 30 s, until the first ones expired. Cause: room was reserved for 16 bytes a token, and an End was always kept, whatever it brought; a proxy held outputs without a bound. Change: a gateway reserves by the most bytes a token it has seen; an End that brings more than was reserved is kept if there is room, of which large turns leave a quarter, else the answer is broken off before its end, as when it can't be made durable. A proxy reserves memory for an output as it grows. Only large reservations count once for each primary. Tests of tier/admission, store, proxy and programs pass, with the race detector.

--- a/harness/misbehavior/tier_test.go
+++ b/harness/misbehavior/tier_test.go
@@ -348,6 +348,27 @@
 	}
 }
 
+// Guards against the memory of long outputs, in the proxy, which keeps them until the turn ends, and in the stores. The hosts send more
+// bytes for a token than the tier expects.
+func TestProcessesBoundLongOutputs(t *testing.T) {
+	s := startTier(t)
+	request := retainedTurn(10, 0)
+	request.Path = "/chat/x?" + tierhost.PaddingParameter + "=16384"
+	request.Fields = []string{"Program: long", "Session: long", "Budget: 1000000", "X-Token-Count: 1,300", "X-Deadline-Ms: 60000"}
+	for range 3 {
+		crowd := Start(s.front(), 40, Body(request))
+		defer crowd.Stop()
+		crowd.AwaitSent()
+		time.Sleep(holdTime)
+		request.IDStart += "next-"
+	}
+	s.checkOrdinaryRequests()
+	checkMemory(t, s.proxy(), processMemoryMB)
+	for i := range 3 {
+		checkMemory(t, s.cluster.Machine(fmt.Sprintf("storage-%d", i+1)).Process("store"), storeMemoryMB)
+	}
+}
+
 // checkContinued checks that a turn that was answered can be continued with all of its text, or is refused for now.
 func (s *tier) checkContinued(program, id string, bytes int) {
 	s.Helper()
--- a/harness/tierhost/serve.go
+++ b/harness/tierhost/serve.go
@@ -13,6 +13,10 @@
 // PauseParameter is the query parameter of a request that sets the pause after each event of its stream, in milliseconds.
 const PauseParameter = "pause_ms"
 
+// PaddingParameter is the query parameter of a request that sets the number of bytes by which the data of each event of its stream is
+// longer.
+const PaddingParameter = "padding_bytes"
+
 const (
 	// engineService is the service whose hosts send event streams. Hosts of other services send plain bodies.
 	engineService = "engine"
@@ -74,11 +78,13 @@
 }
 
 // stream sends the events for the maximum number of tokens, starting after the event of Last-Event-Id if there is one. The query
-// parameter PauseParameter makes it pause after each event.
+// parameter PauseParameter makes it pause after each event, PaddingParameter makes its data longer.
 func stream(w http.ResponseWriter, r *http.Request, tokenRange string, breakAfter int) {
 	_, maximum, _ := strings.Cut(tokenRange, ",")
-	tokens, _ := strconv.Atoi(maximum)                          // 0 if it isn't a number
-	pause, _ := strconv.Atoi(r.URL.Query().Get(PauseParameter)) // 0 if it isn't a number
+	tokens, _ := strconv.Atoi(maximum)                              // 0 if it isn't a number
+	pause, _ := strconv.Atoi(r.URL.Query().Get(PauseParameter))     // 0 if it isn't a number
+	padding, _ := strconv.Atoi(r.URL.Query().Get(PaddingParameter)) // 0 if it isn't a number
+	data := strings.Repeat("p", max(padding, 0))
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -89,7 +95,7 @@
 		if breakAfter > 0 && id-first >= breakAfter {
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id)
+		fmt.Fprintf(w, "id: %d\ndata: e%d%s\n\n", id, id, data)
 		flusher.Flush()
 		if !sleep(r.Context(), time.Duration(pause)*time.Millisecond) {
 			return
--- a/tier/admission/admission.go
+++ b/tier/admission/admission.go
@@ -1,6 +1,7 @@
 // Package admission decides whether the primary of a shard has room for a turn. The decision is made before the turn's Begin is
-// proposed, when a rejection still promises that the turn has not run: once it has run, its End is always accepted. Only the primary
-// decides, so that replicas apply the same commands whatever their own limits are. The package reads no clock.
+// proposed, when a rejection still promises that the turn has not run. The End of a turn that needs no more than was reserved for it is
+// always accepted; of one that needs more, if there is room. Only the primary decides, so that replicas apply the same commands whatever
+// their own limits are. The package reads no clock.
 package admission
 
 // smallTurnBytes is the size up to which a turn may use all of the memory for retained turns. Larger ones leave a quarter of it, so that
@@ -22,7 +23,7 @@
 	RetainedBytes int64 // of the replica whose process holds most
 	Programs      int64
 	// Primaries is the number of processes that admit turns to the shards of this one. They don't know each other's reservations, so each
-	// takes the others to have as many as it has itself.
+	// takes the others to have as many large ones as it has itself.
 	Primaries int64
 }
 
@@ -46,10 +47,11 @@
 
 // Controller admits turns and keeps the reservations of those that have not ended. It is not safe for concurrent use.
 type Controller struct {
-	limits       Limits
-	reservations map[Key]reservation
-	reserved     int64
-	sweptAt      int64
+	limits        Limits
+	reservations  map[Key]reservation
+	reserved      int64
+	reservedLarge int64 // of reserved, the part of turns larger than smallTurnBytes
+	sweptAt       int64
 }
 
 // NewController returns a controller without reservations.
@@ -74,7 +76,7 @@
 		return false
 	}
 	c.reservations[turn.Key] = reservation{turn.RetainedBytes, now + reservationTTL}
-	c.reserved += turn.RetainedBytes
+	c.addReserved(turn.RetainedBytes, turn.RetainedBytes)
 	return true
 }
 
@@ -83,13 +85,35 @@
 	if bytes > smallTurnBytes {
 		limit -= limit / 4
 	}
-	return usage.RetainedBytes+max(usage.Primaries, 1)*c.reserved+bytes <= limit
+	others := (max(usage.Primaries, 1) - 1) * c.reservedLarge
+	return usage.RetainedBytes+c.reserved+others+bytes <= limit
+}
+
+// addReserved changes the sums of the reservations by that of a turn of a size, which is negative for one that is dropped.
+func (c *Controller) addReserved(change, size int64) {
+	c.reserved += change
+	if size > smallTurnBytes {
+		c.reservedLarge += change
+	}
+}
+
+// AcceptsEnd reports whether a turn that has run may be retained with a number of bytes.
+func (c *Controller) AcceptsEnd(key Key, bytes int64, usage Usage) bool {
+	excess := bytes - c.reservations[key].bytes
+	if excess <= 0 {
+		return true
+	}
+	limit := c.limits.RetainedBytes + c.limits.RetainedBytes/2
+	if bytes > smallTurnBytes {
+		limit = c.limits.RetainedBytes - c.limits.RetainedBytes/4
+	}
+	return usage.RetainedBytes+excess <= limit
 }
 
 // Release drops the reservation of a turn that has ended or did not begin.
 func (c *Controller) Release(key Key) {
 	if old, found := c.reservations[key]; found {
-		c.reserved -= old.bytes
+		c.addReserved(-old.bytes, old.bytes)
 		delete(c.reservations, key)
 	}
 }
--- a/tier/admission/admission_test.go
+++ b/tier/admission/admission_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// What was reserved is accepted, whatever the shard holds by now. What exceeds it needs room, of which large turns leave a part.
+func TestEndNeedsRoomBeyondItsReservation(t *testing.T) {
+	c := newTestController()
+	c.Admit(largeTurn("a"), Usage{}, 1)
+	full := Usage{RetainedBytes: testLimit}
+	for _, test := range []struct {
+		request string
+		bytes   int64
+		usage   Usage
+		want    bool
+	}{
+		{"a", testLimit / 2, full, true},
+		{"a", testLimit, full, false},
+		{"a", testLimit, Usage{RetainedBytes: testLimit / 4}, true},
+		{"unknown", testLimit / 2, Usage{RetainedBytes: testLimit / 2}, false},
+		{"unknown", smallTurnBytes, full, true},
+		{"unknown", smallTurnBytes, Usage{RetainedBytes: testLimit + testLimit/2}, false},
+	} {
+		if got := c.AcceptsEnd(Key{Request: test.request}, test.bytes, test.usage); got != test.want {
+			t.Errorf("%+v: %v", test, got)
+		}
+	}
+}
+
 func TestAbandonedReservationsExpire(t *testing.T) {
 	c := newTestController()
 	c.Admit(largeTurn("a"), Usage{}, 1)
--- a/tier/programs/end.go
+++ b/tier/programs/end.go
@@ -40,15 +40,22 @@
 	return e.Bytes
 }
 
-// EndedTurn returns the request ID of an encoded command if it is an End.
-func EndedTurn(command []byte) (request string, isEnd bool) {
+// DecodeEnd decodes an encoded command if it is an End. The texts share the command's memory.
+func DecodeEnd(command []byte) (c End, isEnd bool) {
 	d := codec.NewDecoder(command)
 	if CommandKind(d.Uint8()) != CommandEnd {
-		return "", false
+		return End{}, false
 	}
-	d.Int64() // its timestamp
-	request = d.String()
-	return request, d.Err() == nil
+	c = decodeEnd(d)
+	return c, d.Err() == nil
+}
+
+// RetainedBytes returns the size of the texts that the command stores.
+func (c End) RetainedBytes() int {
+	if !c.Retain {
+		return 0
+	}
+	return len(c.Input) + len(c.Output)
 }
 
 func decodeEnd(d *codec.Decoder) End {
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -51,6 +51,7 @@
 	programs  *programClient
 	latencies *routeLatencies
 	outages   *outageTracker
+	outputs   outputSizes
 	agent     *rpc.Client // receives the observations of hosts
 
 	draining  atomic.Bool // not ready, so that the platform sends no more connections
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -5,12 +5,14 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"otterseam/tier/attempt"
 	"otterseam/tier/codes"
+	"otterseam/tier/httpguard"
 	"otterseam/tier/sse"
 )
 
@@ -28,6 +30,7 @@
 	events       uint64
 	lastEventID  int64  // sse.NoID if there is none
 	output       []byte // event data, for a retained turn
+	reserved     int    // capacity of output for which memory is reserved
 	hostID       string // last host that streamed the response
 }
 
@@ -151,7 +154,7 @@
 			if event.ID >= 0 && event.ID <= stream.lastEventID {
 				continue // the client has received it from an earlier host
 			}
-			if !stream.forward(w, t, response, event) {
+			if !stream.forward(ctx, w, t, response, event) {
 				response.lease.Close()
 				p.hosts.finish(response.host, hostInconclusive)
 				return attempt.Uncertain
@@ -175,17 +178,18 @@
 	}
 }
 
-// forward writes one event to the client. It returns false if the client has disconnected.
-func (s *clientStream) forward(w http.ResponseWriter, t *turn, response *hostResponse, event sse.Event) bool {
+// forward writes one event to the client. It returns false if the client has disconnected, or if there is no memory for the output of a
+// retained turn, whose response is then broken off.
+func (s *clientStream) forward(ctx context.Context, w http.ResponseWriter, t *turn, response *hostResponse, event sse.Event) bool {
 	s.start(w, response)
 	s.events++
 	if event.ID >= 0 {
 		s.lastEventID = event.ID
 	}
 	s.attempts.ResponseStarted(event.ID >= 0)
-	if t.route.Retained {
-		s.output = append(s.output, event.Data...)
-		s.output = append(s.output, '\n')
+	if t.route.Retained && !s.keep(ctx, event.Data) {
+		s.disconnected = true
+		return false
 	}
 	if _, err := w.Write(event.Raw); err != nil {
 		s.disconnected = true
@@ -197,6 +201,24 @@
 	return true
 }
 
+// firstOutputBytes is the size of an output for which the memory of its request suffices.
+const firstOutputBytes = 16 << 10
+
+// keep adds the data of an event to the output. It returns false if there is no memory for it.
+func (s *clientStream) keep(ctx context.Context, data []byte) bool {
+	if size := len(s.output) + len(data) + 1; size > max(s.reserved, firstOutputBytes) {
+		larger := 2 * size
+		if httpguard.Reserve(ctx, int64(larger-s.reserved)*retainedCopies) != nil {
+			return false
+		}
+		s.reserved = larger
+		s.output = slices.Grow(s.output, larger-len(s.output))
+	}
+	s.output = append(s.output, data...)
+	s.output = append(s.output, '\n')
+	return true
+}
+
 // start writes the head of the response, which is that of the first host, unless it has been written.
 func (s *clientStream) start(w http.ResponseWriter, response *hostResponse) {
 	if s.started {
@@ -215,6 +237,7 @@
 		return
 	}
 	received := stream.events * t.tokensPerEvent
+	p.outputs.observe(len(stream.output), received)
 	deadline := time.Now().Add(min(retainTimeout, t.remaining()))
 	end := t.completeCommand(received, stream.output, stream.hostID, deadline)
 	if !t.route.Retained {
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -31,6 +31,7 @@
 	previous       string          // request ID of the turn that it continues
 	prompt         []byte          // the input for the host: the chain of earlier turns and the new input
 	preferredHost  string          // host of the previous turn, which has the prefix in its cache
+	outputs        *outputSizes    // of the proxy
 	tokensPerEvent uint64          // number of tokens in an event of the service's engine
 	ticket         programs.Ticket // identifies the turn's commands, so that the stores recognize repeats
 	chainExpiresAt time.Time       // until then the stores certainly retain the chain of earlier turns
@@ -90,6 +91,7 @@
 		p.failText(w, http.StatusBadRequest, codes.RequestMalformed, err.Error())
 		return
 	}
+	t.outputs = &p.outputs
 	if t.isAccounted() {
 		if err := p.begin(ctx, t); err != nil {
 			p.rejectTurn(w, t, err)
@@ -150,22 +152,13 @@
 	}
 }
 
-const (
-	// outputBytesPerToken is the size of a token in the events of an engine for which the stores reserve room.
-	outputBytesPerToken = 16
-	// maxOutputReservation bounds the reservation for the output, since clients may ask for any number of tokens. A longer output is
-	// stored all the same.
-	maxOutputReservation = 256 << 10
-)
-
 // retainedBytes returns how much the turn is expected to add to the retained turns, without the chain that it continues, or 0 if it is
 // not retained.
 func (t *turn) retainedBytes() uint64 {
 	if !t.route.Retained {
 		return 0
 	}
-	output := min(t.maxTokens, maxOutputReservation/outputBytesPerToken) * outputBytesPerToken
-	return uint64(len(t.body)) + output + 1
+	return uint64(len(t.body)) + t.outputs.expectedBytes(t.maxTokens) + 1
 }
 
 // promptCopies is how many copies of a chain are in memory at the same time: the answer of the store, the prompt and the request to the
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -64,14 +64,26 @@
 	if begin, isBegin := programs.DecodeBegin(request.Command); isBegin {
 		return s.executeBegin(ctx, request, begin)
 	}
+	if end, isEnd := programs.DecodeEnd(request.Command); isEnd {
+		return s.executeEnd(ctx, request, end)
+	}
+	return s.submit(ctx, request)
+}
+
+// executeEnd submits an End, if there is room for what it stores beyond what was reserved for its turn.
+func (s *Server) executeEnd(ctx context.Context, request ProgramRequest, end programs.End) (programs.Result, error) {
 	release, err := s.commands.acquire(ctx, len(request.Command))
 	if err != nil {
 		return programs.Result{}, err
 	}
 	defer release()
+	key := admission.Key{Shard: request.Shard, Request: end.Request}
+	if s.node.IsPrimary(request.Shard) && !s.turns.acceptsEnd(key, int64(end.RetainedBytes())) {
+		return programs.Result{}, codes.StoreFull
+	}
 	result, err := s.submit(ctx, request)
-	if turn, isEnd := programs.EndedTurn(request.Command); isEnd && err == nil {
-		s.turns.release(admission.Key{Shard: request.Shard, Request: turn})
+	if err == nil {
+		s.turns.release(key)
 	}
 	return result, err
 }
--- a/tier/store/turnadmission.go
+++ b/tier/store/turnadmission.go
@@ -71,6 +71,14 @@
 	return a.controller.Admit(turn, usage, now)
 }
 
+// acceptsEnd reports whether a turn that has run may be retained with a number of bytes.
+func (a *turnAdmission) acceptsEnd(key admission.Key, bytes int64) bool {
+	usage := admission.Usage{RetainedBytes: a.usage.RetainedBytes()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.AcceptsEnd(key, bytes, usage)
+}
+
 // release drops the reservation of a turn that has ended or did not begin.
 func (a *turnAdmission) release(key admission.Key) {
 	a.mu.Lock()
