Turns over a large chain need no room for it unless they may outlive it

What callers saw: while the stores were full of large turns, these could not be continued: each next turn got 503 until the chain had expired with it. Cause: the room for a turn included the texts of its chain in any case. Change: Begin tells besides how long the turn may take; the chain counts only if it may expire before.

--- a/tier/programs/begin.go
+++ b/tier/programs/begin.go
@@ -15,9 +15,10 @@
 	Previous string // request ID of the turn to continue; empty for none
 	Ticket   Ticket
 	// RetainedBytes is the most that the turn's End will store of its own input and output, or 0 for a turn that is not retained. Only
-	// the primary that admits the turn reads it. It is the last field and is omitted if it is 0, which is the form that older versions
-	// know.
+	// the primary that admits the turn reads it and TimeoutMS. They are the last fields and are omitted if RetainedBytes is 0, which is
+	// the form that older versions know.
 	RetainedBytes uint64
+	TimeoutMS     uint64 // time in milliseconds within which a retained turn ends
 }
 
 // Encode returns the command in its replicated form.
@@ -35,6 +36,7 @@
 	b.Ticket.encode(&e)
 	if b.RetainedBytes != 0 {
 		e.Uint64(b.RetainedBytes)
+		e.Uint64(b.TimeoutMS)
 	}
 	return e.Bytes
 }
@@ -56,6 +58,7 @@
 	}
 	if len(d.Rest()) > 0 {
 		b.RetainedBytes = d.Uint64()
+		b.TimeoutMS = d.Uint64()
 	}
 	return b
 }
--- a/tier/programs/recorded_test.go
+++ b/tier/programs/recorded_test.go
@@ -56,6 +56,24 @@
 	recorded.Check(t, "command-begin", command)
 }
 
+// The fields that an older version doesn't know follow the form that it knows, and a version that knows them decodes both forms.
+func TestBeginWithRetainedBytesExtendsTheRecordedForm(t *testing.T) {
+	begin := recordedBegin()
+	begin.RetainedBytes = 70_000
+	begin.TimeoutMS = 5_000
+	older := recorded.Read(t, "command-begin")
+	encoded := begin.Encode()
+	if len(encoded) != len(older)+16 || !reflect.DeepEqual(encoded[:len(older)], older) {
+		t.Fatalf("%d bytes, recorded %d", len(encoded), len(older))
+	}
+	if got, isBegin := DecodeBegin(encoded); !isBegin || got != begin {
+		t.Fatalf("%+v", got)
+	}
+	if got, isBegin := DecodeBegin(older); !isBegin || got != recordedBegin() {
+		t.Fatalf("%+v", got)
+	}
+}
+
 func TestRecordedResult(t *testing.T) {
 	result := Result{Host: "host-7", Chain: [][]byte{[]byte("input 1"), []byte("output 1"), {0, 255}}}
 	recorded.CheckBoth(t, "result", result, Result.Encode, DecodeResult)
--- a/tier/programs/usage.go
+++ b/tier/programs/usage.go
@@ -63,15 +63,26 @@
 // HasProgram reports whether the state has a program of that name.
 func (s *State) HasProgram(name string) bool { return s.programs[name] != nil }
 
-// ChainBytes returns the size of the texts of a turn and its predecessors, in bytes. It is 0 if the turn is not retained.
-func (s *State) ChainBytes(program, turn string) int64 {
-	p := s.programs[program]
-	if p == nil {
+// endMargin is added to the time of a turn, in milliseconds, for the way between gateway and store.
+const endMargin = 1000
+
+// CopiedChainBytes returns the size of the texts with which a turn may be stored besides its own: those of the chain that it continues, if
+// the turn may outlive it. It is 0 if the chain is not retained.
+func (s *State) CopiedChainBytes(b Begin) int64 {
+	p := s.programs[b.Program]
+	if p == nil || b.Previous == "" {
 		return 0
 	}
 	total := int64(0)
-	for _, each := range p.lineage(turn) {
+	outlives := false
+	for _, each := range p.lineage(b.Previous) {
 		total += int64(len(each.input) + len(each.output))
+		if each.expiresAt-clockSkew < b.Now+int64(b.TimeoutMS)+endMargin {
+			outlives = true
+		}
+	}
+	if !outlives {
+		return 0
 	}
 	return total
 }
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -149,6 +149,7 @@
 	return programs.Begin{
 		Request: t.id, Program: t.program, Session: t.session, Limited: t.hasBudget, Budget: t.budget, Estimate: t.maxTokens,
 		Previous: t.previous, Ticket: t.ticket, RetainedBytes: t.retainedBytes(),
+		TimeoutMS: uint64(max(t.remaining().Milliseconds(), 0)),
 	}
 }
 
--- a/tier/store/turnadmission.go
+++ b/tier/store/turnadmission.go
@@ -51,8 +51,8 @@
 		return
 	}
 	turn.IsNewProgram = !state.HasProgram(begin.Program)
-	if turn.RetainedBytes > 0 && begin.Previous != "" {
-		turn.RetainedBytes += state.ChainBytes(begin.Program, begin.Previous)
+	if turn.RetainedBytes > 0 {
+		turn.RetainedBytes += state.CopiedChainBytes(begin)
 	}
 }
 
