--- a/tier/store/doc.go
+++ b/tier/store/doc.go
@@ -7,6 +7,13 @@
 // command to the group of the shard (package multigroup), which replicates it and applies it to programs.State. The answer contains
 // the code of the result. A process that is not the primary of the shard answers codes.NotPrimary.
 //
+// # Admission
+//
+// Before a Begin is submitted, the primary checks that the replicas of the shard have room for what the turn may retain (package
+// admission), and answers codes.StoreFull otherwise. It goes by the turns that it has admitted, by what its own shards hold, and by the
+// RetainedUsage that the other replicas report when they hold much. Large commands, and answers with large chains, share a
+// commandBudget.
+//
 // # Shard assignment
 //
 // The store receives the shard map from control (package feed). It opens each shard whose replicas include this store and sets the
