--- a/harness/sockets/configuration.go
+++ b/harness/sockets/configuration.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 
 	"otterseam/sim/simulation"
 )
@@ -96,13 +98,32 @@
 	}
 }
 
-// FreeAddress returns an address on loopback that is currently free for both TCP and UDP. Its port lies below the ephemeral ports, since an
-// outgoing connection could take one of those before an api gateway listens on it.
+// errPortTaken is the error for a port that FreeAddress has returned before.
+var errPortTaken = errors.New("port was returned before")
+
+// returnedPorts are the ports that FreeAddress has returned in this process. Their users may not listen on them yet.
+var returnedPorts struct {
+	mu    sync.Mutex
+	taken map[int]bool
+}
+
+// FreeAddress returns an address on loopback that is currently free for both TCP and UDP, another one at each call. Its port lies below the
+// ephemeral ports, since an outgoing connection could take one of those before an api gateway listens on it.
 func FreeAddress() (string, error) {
-	var err error
+	returnedPorts.mu.Lock()
+	defer returnedPorts.mu.Unlock()
+	err := errPortTaken
 	for range freeAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstFreePort+rand.IntN(freePorts))
+		port := firstFreePort + rand.IntN(freePorts)
+		if returnedPorts.taken[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if err = checkAddressFree(address); err == nil {
+			if returnedPorts.taken == nil {
+				returnedPorts.taken = map[int]bool{}
+			}
+			returnedPorts.taken[port] = true
 			return address, nil
 		}
 	}
