--- a/tier/rpc/loops.go
+++ b/tier/rpc/loops.go
@@ -56,11 +56,11 @@
 	if err != nil {
 		return err
 	}
-	release, err := c.frames.acquire(c.closed, h.Length)
+	release, err := c.frames.acquire(c.closed, h)
 	if err != nil {
 		return err
 	}
-	payload, err := readPayload(reader, int(h.Length))
+	payload, err := c.readPayload(reader, h)
 	if err != nil {
 		release()
 		return err
@@ -75,6 +75,15 @@
 	return nil
 }
 
+// readPayload reads the payload of a frame, within largeFrameTimeout if others may wait for it.
+func (c *Conn) readPayload(reader *bufio.Reader, h header) ([]byte, error) {
+	if c.frames.limits(h) {
+		_ = c.socket.SetReadDeadline(time.Now().Add(largeFrameTimeout))
+		defer func() { _ = c.socket.SetReadDeadline(time.Time{}) }()
+	}
+	return readPayload(reader, int(h.Length))
+}
+
 // deliver passes an answer to its pending call, which releases it. It drops the answer if there is none.
 func (c *Conn) deliver(h header, payload []byte, release func()) {
 	c.mu.Lock()
