Proxies don't wait for memory with a chain in hand

A turn that found no memory for its prompt waited half a second for it, and held the store's answer meanwhile; on a busy machine more of them wait. Change: the reservation for a prompt is refused at once.

--- a/tier/httpguard/body.go
+++ b/tier/httpguard/body.go
@@ -67,6 +67,23 @@
 	return nil
 }
 
+// TryReserve is like Reserve but doesn't wait for memory that others give back. It is for callers that already hold what they reserve.
+func TryReserve(ctx context.Context, bytes int64) error {
+	conn := connOf(ctx)
+	if conn == nil {
+		return nil
+	}
+	wait, err := conn.claim.Reserve(bytes, time.Now())
+	if wait != nil {
+		conn.claim.Waited()
+		return ErrOverloaded
+	}
+	if err != nil {
+		return ErrOverloaded
+	}
+	return nil
+}
+
 // claimOf returns the claim of a request. It opens the claim of a request whose head was read together with the previous one.
 func claimOf(r *http.Request) *clientmemory.Claim {
 	conn := connOf(r.Context())
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -166,13 +166,14 @@
 // host.
 const promptCopies = 3
 
-// reservePrompt reserves memory for a prompt until the request ends, and builds it. The error is codes.Overloaded.
+// reservePrompt reserves memory for a prompt until the request ends, and builds it. It doesn't wait for memory, since the chain is in memory
+// already. The error is codes.Overloaded.
 func reservePrompt(ctx context.Context, chain [][]byte, input []byte) ([]byte, error) {
 	size := 0
 	for _, part := range chain {
 		size += len(part)
 	}
-	if size > 0 && httpguard.Reserve(ctx, int64(size)*promptCopies) != nil {
+	if size > 0 && httpguard.TryReserve(ctx, int64(size)*promptCopies) != nil {
 		return nil, codes.Overloaded
 	}
 	return buildPrompt(chain, input), nil
