One budget for large pieces of data where four places had their own

Cause: rpc's frames, the stores' commands, the gateways' commands to them and the quota store's client frames each had a weighted semaphore, a threshold of 64 KB and the cutting of a weight to the budget.

--- a/quotastore/server/clientsession.go
+++ b/quotastore/server/clientsession.go
@@ -34,7 +34,7 @@
 	defer close(c.ended)
 	t.group.Go(c.runWriter)
 	for {
-		frame, err := t.clientFrames.read(t.ctx, conn, r)
+		frame, err := t.readClientFrame(conn, r)
 		if err != nil {
 			return
 		}
--- a/quotastore/server/transport.go
+++ b/quotastore/server/transport.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/quotastore/protocol"
 	"otterseam/quotastore/replication"
 )
@@ -29,7 +30,7 @@
 	listener net.Listener
 	conns    *connSet
 
-	clientFrames *frameMemory
+	clientFrames *bytebudget.Budget // of the large frames of clients
 
 	// Set by start before any goroutine starts.
 	ctx   context.Context
--- a/tier/proxy/programs.go
+++ b/tier/proxy/programs.go
@@ -8,8 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 	"otterseam/tier/directory"
 	"otterseam/tier/feed"
@@ -21,9 +20,8 @@
 const (
 	storeCallTimeout   = 500 * time.Millisecond
 	storeRetryInterval = 30 * time.Millisecond
-	// largeCommandBytes is the size from which on a command is large. Large ones get more time, wait longer before they are sent again
-	// and are sent a few at a time, so that they don't fill the memory of the stores.
-	largeCommandBytes  = 64 << 10
+	// A command of bytebudget.LargeBytes and more gets more time, waits longer before it is sent again and is sent with few others, so that
+	// such commands don't fill the memory of the stores.
 	largeCallTimeout   = 1500 * time.Millisecond
 	largeRetryInterval = 250 * time.Millisecond
 )
@@ -47,9 +45,7 @@
 	view    *feed.View
 	tickets *ticketSource
 	outages *outageTracker
-	large   *semaphore.Weighted // bytes of the large commands that are being sent, largeBytes in total
-	// largeBytes limits the large commands that are being sent and, apart from them, the large answers that are being received.
-	largeBytes int64
+	large   *bytebudget.Budget // of the large commands that are being sent
 
 	mu              sync.Mutex // guards the shard map below
 	shards          map[uint32]directory.Shard
@@ -61,8 +57,8 @@
 // within a number of bytes.
 func newProgramClient(view *feed.View, outages *outageTracker, largeBytes int64) *programClient {
 	return &programClient{
-		clients: rpc.NewClientsWithin(nil, rpc.NewFrameBudget(largeBytes)), view: view, tickets: newTicketSource(), outages: outages,
-		large: semaphore.NewWeighted(largeBytes), largeBytes: largeBytes, shardMapChanged: make(chan struct{}),
+		clients: rpc.NewClientsWithin(nil, bytebudget.New(largeBytes)), view: view, tickets: newTicketSource(), outages: outages,
+		large: bytebudget.New(largeBytes), shardMapChanged: make(chan struct{}),
 	}
 }
 
@@ -139,7 +135,7 @@
 // command was executed.
 func (c *programClient) callShard(ctx context.Context, shard uint32, command []byte) (programs.Result, error) {
 	interval := storeRetryInterval
-	if len(command) >= largeCommandBytes {
+	if len(command) >= bytebudget.LargeBytes {
 		interval = largeRetryInterval
 	}
 	uncertain := false // an earlier call may have been executed
@@ -172,14 +168,14 @@
 	if address == "" {
 		return programs.Result{}, codes.StoreUnreachable
 	}
+	release, err := c.large.Acquire(ctx, int64(len(command)))
+	if err != nil {
+		return programs.Result{}, codes.StoreUnreachable
+	}
+	defer release()
 	timeout := storeCallTimeout
-	if len(command) >= largeCommandBytes {
+	if len(command) >= bytebudget.LargeBytes {
 		timeout = largeCallTimeout
-		weight := min(int64(len(command)), c.largeBytes)
-		if c.large.Acquire(ctx, weight) != nil {
-			return programs.Result{}, codes.StoreUnreachable
-		}
-		defer c.large.Release(weight)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/tier/rpc/client.go
+++ b/tier/rpc/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 )
 
@@ -15,7 +16,7 @@
 type Client struct {
 	address string
 	handler Handler
-	frames  *FrameBudget // limits the frames that are received; nil for no limit
+	frames  *bytebudget.Budget // limits the frames that are received; nil for no limit
 
 	mu            sync.Mutex      // guards the fields below
 	conn          *Conn           // nil until the first dial succeeds; may have ended
--- a/tier/rpc/clients.go
+++ b/tier/rpc/clients.go
@@ -1,11 +1,15 @@
 package rpc
 
-import "sync"
+import (
+	"sync"
+
+	"otterseam/internal/bytebudget"
+)
 
 // Clients holds one client per address. It is safe for concurrent use.
 type Clients struct {
 	handler Handler
-	frames  *FrameBudget // shared by all clients; nil for no limit
+	frames  *bytebudget.Budget // shared by all clients; nil for no limit
 
 	mu      sync.Mutex
 	clients map[string]*Client // by address
@@ -17,7 +21,7 @@
 }
 
 // NewClientsWithin is like NewClients. The frames that all clients receive stay within a budget.
-func NewClientsWithin(handler Handler, frames *FrameBudget) *Clients {
+func NewClientsWithin(handler Handler, frames *bytebudget.Budget) *Clients {
 	clients := NewClients(handler)
 	clients.frames = frames
 	return clients
--- a/tier/rpc/conn.go
+++ b/tier/rpc/conn.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 )
 
@@ -23,8 +24,8 @@
 	handler  Handler
 	closed   chan struct{}
 	openedAt time.Time
-	frames   *FrameBudget   // limits the frames that are received; nil for no limit
-	loops    sync.WaitGroup // readLoop and writeLoop
+	frames   *bytebudget.Budget // limits the frames that are received; nil for no limit
+	loops    sync.WaitGroup     // readLoop and writeLoop
 
 	lastReadAt atomic.Int64 // time of the last received frame, in nanoseconds since openedAt
 
@@ -54,7 +55,7 @@
 }
 
 // openConn wraps a socket, and starts writeLoop and readLoop. The frames that are received stay within a budget, which may be nil.
-func openConn(socket net.Conn, handler Handler, frames *FrameBudget) *Conn {
+func openConn(socket net.Conn, handler Handler, frames *bytebudget.Budget) *Conn {
 	c := newConn(socket, handler)
 	c.frames = frames
 	c.loops.Go(c.readLoop)
--- a/tier/rpc/dial.go
+++ b/tier/rpc/dial.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 )
 
@@ -17,7 +18,7 @@
 }
 
 // dialWithin is like Dial. The frames that are received stay within a budget, which may be nil.
-func dialWithin(ctx context.Context, address string, handler Handler, frames *FrameBudget) (*Conn, error) {
+func dialWithin(ctx context.Context, address string, handler Handler, frames *bytebudget.Budget) (*Conn, error) {
 	call, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	socket, err := dialHedged(call, func(ctx context.Context) (net.Conn, error) {
--- a/tier/rpc/framebudget.go
+++ b/tier/rpc/framebudget.go
@@ -4,42 +4,25 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/semaphore"
+	"otterseam/internal/bytebudget"
 )
 
-const (
-	// largeFrameBytes is the size from which on a frame counts against a FrameBudget. Smaller ones must never wait for larger ones.
-	largeFrameBytes = 64 << 10
-	// largeFrameTimeout is the time limit for receiving a frame that others may wait for. Its sender may be suspended.
-	largeFrameTimeout = 5 * time.Second
-)
-
-// FrameBudget limits the memory of the large calls and answers that connections receive at the same time. A connection whose frame doesn't
-// fit stops reading until it does, so that its peer stops sending. One-way messages, such as those between replicas, never wait.
-type FrameBudget struct {
-	bytes    int64
-	reserved *semaphore.Weighted
-}
+// largeFrameTimeout is the time limit for receiving a frame that others may wait for. Its sender may be suspended.
+const largeFrameTimeout = 5 * time.Second
 
-// NewFrameBudget returns a budget of a number of bytes. A frame larger than that is received alone.
-func NewFrameBudget(bytes int64) *FrameBudget {
-	return &FrameBudget{bytes: bytes, reserved: semaphore.NewWeighted(bytes)}
+// isLimited reports whether a frame counts against the connection's budget. Only calls and answers do: one-way messages, such as those
+// between replicas, never wait.
+func (c *Conn) isLimited(h header) bool {
+	return c.frames != nil && h.ID != 0 && h.Length >= bytebudget.LargeBytes
 }
 
-// limits reports whether a frame counts against the budget. It may be called on nil.
-func (b *FrameBudget) limits(h header) bool {
-	return b != nil && h.ID != 0 && h.Length >= largeFrameBytes
-}
-
-// acquire reserves the payload of a frame and returns the function that releases it. It returns an error if ended is closed first. It
-// may be called on nil.
-func (b *FrameBudget) acquire(ended <-chan struct{}, h header) (release func(), err error) {
-	if !b.limits(h) {
+// acquireFrame waits until a frame fits into the budget and returns the function that releases it. Meanwhile the connection isn't read, so
+// that its peer stops sending. It returns an error if the connection ends first.
+func (c *Conn) acquireFrame(h header) (release func(), err error) {
+	if !c.isLimited(h) {
 		return func() {}, nil
 	}
-	weight := min(int64(h.Length), b.bytes)
-	release = func() { b.reserved.Release(weight) }
-	if b.reserved.TryAcquire(weight) {
+	if release, ok := c.frames.TryAcquire(int64(h.Length)); ok {
 		return release, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -47,12 +30,9 @@
 	go func() {
 		defer cancel()
 		select {
-		case <-ended:
+		case <-c.closed:
 		case <-ctx.Done():
 		}
 	}()
-	if err := b.reserved.Acquire(ctx, weight); err != nil {
-		return nil, err
-	}
-	return release, nil
+	return c.frames.Acquire(ctx, int64(h.Length))
 }
--- a/tier/rpc/loops.go
+++ b/tier/rpc/loops.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	release, err := c.frames.acquire(c.closed, h)
+	release, err := c.acquireFrame(h)
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 
 // readPayload reads the payload of a frame, within largeFrameTimeout if others may wait for it.
 func (c *Conn) readPayload(reader *bufio.Reader, h header) ([]byte, error) {
-	if c.frames.limits(h) {
+	if c.isLimited(h) {
 		_ = c.socket.SetReadDeadline(time.Now().Add(largeFrameTimeout))
 		defer func() { _ = c.socket.SetReadDeadline(time.Time{}) }()
 	}
--- a/tier/rpc/rpc_test.go
+++ b/tier/rpc/rpc_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 )
 
@@ -195,11 +196,11 @@
 	proceed := make(chan struct{})
 	go ServeWithin(listener, func(m Message) {
 		received <- len(m.Payload)
-		if m.IsCall() && len(m.Payload) >= largeFrameBytes {
+		if m.IsCall() && len(m.Payload) >= bytebudget.LargeBytes {
 			<-proceed
 			m.Answer(codes.OK, nil)
 		}
-	}, NewFrameBudget(largeFrameBytes))
+	}, bytebudget.New(bytebudget.LargeBytes))
 	connect := func() *Client {
 		client := NewClient(listener.Addr().String(), nil)
 		t.Cleanup(client.Close)
@@ -209,21 +210,21 @@
 		client := connect()
 		go func() { _, _ = client.Call(contextWithTimeout(t, 10*time.Second), kindEcho, make([]byte, bytes)) }()
 	}
-	send(largeFrameBytes)
-	if got := <-received; got != largeFrameBytes {
+	send(bytebudget.LargeBytes)
+	if got := <-received; got != bytebudget.LargeBytes {
 		t.Fatalf("first frame: %d bytes", got)
 	}
-	send(2 * largeFrameBytes)
+	send(2 * bytebudget.LargeBytes)
 	send(1)
 	if got := <-received; got != 1 {
 		t.Fatalf("%d bytes were handled while the budget was spent", got)
 	}
-	connect().Send(kindEcho, make([]byte, 3*largeFrameBytes))
-	if got := <-received; got != 3*largeFrameBytes {
+	connect().Send(kindEcho, make([]byte, 3*bytebudget.LargeBytes))
+	if got := <-received; got != 3*bytebudget.LargeBytes {
 		t.Fatalf("%d bytes were handled before a one-way message", got)
 	}
 	proceed <- struct{}{}
-	if got := <-received; got != 2*largeFrameBytes {
+	if got := <-received; got != 2*bytebudget.LargeBytes {
 		t.Fatalf("third frame: %d bytes", got)
 	}
 	proceed <- struct{}{}
--- a/tier/rpc/serve.go
+++ b/tier/rpc/serve.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"otterseam/internal/bytebudget"
 )
 
 // acceptRetryDelay is the pause after a failed accept. The usual reason is that the process has no descriptor left.
@@ -15,7 +17,7 @@
 
 // ServeWithin is like Serve. The frames that are being received and handled on all connections stay within the budget, which may be nil
 // for no limit.
-func ServeWithin(listener net.Listener, handler Handler, budget *FrameBudget) {
+func ServeWithin(listener net.Listener, handler Handler, budget *bytebudget.Budget) {
 	for {
 		socket, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/admission"
 	"otterseam/tier/codes"
 	"otterseam/tier/programs"
@@ -54,7 +55,7 @@
 	}
 	defer release()
 	message.Answer(result.Code, result.Encode())
-	if size >= largeCommandBytes {
+	if size >= bytebudget.LargeBytes {
 		message.Conn.AwaitWritten(maxQueuedAnswerBytes)
 	}
 }
--- a/tier/store/server.go
+++ b/tier/store/server.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
+	"otterseam/internal/bytebudget"
 	"otterseam/tier/codes"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/directory"
@@ -35,7 +36,7 @@
 	self     directory.Store
 	timeline *timeline.Timeline
 	loads    *loadHome
-	frames   *rpc.FrameBudget
+	frames   *bytebudget.Budget
 	commands *commandBudget // of the commands that wait to be committed
 	answers  *commandBudget // of the answers that are being written
 	turns    *turnAdmission
@@ -69,7 +70,7 @@
 		seeds:    settings.NewSeeds(s),
 		changing: map[uint32]bool{},
 		timeline: steps,
-		frames:   rpc.NewFrameBudget(processLimits.CommandBytes()),
+		frames:   bytebudget.New(processLimits.CommandBytes()),
 		commands: newCommandBudget(processLimits.CommandBytes(), 1),
 		answers:  newCommandBudget(processLimits.CommandBytes(), maxWaitingAnswers),
 		turns:    newTurnAdmission(processLimits),
