Say once what limits, prompts, error bodies and reservations said twice

Change: one decoder of a command by its kind; bytes.Join and Result.ChainBytes in place of loops that added up a chain; a turn holds the expected size of its output, not the estimator; the process's limits are worked out once; Reserve and TryReserve differ by their patience alone. Behaviour as before.

--- a/tier/httpguard/body.go
+++ b/tier/httpguard/body.go
@@ -48,7 +48,7 @@
 	if reader.claim.Received() != nil {
 		return nil, ErrOverloaded
 	}
-	if copies := int64(len(reader.body)) * (limits.Copies - 1); copies > 0 && reserve(reader.claim, copies, limits.Deadline) != nil {
+	if copies := int64(len(reader.body)) * (limits.Copies - 1); copies > 0 && reserve(reader.claim, copies, patienceUntil(limits.Deadline)) != nil {
 		return nil, ErrOverloaded
 	}
 	return reader.body, nil
@@ -56,29 +56,16 @@
 
 // Reserve reserves further memory for the request of a context until the request ends. It returns ErrOverloaded if there is none.
 func Reserve(ctx context.Context, bytes int64) error {
-	conn := connOf(ctx)
-	if conn == nil {
-		return nil
-	}
 	deadline, _ := ctx.Deadline()
-	if reserve(&conn.claim, bytes, deadline) != nil {
-		return ErrOverloaded
-	}
-	return nil
+	return reserveFor(ctx, bytes, patienceUntil(deadline))
 }
 
 // TryReserve is like Reserve but doesn't wait for memory that others give back. It is for callers that already hold what they reserve.
-func TryReserve(ctx context.Context, bytes int64) error {
-	conn := connOf(ctx)
-	if conn == nil {
-		return nil
-	}
-	wait, err := conn.claim.Reserve(bytes, time.Now())
-	if wait != nil {
-		conn.claim.Waited()
-		return ErrOverloaded
-	}
-	if err != nil {
+func TryReserve(ctx context.Context, bytes int64) error { return reserveFor(ctx, bytes, 0) }
+
+// reserveFor reserves memory for the request of a context.
+func reserveFor(ctx context.Context, bytes int64, patience time.Duration) error {
+	if conn := connOf(ctx); conn != nil && reserve(&conn.claim, bytes, patience) != nil {
 		return ErrOverloaded
 	}
 	return nil
@@ -159,7 +146,7 @@
 
 // grow moves the body to a buffer of a larger size, whose memory it reserves.
 func (b *bodyReader) grow(size int64) error {
-	if err := reserve(b.claim, size-int64(cap(b.body)), b.limits.Deadline); err != nil {
+	if err := reserve(b.claim, size-int64(cap(b.body)), patienceUntil(b.limits.Deadline)); err != nil {
 		return err
 	}
 	body := make([]byte, len(b.body), size)
@@ -179,31 +166,42 @@
 	return err
 }
 
-// reserve reserves memory. It waits until other requests have given back enough, at most for reservePatience and until the deadline, if
-// there is one.
-func reserve(claim *clientmemory.Claim, bytes int64, deadline time.Time) error {
-	var patience <-chan time.Time
+// patienceUntil returns how long a request with a deadline waits for memory. The zero time means that it has none.
+func patienceUntil(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return reservePatience
+	}
+	return min(reservePatience, time.Until(deadline))
+}
+
+// reserve reserves memory. It waits at most for a duration until other requests have given back enough.
+func reserve(claim *clientmemory.Claim, bytes int64, patience time.Duration) error {
+	giveUpAt := time.Now().Add(patience)
 	for {
 		now := time.Now()
 		wait, err := claim.Reserve(bytes, now)
 		if wait == nil {
 			return err
 		}
-		if patience == nil {
-			limit := reservePatience
-			if !deadline.IsZero() {
-				limit = min(limit, deadline.Sub(now))
-			}
-			timer := time.NewTimer(limit)
-			defer timer.Stop()
-			patience = timer.C
-		}
-		select {
-		case <-wait:
-			claim.Waited()
-		case <-patience:
-			claim.Waited()
+		released := awaitRelease(wait, giveUpAt.Sub(now))
+		claim.Waited()
+		if !released {
 			return clientmemory.ErrSpent
 		}
 	}
 }
+
+// awaitRelease waits at most for a duration until a channel is closed, and reports whether it was.
+func awaitRelease(released <-chan struct{}, patience time.Duration) bool {
+	if patience <= 0 {
+		return false
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-released:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- a/tier/httpguard/conn.go
+++ b/tier/httpguard/conn.go
@@ -131,7 +131,7 @@
 	c.reserved += missing
 	deadline := c.headDeadline
 	c.mu.Unlock()
-	if reserve(&c.claim, missing, deadline) != nil {
+	if reserve(&c.claim, missing, patienceUntil(deadline)) != nil {
 		return c.guard.Overloaded, true
 	}
 	return nil, false
@@ -195,7 +195,8 @@
 	}
 }
 
-// Close closes the connection, removes it from its guard and cancels its context, which would otherwise stay registered with the server's context.
+// Close closes the connection, removes it from its guard and cancels its context, which would otherwise stay registered with the server's
+// context.
 func (c *guardedConn) Close() error {
 	c.guard.connections.remove(c)
 	c.mu.Lock()
--- a/tier/limits/limits.go
+++ b/tier/limits/limits.go
@@ -51,17 +51,14 @@
 // ProbeBytes returns the memory for readiness probes, which is apart from that for clients.
 func (l Limits) ProbeBytes() int64 { return l.memoryBytes / 64 }
 
+// sockets returns the number of descriptors that are not left to files.
+func (l Limits) sockets() int { return l.descriptors - min(maxReservedDescriptors, l.descriptors/2) }
+
 // ClientConnections returns the number of client connections. The rest of the descriptors is left to files, hosts and other processes.
-func (l Limits) ClientConnections() int {
-	reserved := min(maxReservedDescriptors, l.descriptors/2)
-	return max((l.descriptors-reserved)*3/4, 1)
-}
+func (l Limits) ClientConnections() int { return max(l.sockets()*3/4, 1) }
 
 // ProbeConnections returns the number of connections of readiness probes, which are apart from those of clients.
-func (l Limits) ProbeConnections() int {
-	reserved := min(maxReservedDescriptors, l.descriptors/2)
-	return max((l.descriptors-reserved)/16, 1)
-}
+func (l Limits) ProbeConnections() int { return max(l.sockets()/16, 1) }
 
 // RetainedBytes returns the memory for the retained turns of all shards of a store. Snapshots and the journal hold copies of it.
 func (l Limits) RetainedBytes() int64 {
--- a/tier/programs/begin.go
+++ b/tier/programs/begin.go
@@ -43,12 +43,7 @@
 
 // DecodeBegin decodes an encoded command if it is a Begin.
 func DecodeBegin(command []byte) (b Begin, isBegin bool) {
-	d := codec.NewDecoder(command)
-	if CommandKind(d.Uint8()) != CommandBegin {
-		return Begin{}, false
-	}
-	b = decodeBegin(d)
-	return b, d.Err() == nil
+	return decodeCommand(command, CommandBegin, decodeBegin)
 }
 
 func decodeBegin(d *codec.Decoder) Begin {
--- a/tier/programs/command.go
+++ b/tier/programs/command.go
@@ -26,6 +26,16 @@
 	return len(command) >= timestampEnd && command[0] >= uint8(CommandBegin) && command[0] <= uint8(CommandFetch)
 }
 
+// decodeCommand decodes an encoded command if it is of a kind.
+func decodeCommand[T any](command []byte, kind CommandKind, decode func(*codec.Decoder) T) (value T, isKind bool) {
+	d := codec.NewDecoder(command)
+	if CommandKind(d.Uint8()) != kind {
+		return value, false
+	}
+	value = decode(d)
+	return value, d.Err() == nil
+}
+
 // Stamp sets the timestamp of an encoded command.
 func Stamp(command []byte, now int64) {
 	var e codec.Encoder
--- a/tier/programs/end.go
+++ b/tier/programs/end.go
@@ -42,12 +42,7 @@
 
 // DecodeEnd decodes an encoded command if it is an End. The texts share the command's memory.
 func DecodeEnd(command []byte) (c End, isEnd bool) {
-	d := codec.NewDecoder(command)
-	if CommandKind(d.Uint8()) != CommandEnd {
-		return End{}, false
-	}
-	c = decodeEnd(d)
-	return c, d.Err() == nil
+	return decodeCommand(command, CommandEnd, decodeEnd)
 }
 
 // RetainedBytes returns the size of the texts that the command stores.
--- a/tier/proxy/clientlimits.go
+++ b/tier/proxy/clientlimits.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -28,18 +27,14 @@
 	p.probeGuard.MaxConnections = l.ProbeConnections()
 	p.probeGuard.SetMaxHeadBytes(maxProbeHeadBytes)
 	p.probeGuard.SetHeadTimeout(probeTimeout)
+	tooLarge := problemBody(codes.HeadTooLarge, codes.HeadTooLarge.Error())
+	overloaded := problemBody(codes.Overloaded, codes.Overloaded.Error())
 	for _, guard := range []*httpguard.Guard{&p.guard, &p.probeGuard} {
-		guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", problemBody(codes.HeadTooLarge))
-		guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, overloadRetryAfter, problemBody(codes.Overloaded))
+		guard.HeadTooLarge = httpguard.Response(http.StatusRequestHeaderFieldsTooLarge, "", tooLarge)
+		guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, overloadRetryAfter, overloaded)
 	}
 }
 
-// problemBody returns the body of an error response with a code.
-func problemBody(code codes.Code) []byte {
-	body, _ := json.Marshal(problem{Code: uint16(code), Error: code.Error()})
-	return body
-}
-
 // newProbeServer returns the HTTP server for readiness probes. Its listener has to be wrapped by probeGuard.
 func (p *Proxy) newProbeServer() *http.Server {
 	server := &http.Server{
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -71,6 +71,7 @@
 	if err := settings.Require(required); err != nil {
 		return nil, err
 	}
+	processLimits := limits.Of(s)
 	view := feed.NewView()
 	outages := newOutageTracker()
 	outages.recordFailure(dependencyView) // an outage until the first view is received
@@ -80,7 +81,7 @@
 		timeline:          timeline.New(log),
 		view:              view,
 		routesReady:       make(chan struct{}),
-		programs:          newProgramClient(view, outages, limits.Of(s).CommandBytes()),
+		programs:          newProgramClient(view, outages, processLimits.CommandBytes()),
 		latencies:         newRouteLatencies(),
 		outages:           outages,
 		agent:             rpc.NewClient(s.AgentAddress(), nil),
@@ -88,7 +89,7 @@
 	}
 	p.hosts = newHostTable(s.Zone, func() { time.AfterFunc(observationWindow, p.reportObservations) })
 	p.loads = newLoadExchange(s.Zone, p.hosts, p.programs.clients)
-	p.limitClients(limits.Of(s))
+	p.limitClients(processLimits)
 	p.requestContext, p.cancelRequests = context.WithCancelCause(context.Background())
 	return p, nil
 }
--- a/tier/proxy/respond.go
+++ b/tier/proxy/respond.go
@@ -19,9 +19,15 @@
 	Error string `json:"error"`
 }
 
+// problemBody returns the body of an error response with a code and a text.
+func problemBody(code codes.Code, text string) []byte {
+	body, _ := json.Marshal(problem{Code: uint16(code), Error: text})
+	return body
+}
+
 // failText writes an error response with the given status, code and text.
 func (p *Proxy) failText(w http.ResponseWriter, status int, code codes.Code, text string) {
-	body, _ := json.Marshal(problem{Code: uint16(code), Error: text})
+	body := problemBody(code, text)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,7 +33,7 @@
 	previous       string          // request ID of the turn that it continues
 	prompt         []byte          // the input for the host: the chain of earlier turns and the new input
 	preferredHost  string          // host of the previous turn, which has the prefix in its cache
-	outputs        *outputSizes    // of the proxy
+	expectedOutput uint64          // size of the output for which the stores reserve room, in bytes
 	tokensPerEvent uint64          // number of tokens in an event of the service's engine
 	ticket         programs.Ticket // identifies the turn's commands, so that the stores recognize repeats
 	chainExpiresAt time.Time       // until then the stores certainly retain the chain of earlier turns
@@ -91,7 +93,7 @@
 		p.failText(w, http.StatusBadRequest, codes.RequestMalformed, err.Error())
 		return
 	}
-	t.outputs = &p.outputs
+	t.expectedOutput = p.outputs.expectedBytes(t.maxTokens)
 	if t.isAccounted() {
 		if err := p.begin(ctx, t); err != nil {
 			p.rejectTurn(w, t, err)
@@ -120,7 +122,7 @@
 		return err
 	}
 	t.preferredHost = result.Host
-	if t.prompt, err = reservePrompt(ctx, result.Chain, t.body); err != nil {
+	if t.prompt, err = reservePrompt(ctx, result, t.body); err != nil {
 		return err
 	}
 	t.chainExpiresAt = begunAt.Add(result.ChainGuarantee())
@@ -135,7 +137,7 @@
 		return err
 	}
 	t.previous = ""
-	if t.prompt, err = reservePrompt(ctx, found.Chain, t.body); err != nil {
+	if t.prompt, err = reservePrompt(ctx, found, t.body); err != nil {
 		return err
 	}
 	t.body = t.prompt
@@ -159,7 +161,7 @@
 	if !t.route.Retained {
 		return 0
 	}
-	return uint64(len(t.body)) + t.outputs.expectedBytes(t.maxTokens) + 1
+	return uint64(len(t.body)) + t.expectedOutput + 1
 }
 
 // promptCopies is how many copies of a chain are in memory at the same time: the answer of the store, the prompt and the request to the
@@ -168,15 +170,11 @@
 
 // reservePrompt reserves memory for a prompt until the request ends, and builds it. It doesn't wait for memory, since the chain is in memory
 // already. The error is codes.Overloaded.
-func reservePrompt(ctx context.Context, chain [][]byte, input []byte) ([]byte, error) {
-	size := 0
-	for _, part := range chain {
-		size += len(part)
-	}
-	if size > 0 && httpguard.TryReserve(ctx, int64(size)*promptCopies) != nil {
+func reservePrompt(ctx context.Context, chain programs.Result, input []byte) ([]byte, error) {
+	if size := chain.ChainBytes(); size > 0 && httpguard.TryReserve(ctx, int64(size)*promptCopies) != nil {
 		return nil, codes.Overloaded
 	}
-	return buildPrompt(chain, input), nil
+	return buildPrompt(chain.Chain, input), nil
 }
 
 // buildPrompt returns the texts of a chain followed by the new input.
@@ -184,15 +182,7 @@
 	if len(chain) == 0 {
 		return input
 	}
-	size := len(input)
-	for _, part := range chain {
-		size += len(part)
-	}
-	prompt := make([]byte, 0, size)
-	for _, part := range chain {
-		prompt = append(prompt, part...)
-	}
-	return append(prompt, input...)
+	return bytes.Join(append(slices.Clip(chain), input), nil)
 }
 
 // storeFullDelay is the time after which a store is expected to have room again. Turns are retained for several seconds at least.
