--- a/tier/programs/recorded_test.go
+++ b/tier/programs/recorded_test.go
@@ -61,6 +61,7 @@
 	begin := recordedBegin()
 	begin.RetainedBytes = 70_000
 	begin.TimeoutMS = 5_000
+	recorded.CheckBoth(t, "command-begin-retained", begin, Begin.Encode, decodeAfterKind(t, CommandBegin, decodeBegin))
 	older := recorded.Read(t, "command-begin")
 	encoded := begin.Encode()
 	if len(encoded) != len(older)+16 || !reflect.DeepEqual(encoded[:len(older)], older) {
--- a/tier/store/recorded_test.go
+++ b/tier/store/recorded_test.go
@@ -95,3 +95,12 @@
 		t.Fatalf("the answer has %d bytes, the recorded one %d", len(answer), len(encoded))
 	}
 }
+
+// Stores of different builds tell each other what they hold.
+func TestRecordedRetainedUsage(t *testing.T) {
+	usage := RetainedUsage{Store: 0x0102030405060708, Bytes: 35 << 20}
+	recorded.CheckBoth(t, "retained-usage", usage, RetainedUsage.Encode, DecodeRetainedUsage)
+	if KindRetainedUsage != 44 {
+		t.Errorf("the kind of the message is %d", KindRetainedUsage)
+	}
+}
