Fewer locks and copies on the ways of a message, a begin and a head

Change: a store looks once at a shard when a turn begins, not three times; the queue of the writer is looked at under the lock that a message takes in any case; the offsets of a field come from the trimmed parts, which are not trimmed again. The two tests of the soak share their loop over seeds, with the checks that each had. Behaviour as before, except that a data message that is dropped for a slow disk opens its group first.

--- a/gateway/http1/head.go
+++ b/gateway/http1/head.go
@@ -5,7 +5,6 @@
 const (
 	lineEnd = "\r\n"
 	headEnd = "\r\n\r\n"
-	blanks  = " \t"
 )
 
 // parseHead parses the head if it has been received completely.
@@ -88,19 +87,17 @@
 	m.Close = http10
 	chunked := false
 	for len(fieldLines) > 0 {
-		lineStart := m.bodyStart - len(lineEnd) - len(fieldLines)
 		var line []byte
 		line, fieldLines, _ = bytes.Cut(fieldLines, []byte(lineEnd))
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		if !ok || !isToken(name) { // a missing name, a space before the colon, or a folded line
 			return ErrMalformed
 		}
-		offsets := newFieldOffsets(lineStart, name, value)
 		value = trimSpace(value)
 		if !isFieldValue(value) {
 			return ErrMalformed
 		}
-		m.fields = append(m.fields, offsets)
+		m.fields = append(m.fields, m.offsetsOf(name, value))
 		switch {
 		case equalFold(name, "content-length"):
 			ok = m.parseContentLength(value)
@@ -124,14 +121,16 @@
 	}
 }
 
-// newFieldOffsets returns the offsets of a field whose line starts at an offset. value is what follows the colon.
-func newFieldOffsets(lineStart int, name, value []byte) fieldOffsets {
-	valueStart := lineStart + len(name) + len(":")
-	valueStart += len(value) - len(bytes.TrimLeft(value, blanks))
-	valueEnd := valueStart + len(bytes.Trim(value, blanks))
-	return fieldOffsets{uint16(lineStart), uint16(lineStart + len(name)), uint16(valueStart), uint16(valueEnd)}
+// offsetsOf returns the offsets of a field whose name and value are parts of the buffer.
+func (m *Message) offsetsOf(name, value []byte) fieldOffsets {
+	nameStart := m.offsetOf(name)
+	valueStart := m.offsetOf(value)
+	return fieldOffsets{nameStart, nameStart + uint16(len(name)), valueStart, valueStart + uint16(len(value))}
 }
 
+// offsetOf returns where a part of the buffer starts: a part has the capacity that is left of the buffer from there on.
+func (m *Message) offsetOf(part []byte) uint16 { return uint16(cap(m.buffer) - cap(part)) }
+
 // parseContentLength returns false if value is not a length or contradicts an earlier Content-Length.
 func (m *Message) parseContentLength(value []byte) bool {
 	n, ok := parseDecimal(value)
--- a/harness/tiercluster/machine.go
+++ b/harness/tiercluster/machine.go
@@ -42,9 +42,6 @@
 	return slices.Collect(maps.Values(m.processes))
 }
 
-// DataDir returns the data directory of the machine's process with a role.
-func (c *Cluster) DataDir(m *Machine, role string) string { return c.dataDir(m, role) }
-
 func machineName(class string, number int) string { return fmt.Sprintf("%s-%d", class, number) }
 
 // Kill sends SIGKILL to the machine's processes and waits until they have exited.
@@ -109,7 +106,7 @@
 }
 
 func (c *Cluster) startProcess(m *Machine, role string) error {
-	data := c.dataDir(m, role)
+	data := c.DataDir(m, role)
 	if err := os.MkdirAll(data, 0o755); err != nil {
 		return err
 	}
@@ -130,7 +127,8 @@
 
 func processName(m *Machine, role string) string { return m.Name + "-" + role }
 
-func (c *Cluster) dataDir(m *Machine, role string) string {
+// DataDir returns the data directory of the machine's process with a role.
+func (c *Cluster) DataDir(m *Machine, role string) string {
 	return filepath.Join(c.options.Dir, "data", processName(m, role))
 }
 
@@ -163,7 +161,7 @@
 // WipeDisk deletes the data directories of a machine that is down.
 func (c *Cluster) WipeDisk(m *Machine) error {
 	for _, role := range m.roles {
-		if err := os.RemoveAll(c.dataDir(m, role)); err != nil {
+		if err := os.RemoveAll(c.DataDir(m, role)); err != nil {
 			return err
 		}
 	}
--- a/harness/tiersoak/crowds.go
+++ b/harness/tiersoak/crowds.go
@@ -35,9 +35,11 @@
 	client    misbehavior.Client
 }
 
-func frontAddresses(c *tiercluster.Cluster) []string     { return c.FrontAddresses() }
-func readinessAddresses(c *tiercluster.Cluster) []string { return c.ReadinessAddresses() }
-func controlAddresses(c *tiercluster.Cluster) []string   { return c.ControlAddresses() }
+var (
+	frontAddresses     = (*tiercluster.Cluster).FrontAddresses
+	readinessAddresses = (*tiercluster.Cluster).ReadinessAddresses
+	controlAddresses   = (*tiercluster.Cluster).ControlAddresses
+)
 
 // crowdTurn returns a turn of a program of the crowds that is retained.
 func crowdTurn(bytes, missing int) misbehavior.Request {
--- a/harness/tiersoak/soak_test.go
+++ b/harness/tiersoak/soak_test.go
@@ -20,9 +20,8 @@
 	largeVariable    = "SOAK_LARGE"   // every how many seeds have many front machines; 0: none
 	programVariable  = "SOAK_PROGRAM" // path of another build of otterseam-tier
 
-	// The networks of runs with crowds are apart from those of the others, which may run at the same time.
-	crowdNetwork  = 126
-	crowdNetworks = 125
+	// networksOfTest is the number of networks of each of the two tests, which may run at the same time.
+	networksOfTest = 125
 
 	defaultSeeds    = 1
 	defaultDuration = 45 // seconds
@@ -63,62 +62,58 @@
 	return value
 }
 
-// Guards against answered turns that are lost, above all those that outlived the chain that they continue, under faults that come in
-// series and overlap. SOAK_SEEDS and SOAK_SECONDS make it a long run: make soak.
-func TestAnsweredTurnsSurviveOverlappingFaults(t *testing.T) {
+// playSeeds plays a run for each seed that the environment asks for, and checks that no promise was broken. firstNetwork is the first of the
+// networks of the runs.
+func playSeeds(t *testing.T, options Options, firstNetwork int, check func(t *testing.T, report Report)) {
+	t.Helper()
 	first := number(t, seedVariable, 1)
 	large := number(t, largeVariable, 0)
 	for i := range number(t, seedsVariable, defaultSeeds) {
 		seed := first + i
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			report, err := Run(Options{
-				Program: program, Dir: t.TempDir(), Network: 1 + i%crowdNetworks, ProcessID: os.Getpid(), Seed: uint64(seed),
-				Duration: time.Duration(number(t, durationVariable, defaultDuration)) * time.Second,
-				Large:    large > 0 && seed%large == 0,
-			})
+			run := options
+			run.Program = program
+			run.Dir = t.TempDir()
+			run.Network = firstNetwork + i%networksOfTest
+			run.ProcessID = os.Getpid()
+			run.Seed = uint64(seed)
+			run.Duration = time.Duration(number(t, durationVariable, defaultDuration)) * time.Second
+			run.Large = large > 0 && seed%large == 0
+			report, err := Run(run)
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d turns answered, %d continued another one, %d outlived its retention; %d tries rejected, of them %d expired; %d other turns, %d faults",
-				report.Answered, report.Continued, report.Outlived, report.Rejected, report.Expired, report.Others, len(report.Faults))
 			if len(report.Violations) > 0 {
-				t.Errorf("violations: %q\nfaults: %q", report.Violations, report.Faults)
-			}
-			if report.Outlived == 0 {
-				t.Error("no turn outlived the chain that it continues")
+				t.Errorf("violations: %q\nfaults: %q\ncrowds: %q", report.Violations, report.Faults, report.Crowds)
 			}
+			check(t, report)
 		})
 	}
 }
 
+// Guards against answered turns that are lost, above all those that outlived the chain that they continue, under faults that come in
+// series and overlap. SOAK_SEEDS and SOAK_SECONDS make it a long run: make soak.
+func TestAnsweredTurnsSurviveOverlappingFaults(t *testing.T) {
+	playSeeds(t, Options{}, 1, func(t *testing.T, report Report) {
+		t.Logf("%d turns answered, %d continued another one, %d outlived its retention; %d tries rejected, of them %d expired; %d other turns, %d faults",
+			report.Answered, report.Continued, report.Outlived, report.Rejected, report.Expired, report.Others, len(report.Faults))
+		if report.Outlived == 0 {
+			t.Error("no turn outlived the chain that it continues")
+		}
+	})
+}
+
 // Guards against processes that end, hang or leave their limits, and against answered turns that are lost, while all kinds of clients that
 // don't behave come and go beside the faults. SOAK_SEEDS and SOAK_SECONDS make it a long run: make soak-crowds.
 func TestProcessesSurviveCrowds(t *testing.T) {
-	first := number(t, seedVariable, 1)
-	large := number(t, largeVariable, 0)
-	for i := range number(t, seedsVariable, defaultSeeds) {
-		seed := first + i
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := Run(Options{
-				Program: program, Dir: t.TempDir(), Network: crowdNetwork + i%crowdNetworks, ProcessID: os.Getpid(), Seed: uint64(seed),
-				Duration: time.Duration(number(t, durationVariable, defaultDuration)) * time.Second,
-				Large:    large > 0 && seed%large == 0, Crowds: true,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d turns answered, %d continued another one; %d tries rejected; %d other turns, %d faults, %d crowds",
-				report.Answered, report.Continued, report.Rejected, report.Others, len(report.Faults), len(report.Crowds))
-			if len(report.Violations) > 0 {
-				t.Errorf("violations: %q\nfaults: %q\ncrowds: %q", report.Violations, report.Faults, report.Crowds)
-			}
-			if report.Continued == 0 {
-				t.Error("no turn that continues another one was answered")
-			}
-		})
-	}
+	playSeeds(t, Options{Crowds: true}, 1+networksOfTest, func(t *testing.T, report Report) {
+		t.Logf("%d turns answered, %d continued another one; %d tries rejected; %d other turns, %d faults, %d crowds",
+			report.Answered, report.Continued, report.Rejected, report.Others, len(report.Faults), len(report.Crowds))
+		if report.Continued == 0 {
+			t.Error("no turn that continues another one was answered")
+		}
+	})
 }
 
 // The oracle has to notice each kind of broken promise.
--- a/harness/tiersoak/usage.go
+++ b/harness/tiersoak/usage.go
@@ -16,7 +16,7 @@
 func (s *soak) watchProcesses(ctx context.Context) {
 	reported := map[string]bool{}
 	for ctx.Err() == nil {
-		for _, machine := range s.machines() {
+		for _, machine := range s.cluster.Machines { // none is added during a soak
 			for role, limits := range crowdLimits {
 				for _, violation := range checkProcess(machine, role, limits) {
 					if key := machine.Name + role + violation.kind; !reported[key] {
@@ -30,10 +30,6 @@
 	}
 }
 
-func (s *soak) machines() []*tiercluster.Machine {
-	return s.cluster.Machines // no machine is added during a soak
-}
-
 func (s *soak) addViolation(text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tier/multigroup/transport.go
+++ b/tier/multigroup/transport.go
@@ -73,11 +73,13 @@
 	if d.Err() != nil || to != n.Identity || !n.disk.accepts(from) {
 		return
 	}
-	if message.DataBytes() > 0 && n.writer.isBehind() {
-		return // the disk is too slow; the primary sends the data again
-	}
 	if !n.HasGroup(group) && unknownGroup != nil {
 		unknownGroup(group)
 	}
-	n.WithGroup(group, func(g *replica.Group) { g.Step(from.node, message, Now()) })
+	n.WithGroup(group, func(g *replica.Group) {
+		if message.DataBytes() > 0 && n.writer.isBehind() {
+			return // the disk is too slow; the primary sends the data again
+		}
+		g.Step(from.node, message, Now())
+	})
 }
--- a/tier/multigroup/writer.go
+++ b/tier/multigroup/writer.go
@@ -40,12 +40,8 @@
 // maxUnwrittenBytes is the size of the entries of all groups that wait to be written above which replicas accept no more.
 const maxUnwrittenBytes = 16 << 20
 
-// isBehind reports whether too many bytes wait to be written.
-func (w *writer) isBehind() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.bytes > maxUnwrittenBytes
-}
+// isBehind reports whether too many bytes wait to be written. The caller holds mu.
+func (w *writer) isBehind() bool { return w.bytes > maxUnwrittenBytes }
 
 // size returns the size of the data that is written.
 func (p pendingWrite) size() int {
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -92,7 +92,7 @@
 // executeBegin submits a Begin if there is room for its turn. The room stays reserved until the turn's End, unless the turn does not
 // begin.
 func (s *Server) executeBegin(ctx context.Context, request ProgramRequest, begin programs.Begin) (programs.Result, error) {
-	if s.node.IsPrimary(request.Shard) && !s.admit(request.Shard, begin) {
+	if !s.admit(request.Shard, begin) {
 		return programs.Result{}, codes.StoreFull
 	}
 	result, err := s.submit(ctx, request)
@@ -102,16 +102,22 @@
 	return result, err
 }
 
-// admit reserves room for a turn of a shard.
+// admit reserves room for a turn of a shard. A process that is not the primary admits any turn, since it won't propose its Begin.
 func (s *Server) admit(shard uint32, begin programs.Begin) bool {
 	turn := admission.Turn{
 		Key: admission.Key{Shard: shard, Request: begin.Request}, IsNewProgram: true, RetainedBytes: int64(begin.RetainedBytes),
 	}
+	isPrimary := false
 	var replicas []uint64
 	s.node.WithGroup(shard, func(g *replica.Group) {
-		s.turns.complete(&turn, begin)
-		replicas = g.View().Replicas
+		if isPrimary = g.IsReady(); isPrimary {
+			s.turns.complete(&turn, begin)
+			replicas = g.View().Replicas
+		}
 	})
+	if !isPrimary {
+		return true
+	}
 	unapplied := int64(0)
 	if turn.RetainedBytes > 0 {
 		unapplied = s.node.UnappliedBytes()
