Stores judge an End by the fullest replica too, as they judge a Begin

Found by reading the change once more: an End that brings more than was reserved was judged by what its primary holds alone, without the reports of the other replicas and without what isn't applied yet, so that a fuller replica could be filled past its limit. Change: one usageOf for both. Result: TestFullReplicaCounts failed before (an unreserved End was accepted beside a full replica); it, the other tests of tier/store and admission with the race detector, and the five of harness/misbehavior for stores and chains pass.

--- a/tier/admission/admission.go
+++ b/tier/admission/admission.go
@@ -97,9 +97,12 @@
 	}
 }
 
+// Excess returns how many of the bytes that a turn needs were not reserved for it.
+func (c *Controller) Excess(key Key, bytes int64) int64 { return bytes - c.reservations[key].bytes }
+
 // AcceptsEnd reports whether a turn that has run may be retained with a number of bytes.
 func (c *Controller) AcceptsEnd(key Key, bytes int64, usage Usage) bool {
-	excess := bytes - c.reservations[key].bytes
+	excess := c.Excess(key, bytes)
 	if excess <= 0 {
 		return true
 	}
--- a/tier/store/program.go
+++ b/tier/store/program.go
@@ -79,7 +79,7 @@
 	}
 	defer release()
 	key := admission.Key{Shard: request.Shard, Request: end.Request}
-	if s.node.IsPrimary(request.Shard) && !s.turns.acceptsEnd(key, int64(end.RetainedBytes())) {
+	if !s.acceptsEnd(key, int64(end.RetainedBytes())) {
 		return programs.Result{}, codes.StoreFull
 	}
 	result, err := s.submit(ctx, request)
@@ -107,22 +107,34 @@
 	turn := admission.Turn{
 		Key: admission.Key{Shard: shard, Request: begin.Request}, IsNewProgram: true, RetainedBytes: int64(begin.RetainedBytes),
 	}
-	isPrimary := false
-	var replicas []uint64
+	replicas, isPrimary := s.inspectShard(shard, func() { s.turns.complete(&turn, begin) })
+	return !isPrimary || s.turns.admit(turn, s.usageOf(replicas), time.Now().UnixMilli())
+}
+
+// acceptsEnd reports whether a turn that has run may be retained with a number of bytes. A process that is not the primary accepts any,
+// since it won't propose the End.
+func (s *Server) acceptsEnd(key admission.Key, bytes int64) bool {
+	if s.turns.covers(key, bytes) {
+		return true
+	}
+	replicas, isPrimary := s.inspectShard(key.Shard, func() {})
+	return !isPrimary || s.turns.acceptsEnd(key, bytes, s.usageOf(replicas))
+}
+
+// inspectShard calls a function under the node's lock and returns the replicas of a shard, if this process is its primary.
+func (s *Server) inspectShard(shard uint32, inspect func()) (replicas []uint64, isPrimary bool) {
 	s.node.WithGroup(shard, func(g *replica.Group) {
 		if isPrimary = g.IsReady(); isPrimary {
-			s.turns.complete(&turn, begin)
+			inspect()
 			replicas = g.View().Replicas
 		}
 	})
-	if !isPrimary {
-		return true
-	}
-	unapplied := int64(0)
-	if turn.RetainedBytes > 0 {
-		unapplied = s.node.UnappliedBytes()
-	}
-	return s.turns.admit(turn, replicas, unapplied, time.Now().UnixMilli())
+	return replicas, isPrimary
+}
+
+// usageOf returns what the fullest of the replicas of a shard holds.
+func (s *Server) usageOf(replicas []uint64) admission.Usage {
+	return s.turns.usageOf(replicas, s.node.UnappliedBytes(), time.Now().UnixMilli())
 }
 
 func (s *Server) submit(ctx context.Context, request ProgramRequest) (programs.Result, error) {
--- a/tier/store/turnadmission.go
+++ b/tier/store/turnadmission.go
@@ -56,24 +56,38 @@
 	}
 }
 
-// admit reports whether there is room for a turn in all replicas of its shard, and reserves it. unapplied is the size of the log entries
-// that are not part of the state yet. The time is in milliseconds.
-func (a *turnAdmission) admit(turn admission.Turn, replicas []uint64, unapplied, now int64) bool {
-	usage := admission.Usage{RetainedBytes: a.usage.RetainedBytes() + unapplied, Programs: a.usage.Programs()}
+// usageOf returns what the fullest of the replicas of a shard holds, by their last reports. unapplied is the size of the log entries of
+// this process that are not part of the state yet. The time is in milliseconds.
+func (a *turnAdmission) usageOf(replicas []uint64, unapplied, now int64) admission.Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	usage.Primaries = a.primaries
+	usage := admission.Usage{
+		RetainedBytes: a.usage.RetainedBytes() + unapplied, Programs: a.usage.Programs(), Primaries: a.primaries,
+	}
 	for _, id := range replicas {
 		if peer, found := a.peers[id]; found && now <= peer.expiresAt {
 			usage.RetainedBytes = max(usage.RetainedBytes, peer.bytes)
 		}
 	}
+	return usage
+}
+
+// admit reports whether there is room for a turn, and reserves it. The time is in milliseconds.
+func (a *turnAdmission) admit(turn admission.Turn, usage admission.Usage, now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return a.controller.Admit(turn, usage, now)
 }
 
+// covers reports whether at least a number of bytes was reserved for a turn.
+func (a *turnAdmission) covers(key admission.Key, bytes int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Excess(key, bytes) <= 0
+}
+
 // acceptsEnd reports whether a turn that has run may be retained with a number of bytes.
-func (a *turnAdmission) acceptsEnd(key admission.Key, bytes int64) bool {
-	usage := admission.Usage{RetainedBytes: a.usage.RetainedBytes()}
+func (a *turnAdmission) acceptsEnd(key admission.Key, bytes int64, usage admission.Usage) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.controller.AcceptsEnd(key, bytes, usage)
--- a/tier/store/turnadmission_test.go
+++ b/tier/store/turnadmission_test.go
@@ -19,6 +19,17 @@
 	return err
 }
 
+// unreservedEndBytes is the size of an End that is large.
+const unreservedEndBytes = 100_000
+
+// endLarge ends a turn that retains a number of bytes.
+func endLarge(ctx context.Context, s *Server, request string, bytes int) error {
+	command := programs.End{Request: request, Program: request, Retain: true, RetentionMS: 60_000, Input: make([]byte, bytes)}.Encode()
+	programs.Stamp(command, time.Now().UnixMilli())
+	_, err := s.execute(ctx, ProgramRequest{Shard: recordedShard, Command: command})
+	return err
+}
+
 // A primary refuses turns for which there is no room, until others have ended. What has ended is never refused.
 func TestPrimaryRefusesTurnsWithoutRoom(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -34,9 +45,7 @@
 	if s.turns.usage.Programs() == 0 || s.turns.states[recordedShard].HasProgram("b") {
 		t.Fatal("the refused turn was proposed")
 	}
-	end := programs.End{Request: "a", Program: "a", Retain: true, RetentionMS: 60_000, Input: make([]byte, half)}.Encode()
-	programs.Stamp(end, time.Now().UnixMilli())
-	if _, err := s.execute(ctx, ProgramRequest{Shard: recordedShard, Command: end}); err != nil {
+	if err := endLarge(ctx, s, "a", int(half)); err != nil {
 		t.Fatal(err)
 	}
 	if got := s.turns.usage.RetainedBytes(); got < int64(half) {
@@ -97,8 +106,14 @@
 	if err := beginLarge(ctx, s, "a", 1000); !errors.Is(err, codes.StoreFull) {
 		t.Fatalf("a turn while a replica is full: %v", err)
 	}
+	if err := endLarge(ctx, s, "b", unreservedEndBytes); !errors.Is(err, codes.StoreFull) {
+		t.Fatalf("an End without a reservation while a replica is full: %v", err)
+	}
 	s.turns.recordPeer(decoded, time.Now().Add(-time.Minute).UnixMilli())
 	if err := beginLarge(ctx, s, "a", 1000); err != nil {
 		t.Fatalf("after the report expired: %v", err)
 	}
+	if err := endLarge(ctx, s, "b", unreservedEndBytes); err != nil {
+		t.Fatalf("an End after the report expired: %v", err)
+	}
 }
