Proxies log and count hosts that send too much

The log of a proxy that ran out of memory named no host. What a proxy gives up because its host sent too much is logged with code 415 (at most once a second for a host) and counted by kind at /metrics of the readiness port, beside the memory reserved for clients. No decision changes.

--- a/tier/codes/codes.go
+++ b/tier/codes/codes.go
@@ -54,6 +54,7 @@
 	AnswerNotKept    Code = 412
 	Stopping         Code = 413
 	Overloaded       Code = 414
+	ResponseExcess   Code = 415
 
 	// Codes of disks.
 	DiskDamaged   Code = 501
--- a/tier/codes/recorded_test.go
+++ b/tier/codes/recorded_test.go
@@ -14,8 +14,9 @@
 // The numbers of the codes and their names in logs and responses must not change.
 func TestRecordedTable(t *testing.T) {
 	isAdded := func(row Row) bool { return slices.Contains(addedCodes, row.Code) }
-	recorded.Check(t, "table", encodeTable(slices.DeleteFunc(slices.Clone(Table), isAdded)))
+	recorded.Check(t, "table", encodeTable(slices.DeleteFunc(slices.Clone(Table), func(row Row) bool { return isAdded(row) || row.Code == ResponseExcess })))
 	recorded.Check(t, "table-added", encodeTable(slices.DeleteFunc(slices.Clone(Table), func(row Row) bool { return !isAdded(row) })))
+	recorded.Check(t, "table-excess", encodeTable(slices.DeleteFunc(slices.Clone(Table), func(row Row) bool { return row.Code != ResponseExcess })))
 }
 
 func encodeTable(rows []Row) []byte {
--- a/tier/codes/table.go
+++ b/tier/codes/table.go
@@ -42,6 +42,7 @@
 	{AnswerNotKept, "answer-not-kept", "the turn was served but could not be made durable; its answer is broken off"},
 	{Stopping, "stopping", "the proxy is about to end; ask another one"},
 	{Overloaded, "overloaded", "the process has no memory left for the request now; the request is not run"},
+	{ResponseExcess, "response-excess", "a host sent more than its response may hold; the line names the host and says what it sent"},
 	{DiskDamaged, "disk-damaged", "a file on disk is torn, cut or altered"},
 	{DiskWrite, "disk-write", "a write or sync failed"},
 	{DiskRegressed, "disk-regressed", "a member's disk holds less than it acknowledged: an older copy of it was put back"},
--- a/tier/proxy/hosts.go
+++ b/tier/proxy/hosts.go
@@ -22,6 +22,8 @@
 	key     fleetload.HostKey
 	service string
 	pool    *upstream.Pool
+
+	excessLoggedAt time.Time
 }
 
 // hostTable contains the hosts by service and this proxy's observations of them.
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,6 +67,9 @@
 	p.latencies.observeResponse(r.route.Name, time.Since(response.sentAt))
 	head := response.head()
 	body, err := response.readAll()
+	if errors.Is(err, errResponseTooLarge) {
+		p.recordExcess(host, excessBody, r.id)
+	}
 	if err != nil && !head.IsRefusal() {
 		p.hosts.finish(host, outcomeOfBrokenResponse(ctx))
 		return plainResponse{}, attempt.Uncertain
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -52,6 +52,7 @@
 	latencies *routeLatencies
 	outages   *outageTracker
 	outputs   outputSizes
+	excesses  excessCounts
 	agent     *rpc.Client // receives the observations of hosts
 
 	draining  atomic.Bool // not ready, so that the platform sends no more connections
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -125,6 +125,9 @@
 	head := response.head()
 	body, err := response.readAll()
 	uncounted := t.isAccounted() && response.StatusCode < http.StatusMultipleChoices
+	if errors.Is(err, errResponseTooLarge) {
+		p.recordExcess(response.host, excessBody, t.id)
+	}
 	if err != nil || stream.started || uncounted {
 		p.hosts.finish(response.host, outcomeOfBrokenResponse(ctx))
 		return attempt.Uncertain
@@ -170,6 +173,9 @@
 			return attempt.Answered
 		}
 		response.lease.Close()
+		if err == nil {
+			p.recordExcess(response.host, excessEvent, t.id)
+		}
 		if !firstEventReceived {
 			p.observeTimeout(t.request, response.sentAt, firstEventDeadline)
 		}
--- a/tier/proxy/send.go
+++ b/tier/proxy/send.go
@@ -52,6 +52,9 @@
 	})
 	if err != nil {
 		lease.Close()
+		if errors.Is(err, upstream.ErrHeadTooLong) {
+			p.recordExcess(host, excessHead, r.id)
+		}
 		p.observeTimeout(r, sentAt, deadline)
 		return nil, attempt.OutcomeOf(lease.Exchange())
 	}
--- a/tier/proxy/shutdown.go
+++ b/tier/proxy/shutdown.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// readinessRoutes returns the handler for the platform's readiness probes.
+// readinessRoutes returns the handler for the platform's readiness probes and for the metrics of this process.
 func (p *Proxy) readinessRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
@@ -72,6 +72,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	router.Get("/metrics", p.serveMetrics)
 	return router
 }
 
--- a/tier/upstream/conn.go
+++ b/tier/upstream/conn.go
@@ -47,10 +47,10 @@
 	return c
 }
 
-// Read reads from the socket, up to the remaining head budget. It returns errHeadTooLong when the budget is used up.
+// Read reads from the socket, up to the remaining head budget. It returns ErrHeadTooLong when the budget is used up.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBudget == 0 {
-		return 0, errHeadTooLong
+		return 0, ErrHeadTooLong
 	}
 	if c.headBudget > 0 && len(p) > c.headBudget {
 		p = p[:c.headBudget]
--- a/tier/upstream/errors.go
+++ b/tier/upstream/errors.go
@@ -9,6 +9,6 @@
 	ErrUnexpectedResponse = errors.New("received data is not the response to this request")
 	// ErrDuplicateRequestID indicates that the connection has already carried a request with the same ID. The request was not sent.
 	ErrDuplicateRequestID = errors.New("the connection has already carried a request with this ID")
-	// errHeadTooLong indicates that the head of a response exceeds maxHeadBytes.
-	errHeadTooLong = errors.New("the head of the response is too long")
+	// ErrHeadTooLong indicates that the head of a response exceeds maxHeadBytes.
+	ErrHeadTooLong = errors.New("the head of the response is too long")
 )
