--- a/tier/control/api/api.go
+++ b/tier/control/api/api.go
@@ -12,12 +12,12 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
-	"otterseam/tier/clientmemory"
 	"otterseam/tier/codes"
 	"otterseam/tier/control/state"
 	"otterseam/tier/controlclient"
 	"otterseam/tier/httpguard"
 	"otterseam/tier/limits"
+	"otterseam/tier/memorybudget"
 )
 
 const (
@@ -166,7 +166,7 @@
 
 // newGuard returns the guard of the connections of operators and hosts.
 func newGuard(l limits.Limits) *httpguard.Guard {
-	guard := &httpguard.Guard{Memory: clientmemory.NewBudget(l.ClientBytes()), MaxConnections: l.ClientConnections()}
+	guard := &httpguard.Guard{Memory: memorybudget.NewBudget(l.ClientBytes()), MaxConnections: l.ClientConnections()}
 	guard.SetMaxHeadBytes(maxHeadBytes)
 	guard.SetHeadTimeout(readHeaderTimeout)
 	guard.Overloaded = httpguard.Response(http.StatusServiceUnavailable, retryElsewhereAfter, nil)
--- a/tier/httpguard/body.go
+++ b/tier/httpguard/body.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"otterseam/tier/clientmemory"
+	"otterseam/tier/memorybudget"
 )
 
 const (
@@ -48,7 +48,7 @@
 	if reader.claim.Received() != nil {
 		return nil, ErrOverloaded
 	}
-	if copies := int64(len(reader.body)) * (limits.Copies - 1); copies > 0 && reserve(reader.claim, copies, patienceUntil(limits.Deadline)) != nil {
+	if copies := int64(len(reader.body)) * (limits.Copies - 1); copies > 0 && reader.claim.Await(copies, patienceUntil(limits.Deadline)) != nil {
 		return nil, ErrOverloaded
 	}
 	return reader.body, nil
@@ -65,17 +65,17 @@
 
 // reserveFor reserves memory for the request of a context.
 func reserveFor(ctx context.Context, bytes int64, patience time.Duration) error {
-	if conn := connOf(ctx); conn != nil && reserve(&conn.claim, bytes, patience) != nil {
+	if conn := connOf(ctx); conn != nil && conn.claim.Await(bytes, patience) != nil {
 		return ErrOverloaded
 	}
 	return nil
 }
 
 // claimOf returns the claim of a request. It opens the claim of a request whose head was read together with the previous one.
-func claimOf(r *http.Request) *clientmemory.Claim {
+func claimOf(r *http.Request) *memorybudget.Claim {
 	conn := connOf(r.Context())
 	if conn == nil {
-		return &clientmemory.Claim{}
+		return &memorybudget.Claim{}
 	}
 	if conn.openClaim() {
 		scanner := headScanner{lines: len(r.Header)}
@@ -93,7 +93,7 @@
 // bodyReader reads a body into a buffer that grows with it.
 type bodyReader struct {
 	limits BodyLimits
-	claim  *clientmemory.Claim
+	claim  *memorybudget.Claim
 	body   []byte
 }
 
@@ -146,7 +146,7 @@
 
 // grow moves the body to a buffer of a larger size, whose memory it reserves.
 func (b *bodyReader) grow(size int64) error {
-	if err := reserve(b.claim, size-int64(cap(b.body)), patienceUntil(b.limits.Deadline)); err != nil {
+	if err := b.claim.Await(size-int64(cap(b.body)), patienceUntil(b.limits.Deadline)); err != nil {
 		return err
 	}
 	body := make([]byte, len(b.body), size)
@@ -160,7 +160,7 @@
 	held := int64(cap(b.body))
 	b.body = nil
 	defer b.claim.Release(held)
-	if b.claim.Evicted() || errors.Is(err, clientmemory.ErrSpent) || errors.Is(err, clientmemory.ErrEvicted) {
+	if b.claim.Evicted() || errors.Is(err, memorybudget.ErrSpent) || errors.Is(err, memorybudget.ErrEvicted) {
 		return ErrOverloaded
 	}
 	return err
@@ -173,35 +173,3 @@
 	}
 	return min(reservePatience, time.Until(deadline))
 }
-
-// reserve reserves memory. It waits at most for a duration until other requests have given back enough.
-func reserve(claim *clientmemory.Claim, bytes int64, patience time.Duration) error {
-	giveUpAt := time.Now().Add(patience)
-	for {
-		now := time.Now()
-		wait, err := claim.Reserve(bytes, now)
-		if wait == nil {
-			return err
-		}
-		released := awaitRelease(wait, giveUpAt.Sub(now))
-		claim.Waited()
-		if !released {
-			return clientmemory.ErrSpent
-		}
-	}
-}
-
-// awaitRelease waits at most for a duration until a channel is closed, and reports whether it was.
-func awaitRelease(released <-chan struct{}, patience time.Duration) bool {
-	if patience <= 0 {
-		return false
-	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-released:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
--- a/tier/httpguard/conn.go
+++ b/tier/httpguard/conn.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"otterseam/tier/clientmemory"
+	"otterseam/tier/memorybudget"
 )
 
 const (
@@ -40,7 +40,7 @@
 	cancelRequests context.CancelFunc // cancels the context of the connection and of its requests; nil before ConnContext
 
 	// claim is the memory of the current request. The connection's goroutine, which also runs the handlers, opens and closes it.
-	claim clientmemory.Claim
+	claim memorybudget.Claim
 
 	mu           sync.Mutex    // guards the fields below
 	stopWatch    chan struct{} // closed to stop the watch for the client's close; nil if none runs
@@ -131,7 +131,7 @@
 	c.reserved += missing
 	deadline := c.headDeadline
 	c.mu.Unlock()
-	if reserve(&c.claim, missing, patienceUntil(deadline)) != nil {
+	if c.claim.Await(missing, patienceUntil(deadline)) != nil {
 		return c.guard.Overloaded, true
 	}
 	return nil, false
--- a/tier/httpguard/guard.go
+++ b/tier/httpguard/guard.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"otterseam/tier/clientmemory"
+	"otterseam/tier/memorybudget"
 )
 
 // defaultMaxHeadBytes limits heads until SetMaxHeadBytes is called.
@@ -17,7 +17,7 @@
 // Guard watches the connections of a server and limits what they hold. The fields are set before Listen.
 type Guard struct {
 	// Memory limits what the requests of all connections hold; nil for no limit.
-	Memory *clientmemory.Budget
+	Memory *memorybudget.Budget
 	// MaxConnections is the number of connections above which idle ones are closed; 0 for no limit.
 	MaxConnections int
 	// HeadTooLarge and Overloaded are the responses, as returned by Response, to a head that is too large and to a request for which
--- a/tier/httpguard/limits_test.go
+++ b/tier/httpguard/limits_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"otterseam/tier/clientmemory"
+	"otterseam/tier/memorybudget"
 )
 
 const testCopies = 2
@@ -72,7 +72,7 @@
 }
 
 func TestBodiesOfAllKindsAreReadWhole(t *testing.T) {
-	conn, reader := dial(t, serveLimited(t, &Guard{Memory: clientmemory.NewBudget(8 << 20)}))
+	conn, reader := dial(t, serveLimited(t, &Guard{Memory: memorybudget.NewBudget(8 << 20)}))
 	long := strings.Repeat("0123456789abcdef", 40_000)
 	for name, test := range map[string]struct{ text, want string }{
 		"none":           {head + "\r\n", ""},
@@ -92,7 +92,7 @@
 
 // A request that stops short of its end yields to another one, and is told that it has not run. All memory is given back in the end.
 func TestStalledBodyYields(t *testing.T) {
-	budget := clientmemory.NewBudget(400 << 10)
+	budget := memorybudget.NewBudget(400 << 10)
 	address := serveLimited(t, &Guard{Memory: budget})
 	stalled, stalledReader := dial(t, address)
 	if _, err := io.WriteString(stalled, post("200000", strings.Repeat("x", 199_999))); err != nil {
@@ -115,7 +115,7 @@
 
 // A request whose copies don't fit is rejected although its body does.
 func TestCopiesCount(t *testing.T) {
-	conn, reader := dial(t, serveLimited(t, &Guard{Memory: clientmemory.NewBudget(200 << 10)}))
+	conn, reader := dial(t, serveLimited(t, &Guard{Memory: memorybudget.NewBudget(200 << 10)}))
 	if got, _ := roundTrip(t, conn, reader, post("100000", strings.Repeat("x", 100_000))); got != http.StatusServiceUnavailable {
 		t.Fatalf("%d", got)
 	}
@@ -123,7 +123,7 @@
 
 // Heads of many lines are rejected before the server parses them.
 func TestHeadWithoutMemoryIsRejected(t *testing.T) {
-	conn, reader := dial(t, serveLimited(t, &Guard{Memory: clientmemory.NewBudget(100 << 10)}))
+	conn, reader := dial(t, serveLimited(t, &Guard{Memory: memorybudget.NewBudget(100 << 10)}))
 	if got, _ := roundTrip(t, conn, reader, head+strings.Repeat("a:\r\n", 2000)); got != http.StatusServiceUnavailable {
 		t.Fatalf("%d", got)
 	}
--- a/tier/clientmemory/budget.go
+++ b/tier/memorybudget/budget.go
@@ -1,8 +1,8 @@
-// Package clientmemory divides the memory that a process may hold for its clients among their requests. A request reserves memory as its
-// bytes arrive and gives it back when it has ended. If the memory is spent, requests that are still being received yield, those first that
-// have held most for longest: a client that stops short of the end of its request cannot keep its memory, while one that sends at its pace
-// keeps it as long as there is enough. The package reads no clock.
-package clientmemory
+// Package memorybudget divides the memory that a process may hold for its peers among their messages: the requests of clients, or the
+// responses of hosts. A message reserves memory as its bytes arrive and gives it back when it has ended. If the memory is spent, messages
+// that are still being received yield, those first that have held most for longest: a peer that stops short of the end of its message, or
+// never ends it, cannot keep its memory, while one that sends at its pace keeps it as long as there is enough. Only Await reads a clock.
+package memorybudget
 
 import (
 	"errors"
@@ -11,21 +11,21 @@
 )
 
 const (
-	// smallRequestBytes is the size up to which a request may use all of the memory. Larger ones leave a quarter of it, so that ordinary
-	// requests are served beside them.
-	smallRequestBytes = 64 << 10
-	// minEvictionAge is the time that a request has to arrive before it may have to yield.
+	// smallMessageBytes is the size up to which a message may use all of the memory. Larger ones leave a quarter of it, so that ordinary
+	// messages are received beside them.
+	smallMessageBytes = 64 << 10
+	// minEvictionAge is the time that a message has to arrive before it may have to yield.
 	minEvictionAge = 250 * time.Millisecond
 )
 
 var (
-	// ErrSpent is returned if a request is larger than it may ever be.
-	ErrSpent = errors.New("the memory for requests is spent")
-	// ErrEvicted is returned to a request that has had to yield.
-	ErrEvicted = errors.New("the request was given up to free memory")
+	// ErrSpent is returned if a message is larger than it may ever be.
+	ErrSpent = errors.New("the memory for messages is spent")
+	// ErrEvicted is returned to a message that has had to yield.
+	ErrEvicted = errors.New("the message was given up to free memory")
 )
 
-// Budget is a number of bytes that the claims of requests share. It is safe for concurrent use.
+// Budget is a number of bytes that the claims of messages share. It is safe for concurrent use.
 type Budget struct {
 	limit int64
 
@@ -49,7 +49,7 @@
 	return b.used
 }
 
-// Claim is the memory of one request. The zero value is closed. A claim must not be copied.
+// Claim is the memory of one message. The zero value is closed. A claim must not be copied.
 type Claim struct {
 	budget   *Budget
 	bytes    int64
@@ -58,8 +58,8 @@
 	evicted  bool
 }
 
-// Open starts a claim for a request that is being received. If the request has to yield, evict is called once, by another goroutine; it
-// must make the request end and must not block.
+// Open starts a claim for a message that is being received. If the message has to yield, evict is called once, by another goroutine; it
+// must make the message end and must not block.
 func (b *Budget) Open(c *Claim, now time.Time, evict func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -67,7 +67,7 @@
 	b.receiving[c] = true
 }
 
-// Reserve adds bytes to the claim. If a channel is returned, the bytes don't fit now: requests that can make room are yielding, and the
+// Reserve adds bytes to the claim. If a channel is returned, the bytes don't fit now: messages that can make room are yielding, and the
 // caller may try again when the channel is closed. The error is ErrSpent or ErrEvicted.
 func (c *Claim) Reserve(bytes int64, now time.Time) (wait <-chan struct{}, err error) {
 	b := c.budget
@@ -100,15 +100,15 @@
 	return wait, nil
 }
 
-// limitFor returns how much of the budget may be used by a request of a size.
+// limitFor returns how much of the budget may be used by a message of a size.
 func (b *Budget) limitFor(size int64) int64 {
-	if size > smallRequestBytes {
+	if size > smallMessageBytes {
 		return b.limit - b.limit/4
 	}
 	return b.limit
 }
 
-// selectVictims marks so many requests as evicted that the bytes fit, and returns their evict functions. If they wouldn't fit, it marks
+// selectVictims marks so many messages as evicted that the bytes fit, and returns their evict functions. If they wouldn't fit, it marks
 // none. The caller holds the lock.
 func (b *Budget) selectVictims(c *Claim, bytes, limit int64, now time.Time) (evict []func()) {
 	var victims []*Claim
@@ -134,7 +134,7 @@
 	return evict
 }
 
-// worst returns the request that has held most for longest, other than c, or nil if there is none that may have to yield.
+// worst returns the message that has held most for longest, other than c, or nil if there is none that may have to yield.
 func (b *Budget) worst(c *Claim, now time.Time) *Claim {
 	var worst *Claim
 	worstHeld := float64(0)
@@ -158,7 +158,7 @@
 	c.budget.waiting--
 }
 
-// Received marks the request as completely received. It no longer has to yield. It returns ErrEvicted if it already had to.
+// Received marks the message as completely received. It no longer has to yield. It returns ErrEvicted if it already had to.
 func (c *Claim) Received() error {
 	b := c.budget
 	if b == nil {
@@ -173,7 +173,7 @@
 	return nil
 }
 
-// Evicted reports whether the request had to yield.
+// Evicted reports whether the message had to yield.
 func (c *Claim) Evicted() bool {
 	b := c.budget
 	if b == nil {
--- a/tier/clientmemory/budget_test.go
+++ b/tier/memorybudget/budget_test.go
@@ -1,4 +1,4 @@
-package clientmemory
+package memorybudget
 
 import (
 	"errors"
@@ -30,13 +30,13 @@
 	}
 	other := &Claim{}
 	b.Open(other, start, nil)
-	if wait, err := other.Reserve(smallRequestBytes+1, start); wait == nil || err != nil {
+	if wait, err := other.Reserve(smallMessageBytes+1, start); wait == nil || err != nil {
 		t.Fatalf("a second large request doesn't wait: %v", err)
 	}
 	if _, err := other.Reserve(testLimit, start); !errors.Is(err, ErrSpent) {
 		t.Fatalf("a request that never fits: %v", err)
 	}
-	if wait, err := other.Reserve(smallRequestBytes, start); wait != nil || err != nil {
+	if wait, err := other.Reserve(smallMessageBytes, start); wait != nil || err != nil {
 		t.Fatalf("a small request: %v", err)
 	}
 	large.Release(1 << 20)
--- a/tier/proxy/clientlimits.go
+++ b/tier/proxy/clientlimits.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"time"
 
-	"otterseam/tier/clientmemory"
 	"otterseam/tier/codes"
 	"otterseam/tier/httpguard"
 	"otterseam/tier/limits"
+	"otterseam/tier/memorybudget"
 )
 
 // Limits of the port for readiness probes, whose requests are short and have no body.
@@ -21,9 +21,9 @@
 
 // limitClients sets what clients and readiness probes may hold. They have limits apart from each other.
 func (p *Proxy) limitClients(l limits.Limits) {
-	p.guard.Memory = clientmemory.NewBudget(l.ClientBytes())
+	p.guard.Memory = memorybudget.NewBudget(l.ClientBytes())
 	p.guard.MaxConnections = l.ClientConnections()
-	p.probeGuard.Memory = clientmemory.NewBudget(l.ProbeBytes())
+	p.probeGuard.Memory = memorybudget.NewBudget(l.ProbeBytes())
 	p.probeGuard.MaxConnections = l.ProbeConnections()
 	p.probeGuard.SetMaxHeadBytes(maxProbeHeadBytes)
 	p.probeGuard.SetHeadTimeout(probeTimeout)
