--- a/harness/tierhost/host.go
+++ b/harness/tierhost/host.go
@@ -28,8 +28,9 @@
 	Controls func() []string // returns the control addresses
 	Address  string          // listening address; set by Start
 
-	server *http.Server
-	stop   context.CancelFunc
+	server  *http.Server
+	stopped context.Context // ends when the host stops
+	stop    context.CancelFunc
 
 	mu             sync.Mutex // guards all below
 	executions     []Execution
@@ -43,6 +44,9 @@
 	dropNext      bool // the next request is executed, but its connection is closed without a response
 	dropResponses bool // the same for all requests
 	reject        bool // all requests get a response that says they were not executed
+
+	flood      *Flood // response to all requests; nil: none
+	floodPause time.Duration
 }
 
 // takeForRequest returns the faults for a request and clears those that apply to one request only.
@@ -61,7 +65,7 @@
 	}
 	h.Address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	h.stop = cancel
+	h.stopped, h.stop = ctx, cancel
 	h.server = &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = h.server.Serve(listener) }() // returns when Stop closes it
 	go h.heartbeatLoop(ctx)
@@ -108,3 +112,16 @@
 	defer h.mu.Unlock()
 	h.faults.reject = reject
 }
+
+// Flood makes the host respond to all requests with a flood, and pause after each write of it. nil clears the fault.
+func (h *Host) Flood(flood *Flood, pause time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.faults.flood = flood
+	h.faults.floodPause = pause
+}
+
+// closeAtStop closes a connection when the host stops. The function that it returns ends that.
+func (h *Host) closeAtStop(conn net.Conn) (end func() bool) {
+	return context.AfterFunc(h.stopped, func() { conn.Close() })
+}
--- a/harness/tierhost/serve.go
+++ b/harness/tierhost/serve.go
@@ -13,8 +13,8 @@
 // PauseParameter is the query parameter of a request that sets the pause after each event of its stream, in milliseconds.
 const PauseParameter = "pause_ms"
 
-// PaddingParameter is the query parameter of a request that sets the number of bytes by which the data of each event of its stream is
-// longer.
+// PaddingParameter is the query parameter of a request that sets the number of bytes by which the data of each event of its stream, or its
+// plain body, is longer.
 const PaddingParameter = "padding_bytes"
 
 const (
@@ -41,6 +41,10 @@
 		Body:        string(body),
 		LastEventID: r.Header.Get("Last-Event-Id"),
 	})
+	if active.flood != nil {
+		active.flood.send(h, w, r.Header.Get("X-Request-Id"), active.floodPause)
+		return
+	}
 	if !executed {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -54,15 +58,15 @@
 		stream(w, r, tokens, active.breakAfter)
 		return
 	}
-	fmt.Fprintf(w, "done by %s", h.Service)
+	writePlain(w, r, "done by "+h.Service)
 }
 
-// execute records a request and returns the faults that apply to it. executed is false if the host rejects the request.
+// execute records a request and returns the faults that apply to it. executed is false if the host doesn't execute the request.
 func (h *Host) execute(request Execution) (active faults, executed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.faults.reject {
-		return faults{}, false
+	if h.faults.reject || h.faults.flood != nil && h.faults.flood.NotExecuted {
+		return h.faults, false
 	}
 	h.executions = append(h.executions, request)
 	return h.faults.takeForRequest(), true
@@ -81,10 +85,9 @@
 // parameter PauseParameter makes it pause after each event, PaddingParameter makes its data longer.
 func stream(w http.ResponseWriter, r *http.Request, tokenRange string, breakAfter int) {
 	_, maximum, _ := strings.Cut(tokenRange, ",")
-	tokens, _ := strconv.Atoi(maximum)                              // 0 if it isn't a number
-	pause, _ := strconv.Atoi(r.URL.Query().Get(PauseParameter))     // 0 if it isn't a number
-	padding, _ := strconv.Atoi(r.URL.Query().Get(PaddingParameter)) // 0 if it isn't a number
-	data := strings.Repeat("p", max(padding, 0))
+	tokens, _ := strconv.Atoi(maximum)                          // 0 if it isn't a number
+	pause, _ := strconv.Atoi(r.URL.Query().Get(PauseParameter)) // 0 if it isn't a number
+	data := strings.Repeat("p", paddingOf(r))
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -103,6 +106,25 @@
 	}
 }
 
+// writePlain writes a plain body. The query parameter PaddingParameter makes it longer.
+func writePlain(w http.ResponseWriter, r *http.Request, text string) {
+	missing := paddingOf(r)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+missing))
+	_, err := io.WriteString(w, text)
+	block := strings.Repeat("p", min(missing, floodWriteBytes))
+	for missing > 0 && err == nil {
+		n := min(missing, len(block))
+		_, err = io.WriteString(w, block[:n])
+		missing -= n
+	}
+}
+
+// paddingOf returns the number of bytes in PaddingParameter, or 0 if there is none.
+func paddingOf(r *http.Request) int {
+	padding, _ := strconv.Atoi(r.URL.Query().Get(PaddingParameter)) // 0 if it isn't a number
+	return max(padding, 0)
+}
+
 // sleep waits for a duration. It returns false if the context ends before.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	if duration <= 0 {
