The splitter of events searches each byte once

At each read of 4 KB it searched everything that it held of an event again, and split it into a slice of lines at the end. Events say whether they have data lines, and the buffer of a long event isn't kept after it.

--- a/tier/sse/splitter_test.go
+++ b/tier/sse/splitter_test.go
@@ -84,3 +84,33 @@
 		}
 	})
 }
+
+// Guards against a cost of a long event that grows with the square of its size.
+func BenchmarkLongEvent(b *testing.B) {
+	line := bytes.Repeat([]byte("data: x\n"), 512)
+	for b.Loop() {
+		var s Splitter
+		for range 1024 {
+			s.Add(line)
+		}
+		if events := s.Add([]byte("\n")); len(events) != 1 {
+			b.Fatalf("%d events", len(events))
+		}
+	}
+}
+
+func TestCommentsHaveNoData(t *testing.T) {
+	var s Splitter
+	got := s.Add([]byte(": ping\n\nid: 1\n\ndata:\n\n\n\n"))
+	if len(got) != 4 || got[0].HasData || got[1].HasData || !got[2].HasData || got[3].HasData {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestSplitterDropsTheBufferOfALongEvent(t *testing.T) {
+	var s Splitter
+	s.Add(bytes.Repeat([]byte("x"), 2*maxSpareBytes))
+	if s.Add([]byte("\n\n")); cap(s.buffer) > maxSpareBytes {
+		t.Fatalf("%d bytes are kept", cap(s.buffer))
+	}
+}
