--- a/tier/limits/limits.go
+++ b/tier/limits/limits.go
@@ -48,6 +48,9 @@
 // ClientBytes returns the memory for everything that a process holds for the requests of clients.
 func (l Limits) ClientBytes() int64 { return l.memoryBytes * 2 / 5 }
 
+// HostBytes returns the memory for everything that a proxy holds for the responses of hosts.
+func (l Limits) HostBytes() int64 { return l.memoryBytes / 6 }
+
 // ProbeBytes returns the memory for readiness probes, which is apart from that for clients.
 func (l Limits) ProbeBytes() int64 { return l.memoryBytes / 64 }
 
--- a/tier/limits/limits_test.go
+++ b/tier/limits/limits_test.go
@@ -12,6 +12,9 @@
 		if l.ClientBytes()+l.ProbeBytes() > l.RuntimeBytes()*2/3 {
 			t.Errorf("%+v: clients may use %d of %d bytes", s, l.ClientBytes(), l.RuntimeBytes())
 		}
+		if held := l.ClientBytes() + l.ProbeBytes() + l.HostBytes() + 2*l.CommandBytes(); held > l.RuntimeBytes()*9/10 {
+			t.Errorf("%+v: a proxy may hold %d of %d bytes", s, held, l.RuntimeBytes())
+		}
 		// the state, its snapshots for replicas, and the two copies of a compaction
 		if 4*l.RetainedBytes()+2*l.CommandBytes() > l.RuntimeBytes() {
 			t.Errorf("%+v: the copies of the state take more than %d bytes", s, l.RuntimeBytes())
--- a/tier/memorybudget/budget.go
+++ b/tier/memorybudget/budget.go
@@ -27,6 +27,9 @@
 
 // Budget is a number of bytes that the claims of messages share. It is safe for concurrent use.
 type Budget struct {
+	// MinEvictionBytes is how much a message may hold without ever having to yield. It is set before the first claim is opened.
+	MinEvictionBytes int64
+
 	limit int64
 
 	mu        sync.Mutex // guards the fields below and the fields of the claims
@@ -80,9 +83,7 @@
 		return nil, ErrEvicted
 	}
 	limit := b.limitFor(c.bytes + bytes)
-	if b.used+bytes <= limit {
-		b.used += bytes
-		c.bytes += bytes
+	if b.take(c, bytes, limit) {
 		b.mu.Unlock()
 		return nil, nil
 	}
@@ -100,6 +101,34 @@
 	return wait, nil
 }
 
+// TryReserve adds bytes to the claim if they fit now. No other message has to yield for them. The error is ErrSpent or ErrEvicted.
+func (c *Claim) TryReserve(bytes int64) error {
+	b := c.budget
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case c.evicted:
+		return ErrEvicted
+	case !b.take(c, bytes, b.limitFor(c.bytes+bytes)):
+		return ErrSpent
+	default:
+		return nil
+	}
+}
+
+// take adds bytes to a claim if they fit into a limit. The caller holds the lock.
+func (b *Budget) take(c *Claim, bytes, limit int64) bool {
+	if b.used+bytes > limit {
+		return false
+	}
+	b.used += bytes
+	c.bytes += bytes
+	return true
+}
+
 // limitFor returns how much of the budget may be used by a message of a size.
 func (b *Budget) limitFor(size int64) int64 {
 	if size > smallMessageBytes {
@@ -140,7 +169,7 @@
 	worstHeld := float64(0)
 	for each := range b.receiving {
 		age := now.Sub(each.openedAt)
-		if each == c || age < minEvictionAge {
+		if each == c || age < minEvictionAge || each.bytes <= b.MinEvictionBytes {
 			continue
 		}
 		if held := float64(each.bytes) * age.Seconds(); held > worstHeld {
--- a/tier/proxy/excess.go
+++ b/tier/proxy/excess.go
@@ -44,6 +44,13 @@
 		Warn("a host sent too much; its response is given up")
 }
 
+// recordIfYielded records that the response of a host had to yield, if it had to.
+func (p *Proxy) recordIfYielded(r *request, host *upstreamHost) {
+	if r.memory.hasYielded() {
+		p.recordExcess(host, excessMemory, r.id)
+	}
+}
+
 // mayLogExcess reports whether a line about the host may be logged now.
 func (t *hostTable) mayLogExcess(host *upstreamHost, now time.Time) bool {
 	t.mu.Lock()
--- a/tier/proxy/proxy.go
+++ b/tier/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"otterseam/tier/feed"
 	"otterseam/tier/httpguard"
 	"otterseam/tier/limits"
+	"otterseam/tier/memorybudget"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/periodic"
 	"otterseam/tier/rpc"
@@ -53,7 +54,8 @@
 	outages   *outageTracker
 	outputs   outputSizes
 	excesses  excessCounts
-	agent     *rpc.Client // receives the observations of hosts
+	responses *memorybudget.Budget // of the memory that is held for the responses of hosts
+	agent     *rpc.Client          // receives the observations of hosts
 
 	draining  atomic.Bool // not ready, so that the platform sends no more connections
 	rejecting atomic.Bool // new requests are rejected
@@ -85,6 +87,7 @@
 		programs:          newProgramClient(view, outages, processLimits.CommandBytes()),
 		latencies:         newRouteLatencies(),
 		outages:           outages,
+		responses:         newResponseBudget(processLimits.HostBytes()),
 		agent:             rpc.NewClient(s.AgentAddress(), nil),
 		settlementContext: context.Background(),
 	}
--- a/tier/proxy/relay.go
+++ b/tier/proxy/relay.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,18 +14,12 @@
 	"otterseam/tier/sse"
 )
 
-const (
-	streamReadBytes = 4 << 10
-	// maxEventBytes is the maximum size of an event. A host that sends more bytes without completing an event has failed.
-	maxEventBytes = 4 << 20
-)
-
 // clientStream is the state of a turn's response to its client, across all attempts.
 type clientStream struct {
 	attempts     attempt.Attempts
 	started      bool // the head has been written
 	disconnected bool
-	events       uint64
+	events       uint64 // events with data; a turn is charged for them
 	lastEventID  int64  // sse.NoID if there is none
 	output       []byte // event data, for a retained turn
 	reserved     int    // capacity of output for which memory is reserved
@@ -43,7 +35,11 @@
 	}
 	tried := map[string]bool{}
 	failure := codes.NoHost
-	for stream.attempts.CanAttempt() && ctx.Err() == nil && !stream.disconnected {
+	for number := 0; stream.attempts.CanAttempt() && ctx.Err() == nil && !stream.disconnected; number++ {
+		if number > 0 && t.memory.begin(p.responses) != nil {
+			failure = codes.Overloaded
+			break
+		}
 		host := p.chooseHost(ctx, t.service, t.preferredHost, tried)
 		if host == nil {
 			break
@@ -70,7 +66,7 @@
 	case step == attempt.Fail:
 		p.fail(w, http.StatusBadGateway, codes.HostFailed)
 	default:
-		p.reject(w, failure, t.remaining(), p.outages.recordOverload(t.service))
+		p.rejectFailed(w, t.request, failure)
 	}
 }
 
@@ -79,18 +75,17 @@
 	deadline := p.firstEventDeadline(t, stream)
 	response, outcome := p.send(ctx, t.request, host, attemptInput{stream.resumePoint(t), t.prompt}, deadline)
 	if response == nil {
-		p.hosts.finish(host, outcomeWithoutResponse(ctx, outcome))
+		p.hosts.finish(host, outcomeWithoutResponse(ctx, t.request, outcome))
 		return outcome
 	}
 	switch {
 	case response.isRefused():
-		response.discard()
-		p.hosts.finish(host, hostRejected)
+		p.discardRefusal(t.request, response)
 		return attempt.Refused
 	case response.StatusCode != http.StatusOK || !mayBeEventStream(response.Header):
 		return p.forwardBody(ctx, w, t, response, stream)
 	default:
-		return p.forwardEvents(ctx, w, t, response, stream, deadline)
+		return p.newEventForwarder(w, t, response, stream, deadline).run(ctx)
 	}
 }
 
@@ -122,89 +117,19 @@
 // forwardBody forwards a response that is not an event stream: an error response of the host, or the body of a host that generates no
 // tokens. The tokens of an accounted turn are counted by events, so a successful response without events is not valid for it.
 func (p *Proxy) forwardBody(ctx context.Context, w http.ResponseWriter, t *turn, response *hostResponse, stream *clientStream) attempt.Outcome {
-	head := response.head()
-	body, err := response.readAll()
 	uncounted := t.isAccounted() && response.StatusCode < http.StatusMultipleChoices
-	if errors.Is(err, errResponseTooLarge) {
-		p.recordExcess(response.host, excessBody, t.id)
-	}
-	if err != nil || stream.started || uncounted {
-		p.hosts.finish(response.host, outcomeOfBrokenResponse(ctx))
-		return attempt.Uncertain
-	}
-	p.finishComplete(t.request, response.host, head)
-	p.settleInBackground(t, t.abortCommand(0, response.host.ID))
-	p.forwardPlain(w, t.request, stream.attempts, plainResponse{response.Response, head, body})
-	return attempt.Answered
-}
-
-// forwardEvents forwards each event as soon as it is complete.
-func (p *Proxy) forwardEvents(
-	ctx context.Context, w http.ResponseWriter, t *turn, response *hostResponse, stream *clientStream, firstEventDeadline time.Time,
-) attempt.Outcome {
-	var splitter sse.Splitter
-	firstEventReceived := false
-	buffer := make([]byte, streamReadBytes)
-	stream.hostID = response.host.ID
-	for {
-		n, err := response.Body.Read(buffer)
-		for _, event := range splitter.Add(buffer[:n]) {
-			if !firstEventReceived {
-				firstEventReceived = true
-				response.lease.ClearDeadline()
-				p.latencies.observeResponse(t.route.Name, time.Since(response.sentAt))
-			}
-			if event.ID >= 0 && event.ID <= stream.lastEventID {
-				continue // the client has received it from an earlier host
-			}
-			if !stream.forward(ctx, w, t, response, event) {
-				response.lease.Close()
-				p.hosts.finish(response.host, hostInconclusive)
-				return attempt.Uncertain
-			}
-		}
-		if err == nil && splitter.Pending() <= maxEventBytes {
-			continue
-		}
-		if errors.Is(err, io.EOF) && splitter.Pending() == 0 {
-			response.lease.Release()
-			p.finishComplete(t.request, response.host, response.head())
-			p.finishTurn(ctx, w, t, response, stream)
-			return attempt.Answered
-		}
+	if stream.started || uncounted {
 		response.lease.Close()
-		if err == nil {
-			p.recordExcess(response.host, excessEvent, t.id)
-		}
-		if !firstEventReceived {
-			p.observeTimeout(t.request, response.sentAt, firstEventDeadline)
-		}
 		p.hosts.finish(response.host, outcomeOfBrokenResponse(ctx))
 		return attempt.Uncertain
 	}
-}
-
-// forward writes one event to the client. It returns false if the client has disconnected, or if there is no memory for the output of a
-// retained turn, whose response is then broken off.
-func (s *clientStream) forward(ctx context.Context, w http.ResponseWriter, t *turn, response *hostResponse, event sse.Event) bool {
-	s.start(w, response)
-	s.events++
-	if event.ID >= 0 {
-		s.lastEventID = event.ID
-	}
-	s.attempts.ResponseStarted(event.ID >= 0)
-	if t.route.Retained && !s.keep(ctx, event.Data) {
-		s.disconnected = true
-		return false
-	}
-	if _, err := w.Write(event.Raw); err != nil {
-		s.disconnected = true
-		return false
-	}
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
+	held, outcome := p.holdBody(ctx, t.request, response)
+	if outcome != attempt.Answered {
+		return outcome
 	}
-	return true
+	p.settleInBackground(t, t.abortCommand(0, response.host.ID))
+	p.forwardPlain(ctx, w, t.request, stream.attempts, held)
+	return attempt.Answered
 }
 
 // firstOutputBytes is the size of an output for which the memory of its request suffices.
--- a/tier/proxy/request.go
+++ b/tier/proxy/request.go
@@ -36,6 +36,7 @@
 	route    *opconfig.Route
 	service  string
 	deadline time.Time
+	memory   responseMemory
 }
 
 // remaining returns the time until the request's deadline.
--- a/tier/proxy/send.go
+++ b/tier/proxy/send.go
@@ -3,31 +3,20 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"otterseam/tier/attempt"
 	"otterseam/tier/codes"
+	"otterseam/tier/memorybudget"
 	"otterseam/tier/opconfig"
 	"otterseam/tier/timeline"
 	"otterseam/tier/upstream"
 )
 
-// maxResponseBytes is the maximum size of a response body that is read completely before it is forwarded.
-const maxResponseBytes = 64 << 20
-
 // errResponseTooLarge indicates a response body larger than maxResponseBytes.
 var errResponseTooLarge = errors.New("response body is too large")
 
-// hostResponse is a host's response of which the head was read. Its lease has to be released or closed.
-type hostResponse struct {
-	*http.Response
-	host   *upstreamHost
-	lease  *upstream.Lease
-	sentAt time.Time
-}
-
 // attemptInput is the part of a request that may differ between attempts.
 type attemptInput struct {
 	lastEventID string // ID of the event after which a stream resumes, or empty
@@ -41,6 +30,7 @@
 	if err != nil {
 		return nil, attempt.Unsent
 	}
+	r.memory.attach(lease)
 	p.timeline.Reach(timeline.FirstRequestSent)
 	defer p.hosts.watchStall(host, p.latencies.stallThreshold(r))()
 	sentAt := time.Now()
@@ -49,19 +39,22 @@
 		Method:   r.method,
 		Bytes:    r.encode(host.ID, input.lastEventID, input.body),
 		Deadline: deadline,
+		Memory:   &r.memory.claim,
 	})
 	if err != nil {
 		lease.Close()
 		if errors.Is(err, upstream.ErrHeadTooLong) {
 			p.recordExcess(host, excessHead, r.id)
 		}
+		r.memory.starved = errors.Is(err, memorybudget.ErrSpent)
+		p.recordIfYielded(r, host)
 		p.observeTimeout(r, sentAt, deadline)
 		return nil, attempt.OutcomeOf(lease.Exchange())
 	}
 	if load := response.Header.Get(headerLoad); load != "" {
 		p.hosts.updateLoad(host, load)
 	}
-	return &hostResponse{response, host, lease, sentAt}, attempt.Uncertain
+	return &hostResponse{response, host, lease, &r.memory, sentAt}, attempt.Uncertain
 }
 
 // observeTimeout records the waiting time of a failed attempt if the attempt's deadline has passed.
@@ -83,23 +76,6 @@
 	return exchange.Head()
 }
 
-// readAll reads the whole body and ends the lease. It returns an error if the response is incomplete or too large.
-func (h *hostResponse) readAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(h.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
-	if err != nil {
-		h.lease.Close()
-		return nil, err
-	}
-	h.lease.Release()
-	return body, nil
-}
-
-// discard reads and drops the body and ends the lease, so that the connection can be reused.
-func (h *hostResponse) discard() { _, _ = h.readAll() }
-
 // repeatabilityOf returns whether the requests of a route may run more than once.
 func repeatabilityOf(route *opconfig.Route) attempt.Repeatability {
 	switch {
@@ -147,8 +123,10 @@
 
 // outcomeWithoutResponse returns the outcome for the host of a request that received no response. If the request's deadline has
 // passed, this counts as an error of the host but starts no backoff, because under load deadlines pass at all hosts.
-func outcomeWithoutResponse(ctx context.Context, outcome attempt.Outcome) hostOutcome {
+func outcomeWithoutResponse(ctx context.Context, r *request, outcome attempt.Outcome) hostOutcome {
 	switch {
+	case r.memory.starved || outcome == attempt.Unsent && r.memory.hasYielded():
+		return hostInconclusive
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return hostServerError
 	case outcome == attempt.Unsent && ctx.Err() == nil:
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -93,6 +93,11 @@
 		p.failText(w, http.StatusBadRequest, codes.RequestMalformed, err.Error())
 		return
 	}
+	if t.memory.begin(p.responses) != nil {
+		p.rejectFailed(w, r, codes.Overloaded)
+		return
+	}
+	defer t.memory.end()
 	t.expectedOutput = p.outputs.expectedBytes(t.maxTokens)
 	if t.isAccounted() {
 		if err := p.begin(ctx, t); err != nil {
--- a/tier/upstream/conn.go
+++ b/tier/upstream/conn.go
@@ -36,6 +36,7 @@
 	socket      net.Conn
 	reader      *bufio.Reader
 	headBudget  int // bytes that may still be read for the current head; unlimited if negative
+	headMemory  headMemory
 	history     []sentRequest
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -58,6 +59,9 @@
 	n, err := c.socket.Read(p)
 	if c.headBudget > 0 {
 		c.headBudget -= n
+		if err := c.headMemory.add(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
@@ -113,7 +117,7 @@
 	return err == nil && noInput
 }
 
-// readHead reads the head of a response to a request with the method of httpRequest.
+// readHead reads the head of a response to a request with the method of httpRequest. It returns an error if the head exceeds the memory.
 func (c *conn) readHead(httpRequest *http.Request) (*http.Response, error) {
 	c.headBudget = maxHeadBytes
 	defer func() { c.headBudget = unlimited }()
--- a/tier/upstream/lease.go
+++ b/tier/upstream/lease.go
@@ -25,12 +25,12 @@
 
 func newLease(ctx context.Context, pool *Pool, conn *conn) *Lease {
 	lease := &Lease{pool: pool, conn: conn}
-	lease.stopAbort = context.AfterFunc(ctx, lease.abort)
+	lease.stopAbort = context.AfterFunc(ctx, lease.Abort)
 	return lease
 }
 
-// abort closes the connection unless the lease has ended. The owner's next read or write fails.
-func (l *Lease) abort() {
+// Abort closes the connection unless the lease has ended. The owner's next read or write fails. Any goroutine may call it.
+func (l *Lease) Abort() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil {
@@ -64,7 +64,10 @@
 }
 
 // ClearDeadline removes the deadline of the request. It is called once the response has begun to arrive.
-func (l *Lease) ClearDeadline() { _ = l.ownedConn().socket.SetDeadline(time.Time{}) }
+func (l *Lease) ClearDeadline() { l.SetDeadline(time.Time{}) }
+
+// SetDeadline replaces the deadline of the request.
+func (l *Lease) SetDeadline(deadline time.Time) { _ = l.ownedConn().socket.SetDeadline(deadline) }
 
 // Release returns the connection to the pool if it can carry another request, and closes it otherwise.
 func (l *Lease) Release() {
@@ -97,7 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reusable := l.exchange.IsReusable() && !l.aborted
-	l.conn = nil // from here on abort does nothing, even if it is already waiting for the lock
+	l.conn = nil // from here on Abort does nothing, even if it is already waiting for the lock
 	l.stopAbort()
 	return reusable
 }
--- a/tier/upstream/pool.go
+++ b/tier/upstream/pool.go
@@ -22,6 +22,8 @@
 	idleMargin = 700 * time.Millisecond
 	// tcpUserTimeoutMS is how long sent bytes may stay unacknowledged before the kernel closes a connection (TCP_USER_TIMEOUT).
 	tcpUserTimeoutMS = 4000
+	// receiveBufferBytes is the size of the receive buffer of a connection, in which the kernel holds what has not been read yet.
+	receiveBufferBytes = 128 << 10
 )
 
 // Pool opens connections to one address and keeps the idle ones for reuse.
@@ -68,15 +70,16 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	setTCPUserTimeout(socket)
+	setSocketOptions(socket)
 	return newLease(ctx, p, newConn(socket)), nil
 }
 
-func setTCPUserTimeout(socket net.Conn) {
+func setSocketOptions(socket net.Conn) {
 	tcp, ok := socket.(*net.TCPConn)
 	if !ok {
 		return
 	}
+	_ = tcp.SetReadBuffer(receiveBufferBytes)
 	if raw, err := tcp.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS)
--- a/tier/upstream/roundtrip.go
+++ b/tier/upstream/roundtrip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"otterseam/tier/attempt"
+	"otterseam/tier/memorybudget"
 )
 
 const (
@@ -29,6 +30,8 @@
 	Method   string
 	Bytes    []byte
 	Deadline time.Time // deadline of the exchange, in addition to the context's; zero for none
+	// Memory is the claim from which memory for long heads is reserved; nil for no limit.
+	Memory *memorybudget.Claim
 }
 
 // RoundTrip sends the request and reads the head of its response. The response's body reads from the connection. After an error the
@@ -38,6 +41,8 @@
 	if !conn.recordRequest(request.ID, request.Method) {
 		return nil, errors.Join(ErrNotSent, ErrDuplicateRequestID)
 	}
+	conn.headMemory = newHeadMemory(request.Memory)
+	defer func() { conn.headMemory = headMemory{} }() // an idle connection must not keep the request
 	_ = conn.socket.SetDeadline(request.Deadline)
 	if err := l.send(conn, request.Bytes); err != nil {
 		l.update((*attempt.Exchange).Break)
