--- a/tier/proxy/events.go
+++ b/tier/proxy/events.go
@@ -21,6 +21,9 @@
 	freeEventBytes = 4 << 10
 	// ordinaryEventBytes is the size up to which an event for which there is no memory is not evidence about its host.
 	ordinaryEventBytes = 64 << 10
+	// maxIdleBytes is how many bytes of a stream may follow each other without an event that is new to the client: comments, events without
+	// data, and events that the client has received from an earlier host.
+	maxIdleBytes = 64 << 10
 )
 
 // eventForwarder forwards the events of one host's response.
@@ -34,6 +37,7 @@
 
 	firstEventDeadline time.Time
 	firstEventReceived bool
+	idleBytes          int
 	reserved           int64 // memory for the event that is being received
 }
 
@@ -172,9 +176,20 @@
 		f.response.lease.ClearDeadline()
 		f.proxy.latencies.observeResponse(f.turn.route.Name, time.Since(f.response.sentAt))
 	}
-	if event.ID >= 0 && event.ID <= f.stream.lastEventID {
+	isRepeated := event.ID >= 0 && event.ID <= f.stream.lastEventID
+	if isRepeated || !event.HasData {
+		if f.idleBytes += len(event.Raw); f.idleBytes > maxIdleBytes {
+			return &excessError{excessIdle}
+		}
+	} else {
+		f.idleBytes = 0
+	}
+	if isRepeated {
 		return nil
 	}
+	if maximum, known := f.turn.maxEvents(); known && event.HasData && f.stream.events >= maximum {
+		return &excessError{excessTokens}
+	}
 	return f.stream.forward(ctx, f.client, f.turn, f.response, event)
 }
 
@@ -185,12 +200,14 @@
 // output of a retained turn, whose response is then broken off.
 func (s *clientStream) forward(ctx context.Context, w http.ResponseWriter, t *turn, response *hostResponse, event sse.Event) error {
 	s.start(w, response)
-	s.events++
+	if event.HasData {
+		s.events++
+	}
 	if event.ID >= 0 {
 		s.lastEventID = event.ID
 	}
 	s.attempts.ResponseStarted(event.ID >= 0)
-	if t.route.Retained && !s.keep(ctx, event.Data) {
+	if t.route.Retained && event.HasData && !s.keep(ctx, event.Data) {
 		s.disconnected = true
 		return &clientError{errNoOutputMemory}
 	}
--- a/tier/proxy/turn.go
+++ b/tier/proxy/turn.go
@@ -29,6 +29,7 @@
 	hasBudget bool
 	budget    uint64 // tokens that the program may spend
 	maxTokens uint64 // tokens that the turn may generate
+	isBounded bool   // maxTokens is known
 
 	previous       string          // request ID of the turn that it continues
 	prompt         []byte          // the input for the host: the chain of earlier turns and the new input
@@ -67,6 +68,7 @@
 		}
 		t.hasBudget = true
 		t.budget = budget
+		t.isBounded = true
 	}
 	t.maxTokens = t.budget // without a token count, only the whole budget is certain to cover the turn
 	if text := r.header.Get(headerTokenCount); text != "" {
@@ -77,10 +79,16 @@
 			return nil, errTokenCountHeader
 		}
 		t.maxTokens = value
+		t.isBounded = true
 	}
 	return t, nil
 }
 
+// maxEvents returns how many events with data the response may have. It returns false if that is unknown.
+func (t *turn) maxEvents() (uint64, bool) {
+	return (t.maxTokens + t.tokensPerEvent - 1) / t.tokensPerEvent, t.isBounded
+}
+
 // parseTokens parses a number of tokens.
 func parseTokens(text string) (uint64, error) {
 	return strconv.ParseUint(strings.TrimSpace(text), 10, 63)
