Soak of hosts that send without end

make soak-floods: hosts draw floods of all kinds, fast or slow, which overlap, beside the faults; clients of turns and of plain routes go on; the processes have limits.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race misbehavior soak-crowds lint format fuzz run try try-tier soak hunt try-copies hunt-copies hunt-tier sites
+.PHONY: build test race misbehavior soak-crowds soak-floods lint format fuzz run try try-tier soak hunt try-copies hunt-copies hunt-tier sites
 
 # Builds the programs of the gateway as its deploy file says.
 build:
@@ -71,6 +71,10 @@
 soak-crowds:
 	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=40 SOAK_LARGE=10 go test -count=1 -v -timeout 0 -parallel 3 -run Crowds ./harness/tiersoak
 
+# The same with hosts that send heads, bodies and events without end. Not part of CI, which plays one seed.
+soak-floods:
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=30 SOAK_LARGE=10 go test -count=1 -v -timeout 0 -parallel 3 -run Flooding ./harness/tiersoak
+
 # Simulates replicas of the quota store on a network that fails, over 100 times SEEDS seeds from SEED on. Not part of CI.
 hunt-copies: build
 	bin/otterseam-sim keepers --seed $(SEED) --seeds $(SEEDS)00
--- a/harness/tiersoak/clients.go
+++ b/harness/tiersoak/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -139,10 +140,24 @@
 		return outcome{err: err}
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	text, err := readAnswer(response.Body)
 	return outcome{response.StatusCode, string(text), err}
 }
 
+// maxAnswerBytes is more than a sound host answers. A client closes its connection after so many bytes.
+const maxAnswerBytes = 1 << 20
+
+// errLongAnswer is the error of an answer that no sound host has sent.
+var errLongAnswer = errors.New("the answer is too long")
+
+func readAnswer(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+	if err == nil && len(text) > maxAnswerBytes {
+		err = errLongAnswer
+	}
+	return text, err
+}
+
 // runOthers sends turns that are not retained until the context ends, so that the shards execute many commands and sweep.
 func (c *client) runOthers(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
--- a/harness/tiersoak/crowds.go
+++ b/harness/tiersoak/crowds.go
@@ -20,8 +20,8 @@
 	crowdConfigBytes = 4 << 20
 )
 
-// crowdLimits are the limits of the processes in a run with crowds.
-var crowdLimits = map[string]tiercluster.Limits{
+// processLimits are the limits of the processes in a run with crowds or floods.
+var processLimits = map[string]tiercluster.Limits{
 	"proxy":   {MemoryMB: 128, MaxFDs: 400},
 	"control": {MemoryMB: 128, MaxFDs: 4096, DiskMB: 128},
 	"store":   {MemoryMB: 192, MaxFDs: 8200, DiskMB: 150},
--- a/harness/tiersoak/soak.go
+++ b/harness/tiersoak/soak.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"otterseam/harness/tiercluster"
+	"otterseam/harness/tierhost"
 )
 
 // Options selects the run of a soak.
@@ -21,6 +22,7 @@
 	Duration  time.Duration // of the faults
 	Large     bool          // many front machines
 	Crowds    bool          // clients that don't behave, and processes that have to stay within their limits
+	Floods    bool          // hosts that send without end, and processes that have to stay within their limits
 }
 
 // Report is what a soak measured.
@@ -33,6 +35,8 @@
 	Others     int      // turns of other programs, which make the shards sweep
 	Faults     []string // in the order in which they began
 	Crowds     []string // in the order in which they came
+	Floods     []string // in the order in which they began
+	Plain      int      // plain requests that were answered while hosts flooded
 	Violations []string // broken promises
 }
 
@@ -60,10 +64,14 @@
 	history *history
 	names   []string // programs of the clients and of the others, which share a few shards
 
-	mu         sync.Mutex // guards all below
-	faults     []string
-	crowds     []string
-	violations []string // of limits of processes
+	floodable []*tierhost.Host // the hosts that may flood
+
+	mu           sync.Mutex // guards all below
+	faults       []string
+	crowds       []string
+	floods       []string
+	plainAnswers int
+	violations   []string // of limits of processes
 }
 
 // Run starts a tier, plays the faults of a seed while clients send turns, and checks that the tier recovers. An error means that the run
@@ -86,25 +94,44 @@
 	for i := range otherClients {
 		load.Go(func() { s.newClient(clients + i).runOthers(ctx) })
 	}
-	endCrowds := func() {}
-	if s.options.Crowds {
-		load.Go(func() { s.watchProcesses(ctx) })
-		endCrowds = s.startCrowds(ctx)
-	}
+	endDisturbances := s.startDisturbances(ctx, &load)
 	s.playFaults()
-	endCrowds()
+	endDisturbances()
 	recovered := s.awaitRecovery()
 	cancel()
 	load.Wait()
 	report := s.history.report()
 	report.Faults = s.faults
 	report.Crowds = s.crowds
+	report.Floods = s.floods
+	report.Plain = s.plainAnswers
 	report.Violations = append(report.Violations, s.violations...)
 	report.Violations = append(report.Violations, recovered...)
 	report.Violations = append(report.Violations, s.history.checkExecutions(s.executions())...)
 	return report, nil
 }
 
+// startDisturbances starts what comes beside the faults. The function that it returns ends it.
+func (s *soak) startDisturbances(ctx context.Context, load *sync.WaitGroup) (end func()) {
+	endCrowds, endFloods := func() {}, func() {}
+	if s.isLimited() {
+		load.Go(func() { s.watchProcesses(ctx) })
+	}
+	if s.options.Crowds {
+		endCrowds = s.startCrowds(ctx)
+	}
+	if s.options.Floods {
+		endFloods = s.startFloods(ctx, load)
+	}
+	return func() {
+		endCrowds()
+		endFloods()
+	}
+}
+
+// isLimited reports whether the processes know their limits and have to stay within them.
+func (s *soak) isLimited() bool { return s.options.Crowds || s.options.Floods }
+
 // startCrowds starts crowds. The function that it returns ends them.
 func (s *soak) startCrowds(ctx context.Context) (end func()) {
 	crowdsCtx, cancel := context.WithCancel(ctx)
@@ -122,8 +149,8 @@
 		Program: s.options.Program, Dir: s.options.Dir, Network: s.options.Network, ProcessID: s.options.ProcessID,
 		Fronts: s.size.fronts, Controls: s.size.controls, Stores: s.size.stores, ToleratedLosses: s.size.toleratedLosses,
 	}
-	if s.options.Crowds {
-		options.Limits = crowdLimits
+	if s.isLimited() {
+		options.Limits = processLimits
 	}
 	cluster, err := tiercluster.Start(options)
 	if err != nil {
@@ -143,6 +170,12 @@
 			return err
 		}
 	}
+	if s.options.Floods {
+		if err := s.addPlainHosts(); err != nil {
+			return err
+		}
+		s.selectFloodable()
+	}
 	if got := s.cluster.ReplaceConfig(0, config(1), startLimit); got.Err != nil || got.Status != http.StatusOK {
 		return fmt.Errorf("first configuration: status %d: %w", got.Status, got.Err)
 	}
--- a/harness/tiersoak/soak_test.go
+++ b/harness/tiersoak/soak_test.go
@@ -20,8 +20,8 @@
 	largeVariable    = "SOAK_LARGE"   // every how many seeds have many front machines; 0: none
 	programVariable  = "SOAK_PROGRAM" // path of another build of otterseam-tier
 
-	// networksOfTest is the number of networks of each of the two tests, which may run at the same time.
-	networksOfTest = 125
+	// networksOfTest is the number of networks of each of the three tests, which may run at the same time.
+	networksOfTest = 80
 
 	defaultSeeds    = 1
 	defaultDuration = 45 // seconds
@@ -85,7 +85,7 @@
 				t.Fatal(err)
 			}
 			if len(report.Violations) > 0 {
-				t.Errorf("violations: %q\nfaults: %q\ncrowds: %q", report.Violations, report.Faults, report.Crowds)
+				t.Errorf("violations: %q\nfaults: %q\ncrowds: %q\nfloods: %q", report.Violations, report.Faults, report.Crowds, report.Floods)
 			}
 			check(t, report)
 		})
@@ -116,6 +116,18 @@
 	})
 }
 
+// Guards against processes that end, hang or leave their limits, and against answered turns that are lost, while hosts send heads, bodies and
+// events without end beside the faults. SOAK_SEEDS and SOAK_SECONDS make it a long run: make soak-floods.
+func TestProcessesSurviveFloodingHosts(t *testing.T) {
+	playSeeds(t, Options{Floods: true}, 1+2*networksOfTest, func(t *testing.T, report Report) {
+		t.Logf("%d turns answered, %d continued another one; %d tries rejected; %d plain requests answered, %d faults, %d floods",
+			report.Answered, report.Continued, report.Rejected, report.Plain, len(report.Faults), len(report.Floods))
+		if report.Continued == 0 || report.Plain == 0 {
+			t.Error("no turn that continues another one was answered, or no plain request")
+		}
+	})
+}
+
 // The oracle has to notice each kind of broken promise.
 func TestHistoryNoticesViolations(t *testing.T) {
 	first := turn{program: "p", input: "one ", events: 1}
--- a/harness/tiersoak/usage.go
+++ b/harness/tiersoak/usage.go
@@ -17,7 +17,7 @@
 	reported := map[string]bool{}
 	for ctx.Err() == nil {
 		for _, machine := range s.cluster.Machines { // none is added during a soak
-			for role, limits := range crowdLimits {
+			for role, limits := range processLimits {
 				for _, violation := range checkProcess(machine, role, limits) {
 					if key := machine.Name + role + violation.kind; !reported[key] {
 						reported[key] = true
