--- a/tier/proxy/heldbody_test.go
+++ b/tier/proxy/heldbody_test.go
@@ -224,3 +224,16 @@
 		t.Errorf("%d bytes are reserved", used)
 	}
 }
+
+// Guards against a host that goes on getting requests though its refusals have no end.
+func TestAHostWhoseRefusalsHaveNoEndIsAvoided(t *testing.T) {
+	g := newTestProxy(t)
+	g.addHost(func(r hostRequest) { r.respondWithoutEnd(refusedWithoutEnd, chunkOf(4096)) })
+	g.dial().roundTrip("/once/1", "r", "", "x")
+	g.awaitIdle()
+	g.proxy.hosts.mu.Lock()
+	defer g.proxy.hosts.mu.Unlock()
+	if host := g.proxy.hosts.byID["host-1"]; !host.IsSuspect(time.Now(), 1) {
+		t.Error("the host isn't avoided")
+	}
+}
--- a/tier/proxy/plain.go
+++ b/tier/proxy/plain.go
@@ -88,12 +88,15 @@
 	return p.holdBody(ctx, r, response)
 }
 
-// discardRefusal ends a response which proves that the host did not run the request.
+// discardRefusal ends a response which proves that the host did not run the request. A host whose refusal is too long has failed, so that
+// the next requests avoid it.
 func (p *Proxy) discardRefusal(r *request, response *hostResponse) {
-	if !response.discard() {
-		p.recordExcess(response.host, excessUnread, r.id)
+	if response.discard() {
+		p.hosts.finish(response.host, hostRejected)
+		return
 	}
-	p.hosts.finish(response.host, hostRejected)
+	p.recordExcess(response.host, excessUnread, r.id)
+	p.hosts.finish(response.host, hostResponseBroken)
 }
 
 // holdBody reads the body of a response, as far as it may be held.
