Idle connections on which hosts send are closed

They were closed when they were chosen for a request, or after their idle timeout; until then the kernel held what the host had sent, which counts as the process's memory on the operators' machines.

--- a/tier/upstream/pool.go
+++ b/tier/upstream/pool.go
@@ -119,13 +119,14 @@
 	p.idle = append(p.idle, conn)
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// CloseExpired closes the connections whose idle timeout has passed, and those on which the host has sent something, which would stay in the
+// kernel's memory.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	var expired []*conn
 	kept := p.idle[:0]
 	for _, conn := range p.idle {
-		if conn.idleExpired() {
+		if conn.idleExpired() || !conn.hasNoInput() {
 			expired = append(expired, conn)
 		} else {
 			kept = append(kept, conn)
--- a/tier/upstream/pool_test.go
+++ b/tier/upstream/pool_test.go
@@ -197,3 +197,25 @@
 		t.Fatalf("the host read the request %d times", len(read))
 	}
 }
+
+// Guards against idle connections whose hosts go on sending, which fills the memory of the kernel.
+func TestIdleConnectionWithInputIsClosed(t *testing.T) {
+	sent := make(chan struct{})
+	address, _ := startHost(t, func(conn net.Conn, reader *bufio.Reader) {
+		respond(okResponse)(conn, reader)
+		_, _ = io.WriteString(conn, "more")
+		close(sent)
+		_, _ = io.Copy(io.Discard, reader)
+	})
+	p := NewPool(address)
+	defer p.Close()
+	lease, _, _ := roundTrip(t, p)
+	lease.Release()
+	<-sent
+	for deadline := time.Now().Add(5 * time.Second); p.HasIdle(); {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection is still idle")
+		}
+		p.CloseExpired()
+	}
+}
