--- a/tier/proxy/responsememory.go
+++ b/tier/proxy/responsememory.go
@@ -16,11 +16,10 @@
 	responsePatience = 500 * time.Millisecond
 )
 
-// newResponseBudget returns the budget for what a proxy holds for the responses of hosts. An attempt doesn't have to yield before its
-// response takes more than every attempt does.
+// newResponseBudget returns the budget for what a proxy holds for the responses of hosts. A response of ordinary size never has to yield.
 func newResponseBudget(limit int64) *memorybudget.Budget {
 	budget := memorybudget.NewBudget(limit)
-	budget.MinEvictionBytes = attemptBytes
+	budget.MinEvictionBytes = attemptBytes + firstBodyBytes
 	return budget
 }
 
