Tests of the proxy listen on an address of their process

TestRunEndsWithItsContext failed once (dial refused for 10 s) beside other test processes: the port that it had chosen and freed was taken by another process meanwhile (a run of six test binaries at once showed the bind error). Two other tests then counted a connection that was another process's.

--- a/tier/proxy/fleetload_test.go
+++ b/tier/proxy/fleetload_test.go
@@ -26,7 +26,7 @@
 
 func startStubHome(t *testing.T, answer func(rpc.Message)) *stubHome {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/tier/proxy/harness_test.go
+++ b/tier/proxy/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,14 @@
 {"name":"turn","host":"a.example","path_prefix":"/turn/","route_type":"streaming","timeout_ms":20000,"service":"hosts","max_attempts":3,"retained":true,"keep_s":60}
 ],"services":[{"name":"hosts","health_path":"/health"}],"limits":{"max_header_bytes":16384,"max_body_bytes":16777216}}`
 
+// anyPort returns an address with port 0. Its IP address is that of this process alone, so that neither a port that was freed here is taken by
+// another test process, nor a connection to a listener that has ended there reaches one of this process.
+func anyPort() string {
+	const octets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 18+pid/octets/octets%100, pid/octets%octets, pid%octets+1)
+}
+
 // testProxy is a proxy that serves on a loopback listener.
 type testProxy struct {
 	*testing.T
@@ -55,7 +64,7 @@
 	if p.routes.Load() == nil {
 		t.Fatal("the configuration was not applied")
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +113,7 @@
 // connections.
 func (g *testProxy) addHost(serve func(hostRequest)) *connections {
 	g.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		g.Fatal(err)
 	}
@@ -127,7 +136,7 @@
 // addEarlyHost adds a host that responds to each request before it reads the request's body.
 func (g *testProxy) addEarlyHost(text string) {
 	g.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		g.Fatal(err)
 	}
@@ -278,7 +287,7 @@
 // addStore adds a store that leads the only shard of programs.
 func (g *testProxy) addStore(serve func(kind programs.CommandKind, m rpc.Message)) {
 	g.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		g.Fatal(err)
 	}
--- a/tier/proxy/recorded_test.go
+++ b/tier/proxy/recorded_test.go
@@ -25,7 +25,7 @@
 // serveRPC calls the handler for each message that arrives at the returned address.
 func serveRPC(t *testing.T, handler rpc.Handler) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/tier/proxy/server_test.go
+++ b/tier/proxy/server_test.go
@@ -42,7 +42,7 @@
 func TestARequestWithoutTokenHeadersOnAStreamingRouteIsServed(t *testing.T) {
 	g := newTestProxy(t)
 	host := &tierhost.Host{ID: "host-1", Service: "hosts", Slots: 4, Controls: func() []string { return nil }}
-	if err := host.Start("127.0.0.1:0"); err != nil {
+	if err := host.Start(anyPort()); err != nil {
 		t.Fatal(err)
 	}
 	defer host.Stop()
--- a/tier/proxy/shutdown_test.go
+++ b/tier/proxy/shutdown_test.go
@@ -128,7 +128,7 @@
 		t.Run(failing, func(t *testing.T) {
 			listeners := map[string]net.Listener{}
 			for _, name := range []string{"listen.front", "listen.readiness"} {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				listener, err := net.Listen("tcp", anyPort())
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -146,7 +146,7 @@
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
