--- a/harness/misbehavior/hosts_test.go
+++ b/harness/misbehavior/hosts_test.go
@@ -20,7 +20,7 @@
 	floodingSlots = 8
 	floodClients  = 60
 	// floodTime is how long the clients send requests while hosts flood.
-	floodTime = 2 * time.Second
+	floodTime = 4 * time.Second
 	// trickledFloodPause is the pause between the writes of a slow flood.
 	trickledFloodPause = 20 * time.Millisecond
 )
